--- /dev/null
+++ b/src/adapter/pgwire.h
@@ -0,0 +1,117 @@
+/**
+ * DOC: Framing and messages of the PostgreSQL protocol 3.0, server side. Used towards
+ * callers and by the backend stand-in.
+ *
+ * Source: PostgreSQL documentation, "Frontend/Backend Protocol".
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+/** Request codes that stand in place of a protocol version. */
+#define PGWIRE_SSL_REQUEST 80877103u
+#define PGWIRE_GSS_REQUEST 80877104u
+#define PGWIRE_CANCEL_REQUEST 80877102u
+#define PGWIRE_VERSION_3 196608u
+
+/** Largest startup packet and largest message accepted from a client, in bytes. */
+#define PGWIRE_STARTUP_LIMIT_BYTES 10000u
+#define PGWIRE_MESSAGE_LIMIT_BYTES (16u * 1024 * 1024)
+
+/** enum PgwireRead - Result of looking for a message. */
+typedef enum
+{
+  PGWIRE_INCOMPLETE,
+  PGWIRE_MESSAGE,
+  PGWIRE_MALFORMED
+} PgwireRead;
+
+/**
+ * struct PgwireMessage - A message inside an input buffer.
+ * @type: type byte; 0 for startup packets.
+ * @body: first byte after the length; valid until the buffer changes.
+ * @length: bytes in @body.
+ * @size_bytes: whole size, to be consumed.
+ */
+typedef struct
+{
+  char type;
+  const uint8_t *body;
+  uint32_t length;
+  uint32_t size_bytes;
+} PgwireMessage;
+
+/** pgwire_read_startup() - Finds a startup packet at the start of the input. */
+PgwireRead pgwire_read_startup (const uint8_t *input, size_t length, PgwireMessage *message);
+
+/** pgwire_read_message() - Finds a typed message at the start of the input. */
+PgwireRead pgwire_read_message (const uint8_t *input, size_t length, PgwireMessage *message);
+
+/**
+ * struct PgwireCursor - Reader of a message's fields; @failed is sticky, so that a whole
+ * message may be read before it is checked once.
+ */
+typedef struct
+{
+  const uint8_t *at;
+  const uint8_t *end;
+  bool failed;
+} PgwireCursor;
+
+/** pgwire_cursor() - Reader at the start of @message. */
+PgwireCursor pgwire_cursor (const PgwireMessage *message);
+
+/** pgwire_get_u8() - Next byte; 0 on failure. */
+uint8_t pgwire_get_u8 (PgwireCursor *cursor);
+
+/** pgwire_get_u16() - Next 16-bit number; 0 on failure. */
+uint16_t pgwire_get_u16 (PgwireCursor *cursor);
+
+/** pgwire_get_u32() - Next 32-bit number; 0 on failure. */
+uint32_t pgwire_get_u32 (PgwireCursor *cursor);
+
+/** pgwire_get_string() - Next terminated string; "" on failure. */
+const char *pgwire_get_string (PgwireCursor *cursor);
+
+/** pgwire_get_bytes() - Next @length bytes; %NULL on failure. */
+const uint8_t *pgwire_get_bytes (PgwireCursor *cursor, uint32_t length);
+
+/** pgwire_begin() - Starts a message of @type; returns the mark for pgwire_end(). */
+guint pgwire_begin (GByteArray *out, char type);
+
+/** pgwire_end() - Fills in the length of the message begun at @mark. */
+void pgwire_end (GByteArray *out, guint mark);
+
+/** pgwire_put_u8() - Appends a byte. */
+void pgwire_put_u8 (GByteArray *out, uint8_t value);
+
+/** pgwire_put_u16() - Appends a 16-bit number. */
+void pgwire_put_u16 (GByteArray *out, uint16_t value);
+
+/** pgwire_put_u32() - Appends a 32-bit number. */
+void pgwire_put_u32 (GByteArray *out, uint32_t value);
+
+/** pgwire_put_string() - Appends a terminated string. */
+void pgwire_put_string (GByteArray *out, const char *text);
+
+/** pgwire_put_bytes() - Appends bytes as they are. */
+void pgwire_put_bytes (GByteArray *out, const void *bytes, uint32_t length);
+
+/** pgwire_put_empty() - Whole message of @type without a body. */
+void pgwire_put_empty (GByteArray *out, char type);
+
+/** pgwire_put_ready() - ReadyForQuery; @status is 'I', 'T' or 'E'. */
+void pgwire_put_ready (GByteArray *out, char status);
+
+/** pgwire_put_complete() - CommandComplete. */
+void pgwire_put_complete (GByteArray *out, const char *tag);
+
+/** pgwire_put_parameter() - ParameterStatus. */
+void pgwire_put_parameter (GByteArray *out, const char *name, const char *value);
+
+/** pgwire_put_error() - ErrorResponse; @detail may be %NULL. */
+void pgwire_put_error (GByteArray *out, const char *severity, const char *sqlstate,
+                       const char *message, const char *detail);
--- /dev/null
+++ b/src/base/clock.c
@@ -0,0 +1,18 @@
+#include "base/clock.h"
+
+#include <time.h>
+
+int64_t
+clock_now_us (void)
+{
+  struct timespec ts;
+
+  clock_gettime (CLOCK_MONOTONIC, &ts);
+  return (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
+}
+
+int64_t
+clock_now_ms (void)
+{
+  return clock_now_us () / 1000;
+}
--- /dev/null
+++ b/src/base/log.c
@@ -0,0 +1,49 @@
+#include "base/log.h"
+
+#include <stdarg.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <unistd.h>
+
+#define LINE_BYTES 1024
+
+static atomic_int max_level = LOG_LEVEL_INFO;
+
+void
+log_set_level (LogLevel level)
+{
+  atomic_store_explicit (&max_level, (int)level, memory_order_relaxed);
+}
+
+int
+log_enabled (LogLevel level)
+{
+  return (int)level <= atomic_load_explicit (&max_level, memory_order_relaxed);
+}
+
+void
+log_event (LogLevel level, const char *event, const char *format, ...)
+{
+  char line[LINE_BYTES];
+  va_list args;
+  int used, more;
+
+  if (!log_enabled (level))
+    return;
+
+  used = snprintf (line, sizeof line, "<%d>event=%s ", (int)level, event);
+  va_start (args, format);
+  more = vsnprintf (line + used, sizeof line - (size_t)used - 1, format, args);
+  va_end (args);
+
+  used += more;
+  if (used > LINE_BYTES - 2)
+    used = LINE_BYTES - 2;
+  // A forged line must not fit inside a value.
+  for (int i = 0; i < used; i++)
+    if (line[i] == '\n' || line[i] == '\r')
+      line[i] = ' ';
+  line[used++] = '\n';
+  if (write (STDERR_FILENO, line, (size_t)used) < 0)
+    return;
+}
--- /dev/null
+++ b/src/base/stream.c
@@ -0,0 +1,287 @@
+#include "base/stream.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define READ_CHUNK_BYTES 16384
+#define READ_LIMIT_BYTES (256 * 1024)
+#define LOW_MARK_BYTES (32 * 1024)
+#define LISTEN_BACKLOG 1024
+/* Unacknowledged data closes the connection after this time. */
+#define TCP_USER_TIMEOUT_MS 5000
+
+struct Stream
+{
+  int fd;
+  struct tevent_fd *fde;
+  const StreamEvents *events;
+  void *data;
+  GByteArray *input;
+  GByteArray *output;
+  guint output_sent;
+  bool paused;
+  bool above_low_mark;
+};
+
+static int
+stream_destroy (Stream *stream)
+{
+  TALLOC_FREE (stream->fde);
+  close (stream->fd);
+  g_byte_array_free (stream->input, true);
+  g_byte_array_free (stream->output, true);
+  return 0;
+}
+
+static void
+update_interest (Stream *stream)
+{
+  uint16_t flags = 0;
+
+  if (!stream->paused)
+    flags |= TEVENT_FD_READ;
+  if (stream_pending (stream) > 0)
+    flags |= TEVENT_FD_WRITE;
+  tevent_fd_set_flags (stream->fde, flags);
+}
+
+/* Returns false when the stream was reported closed. */
+static bool
+read_some (Stream *stream)
+{
+  guint before = stream->input->len;
+  gssize got;
+
+  do
+    {
+      guint at = stream->input->len;
+
+      g_byte_array_set_size (stream->input, at + READ_CHUNK_BYTES);
+      got = read (stream->fd, stream->input->data + at, READ_CHUNK_BYTES);
+      g_byte_array_set_size (stream->input, at + (guint)MAX (got, 0));
+    }
+  while (got == READ_CHUNK_BYTES && stream->input->len - before < READ_LIMIT_BYTES);
+
+  if (stream->input->len > before)
+    {
+      stream->events->readable (stream->data);
+      return false;
+    }
+  if (got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR))
+    {
+      stream->events->closed (stream->data);
+      return false;
+    }
+  return true;
+}
+
+static bool
+write_some (Stream *stream)
+{
+  while (stream_pending (stream) > 0)
+    {
+      gssize put = send (stream->fd, stream->output->data + stream->output_sent,
+                         stream_pending (stream), MSG_NOSIGNAL);
+
+      if (put < 0)
+        return errno == EAGAIN || errno == EINTR;
+      stream->output_sent += (guint)put;
+    }
+  return true;
+}
+
+/* Reclaims sent bytes once they are the larger part of the buffer. */
+static void
+trim_output (Stream *stream)
+{
+  if (stream->output_sent == 0 || stream->output_sent * 2 < stream->output->len)
+    return;
+  g_byte_array_remove_range (stream->output, 0, stream->output_sent);
+  stream->output_sent = 0;
+}
+
+static void
+stream_event (struct tevent_context *context, struct tevent_fd *fde, uint16_t flags, void *data)
+{
+  Stream *stream = data;
+
+  if ((flags & TEVENT_FD_WRITE) != 0)
+    {
+      if (!write_some (stream))
+        {
+          stream->events->closed (stream->data);
+          return;
+        }
+      trim_output (stream);
+      update_interest (stream);
+      if (stream->above_low_mark && stream_pending (stream) < LOW_MARK_BYTES)
+        {
+          stream->above_low_mark = false;
+          stream->events->drained (stream->data);
+          return;
+        }
+    }
+  if ((flags & TEVENT_FD_READ) != 0 && !stream->paused)
+    read_some (stream);
+}
+
+Stream *
+stream_new (TALLOC_CTX *parent, struct tevent_context *context, int fd, const StreamEvents *events,
+            void *data)
+{
+  Stream *stream = talloc_zero (parent, Stream);
+
+  stream->fd = fd;
+  stream->events = events;
+  stream->data = data;
+  stream->input = g_byte_array_new ();
+  stream->output = g_byte_array_new ();
+  stream->fde = tevent_add_fd (context, stream, fd, TEVENT_FD_READ, stream_event, stream);
+  talloc_set_destructor (stream, stream_destroy);
+  return stream;
+}
+
+const GByteArray *
+stream_input (const Stream *stream)
+{
+  return stream->input;
+}
+
+void
+stream_consume (Stream *stream, guint count)
+{
+  if (count > 0)
+    g_byte_array_remove_range (stream->input, 0, count);
+}
+
+GByteArray *
+stream_output (Stream *stream)
+{
+  return stream->output;
+}
+
+void
+stream_flush (Stream *stream)
+{
+  // An error here shows up as a closed connection in the event loop.
+  write_some (stream);
+  trim_output (stream);
+  if (stream_pending (stream) >= LOW_MARK_BYTES)
+    stream->above_low_mark = true;
+  update_interest (stream);
+}
+
+void
+stream_pause (Stream *stream, bool paused)
+{
+  stream->paused = paused;
+  update_interest (stream);
+}
+
+guint
+stream_pending (const Stream *stream)
+{
+  return stream->output->len - stream->output_sent;
+}
+
+static socklen_t
+make_address (const char *address, uint16_t port, struct sockaddr_storage *storage)
+{
+  struct sockaddr_in *v4 = (struct sockaddr_in *)storage;
+  struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)storage;
+
+  memset (storage, 0, sizeof *storage);
+  if (inet_pton (AF_INET, address, &v4->sin_addr) == 1)
+    {
+      v4->sin_family = AF_INET;
+      v4->sin_port = htons (port);
+      return sizeof *v4;
+    }
+  if (inet_pton (AF_INET6, address, &v6->sin6_addr) == 1)
+    {
+      v6->sin6_family = AF_INET6;
+      v6->sin6_port = htons (port);
+      return sizeof *v6;
+    }
+  return 0;
+}
+
+int
+stream_listen (const char *address, uint16_t port, bool shared)
+{
+  struct sockaddr_storage storage;
+  socklen_t length = make_address (address, port, &storage);
+  int on = 1;
+  int fd;
+
+  if (length == 0)
+    return -1;
+  fd = socket (storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return -1;
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (shared)
+    setsockopt (fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
+  if (bind (fd, (struct sockaddr *)&storage, length) == 0 && listen (fd, LISTEN_BACKLOG) == 0)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+uint16_t
+stream_port (int fd)
+{
+  struct sockaddr_storage storage;
+  socklen_t length = sizeof storage;
+
+  if (getsockname (fd, (struct sockaddr *)&storage, &length) != 0)
+    return 0;
+  if (storage.ss_family == AF_INET6)
+    return ntohs (((struct sockaddr_in6 *)&storage)->sin6_port);
+  return ntohs (((struct sockaddr_in *)&storage)->sin_port);
+}
+
+static void
+set_options (int fd)
+{
+  int on = 1;
+  unsigned int timeout_ms = TCP_USER_TIMEOUT_MS;
+
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+  setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
+}
+
+int
+stream_connect (const char *address, uint16_t port)
+{
+  struct sockaddr_storage storage;
+  socklen_t length = make_address (address, port, &storage);
+  int fd;
+
+  if (length == 0)
+    return -1;
+  fd = socket (storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (fd < 0)
+    return -1;
+  set_options (fd);
+  if (connect (fd, (struct sockaddr *)&storage, length) == 0 || errno == EINPROGRESS)
+    return fd;
+  close (fd);
+  return -1;
+}
+
+int
+stream_accept (int listen_fd)
+{
+  int fd = accept4 (listen_fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
+
+  if (fd >= 0)
+    set_options (fd);
+  return fd;
+}
--- /dev/null
+++ b/src/config/service-config.c
@@ -0,0 +1,434 @@
+#include "config/service-config.h"
+
+#include <arpa/inet.h>
+#include <stddef.h>
+#include <string.h>
+
+#include "policy/commit-gate.h"
+
+#define CLASSES_MAX 64
+#define NAME_CHARS_MAX 60
+
+/* A whole number in a JSON object, with its place in the parsed structure. */
+typedef struct
+{
+  const char *key;
+  size_t offset;
+  uint32_t least;
+  uint32_t greatest;
+  uint32_t fallback;
+} NumberField;
+
+#define SERVICE_FIELD(key, member, least, greatest, fallback)                                      \
+  {                                                                                                \
+    key, offsetof (ServiceConfig, member), least, greatest, fallback                               \
+  }
+
+static const NumberField service_fields[] = {
+  SERVICE_FIELD ("slots", slots, 1, 1000, 5),
+  SERVICE_FIELD ("reserved_slots", reserved_slots, 0, 999, 1),
+  SERVICE_FIELD ("connections", connections, 4, 10000, 30),
+  SERVICE_FIELD ("reserved_connections", reserved_connections, 0, 9999, 3),
+  SERVICE_FIELD ("queue_limit", queue_limit, 1, 1000000, 2000),
+  SERVICE_FIELD ("idle_transaction_ms", idle_transaction_ms, 100, 3600000, 30000),
+  SERVICE_FIELD ("replica_wait_ms", replica_wait_ms, 0, 10000, 20),
+  SERVICE_FIELD ("suspect_after_ms", suspect_after_ms, 200, 10000, 1500),
+  SERVICE_FIELD ("step_timeout_ms", step_timeout_ms, 100, 10000, 800),
+  SERVICE_FIELD ("rank_delay_ms", rank_delay_ms, 0, 10000, 700),
+};
+
+static const NumberField floor_fields[] = {
+  SERVICE_FIELD ("normal", floor_percent[PRIORITY_NORMAL], 0, 90, 20),
+  SERVICE_FIELD ("background", floor_percent[PRIORITY_BACKGROUND], 0, 90, 5),
+};
+
+static const NumberField class_fields[] = {
+  { "max_age_ms", offsetof (ClassConfig, max_age_ms), 0, 86400000, 0 },
+  { "deadline_ms", offsetof (ClassConfig, deadline_ms), 1, 3600000, 5000 },
+};
+
+static const char *const service_keys[]
+    = { "database", "user", "instances", "classes", "default_class", "floors", NULL };
+static const char *const instance_keys[] = { "address", "port", "failure_domain", "leaving", NULL };
+static const char *const class_keys[] = { "priority", "access", "idempotent", NULL };
+static const char *const no_keys[] = { NULL };
+
+/* Where faults are reported while a service is read. */
+typedef struct
+{
+  GString *faults;
+  char *path;
+} Place;
+
+static void __attribute__ ((format (printf, 3, 4)))
+fault (const Place *place, const char *key, const char *format, ...)
+{
+  va_list args;
+
+  g_string_append_printf (place->faults, "%s%s%s: ", place->path, key[0] == '\0' ? "" : "/", key);
+  va_start (args, format);
+  g_string_append_vprintf (place->faults, format, args);
+  va_end (args);
+  g_string_append_c (place->faults, '\n');
+}
+
+static void
+read_numbers (const Place *place, const json_t *json, const NumberField *fields, size_t count,
+              void *into)
+{
+  for (size_t i = 0; i < count; i++)
+    {
+      const NumberField *field = &fields[i];
+      const json_t *value = json_object_get (json, field->key);
+      uint32_t *number = (uint32_t *)((char *)into + field->offset);
+
+      *number = field->fallback;
+      if (value == NULL)
+        continue;
+      if (!json_is_integer (value) || json_integer_value (value) < (json_int_t)field->least
+          || json_integer_value (value) > (json_int_t)field->greatest)
+        fault (place, field->key, "must be a whole number from %u to %u", field->least,
+               field->greatest);
+      else
+        *number = (uint32_t)json_integer_value (value);
+    }
+}
+
+static bool
+key_is_known (const char *key, const char *const *names, const NumberField *fields, size_t count)
+{
+  for (; *names != NULL; names++)
+    if (strcmp (*names, key) == 0)
+      return true;
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (fields[i].key, key) == 0)
+      return true;
+  return false;
+}
+
+static bool
+check_object (const Place *place, const json_t *json, const char *const *names,
+              const NumberField *fields, size_t count)
+{
+  const char *key;
+  json_t *value;
+
+  if (!json_is_object (json))
+    {
+      fault (place, "", "must be an object");
+      return false;
+    }
+  json_object_foreach ((json_t *)json, key, value) if (!key_is_known (key, names, fields, count))
+      fault (place, key, "unknown key");
+  return true;
+}
+
+static char *
+read_string (const Place *place, const json_t *json, const char *key, const char *fallback)
+{
+  const json_t *value = json_object_get (json, key);
+
+  if (value == NULL && fallback != NULL)
+    return g_strdup (fallback);
+  if (!json_is_string (value) || json_string_length (value) == 0
+      || json_string_length (value) > NAME_CHARS_MAX)
+    {
+      fault (place, key, "must be a string of 1 to %d characters", NAME_CHARS_MAX);
+      return g_strdup ("");
+    }
+  return g_strdup (json_string_value (value));
+}
+
+static bool
+read_bool (const Place *place, const json_t *json, const char *key)
+{
+  const json_t *value = json_object_get (json, key);
+
+  if (value == NULL)
+    return false;
+  if (!json_is_boolean (value))
+    fault (place, key, "must be true or false");
+  return json_is_true (value);
+}
+
+static void
+check_name (const Place *place, const char *name)
+{
+  static const char allowed[] = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789_-.";
+
+  if (name[0] == '\0' || strlen (name) > NAME_CHARS_MAX || name[strspn (name, allowed)] != '\0')
+    fault (place, "", "name must be 1 to %d of letters, digits, '_', '-' and '.'", NAME_CHARS_MAX);
+}
+
+static int
+compare_keys (const void *a, const void *b)
+{
+  return strcmp (*(const char *const *)a, *(const char *const *)b);
+}
+
+static Place
+place_below (const Place *parent, const char *list, const char *name)
+{
+  Place place = { parent->faults, g_strdup_printf ("%s/%s/%s", parent->path, list, name) };
+
+  return place;
+}
+
+static void
+read_port (const Place *place, const json_t *json, InstanceConfig *instance)
+{
+  const json_t *value = json_object_get (json, "port");
+
+  if (!json_is_integer (value) || json_integer_value (value) < 1
+      || json_integer_value (value) > UINT16_MAX)
+    fault (place, "port", "must be a whole number from 1 to %d", UINT16_MAX);
+  else
+    instance->port = (uint16_t)json_integer_value (value);
+}
+
+static bool
+is_ip_address (const char *text)
+{
+  unsigned char parsed[sizeof (struct in6_addr)];
+
+  return inet_pton (AF_INET, text, parsed) == 1 || inet_pton (AF_INET6, text, parsed) == 1;
+}
+
+static void
+read_instance (const Place *place, const json_t *json, GHashTable *regions,
+               InstanceConfig *instance)
+{
+  char *domain;
+
+  if (!check_object (place, json, instance_keys, NULL, 0))
+    return;
+  instance->address = read_string (place, json, "address", NULL);
+  if (!is_ip_address (instance->address))
+    fault (place, "address", "must be an IP address");
+  read_port (place, json, instance);
+  instance->leaving = read_bool (place, json, "leaving");
+  domain = read_string (place, json, "failure_domain", NULL);
+  instance->failure_domain = g_intern_string (domain);
+  instance->region = g_hash_table_lookup (regions, domain);
+  if (instance->region == NULL)
+    fault (place, "failure_domain", "'%s' is in no region", domain);
+  g_free (domain);
+}
+
+/* Sorted, so that an instance has the same index in every daemon. */
+static GPtrArray *
+sorted_keys (const json_t *json)
+{
+  GPtrArray *keys = g_ptr_array_new ();
+  const char *key;
+  json_t *value;
+
+  json_object_foreach ((json_t *)json, key, value) g_ptr_array_add (keys, (char *)key);
+  g_ptr_array_sort (keys, compare_keys);
+  return keys;
+}
+
+static void
+read_instances (const Place *place, const json_t *json, GHashTable *regions, ServiceConfig *service)
+{
+  GPtrArray *keys;
+  size_t count = json_object_size (json);
+
+  if (!json_is_object (json) || count == 0 || count > GROUP_INSTANCES_MAX)
+    {
+      fault (place, "instances", "must be an object of 1 to %d instances", GROUP_INSTANCES_MAX);
+      return;
+    }
+  service->instances = g_new0 (InstanceConfig, count);
+  keys = sorted_keys (json);
+  for (guint i = 0; i < keys->len; i++)
+    {
+      const char *key = keys->pdata[i];
+      Place below = place_below (place, "instances", key);
+      InstanceConfig *instance = &service->instances[service->instance_count++];
+
+      instance->name = g_strdup (key);
+      check_name (&below, key);
+      read_instance (&below, json_object_get (json, key), regions, instance);
+      g_free (below.path);
+    }
+  g_ptr_array_free (keys, true);
+}
+
+static Priority
+read_priority (const Place *place, const json_t *json)
+{
+  const char *name = json_string_value (json_object_get (json, "priority"));
+
+  for (int i = 0; name != NULL && i < PRIORITY_COUNT; i++)
+    if (strcmp (name, priority_name ((Priority)i)) == 0)
+      return (Priority)i;
+  fault (place, "priority", "must be \"urgent\", \"normal\" or \"background\"");
+  return PRIORITY_NORMAL;
+}
+
+static bool
+read_access (const Place *place, const json_t *json)
+{
+  const char *name = json_string_value (json_object_get (json, "access"));
+
+  if (name != NULL && strcmp (name, "write") == 0)
+    return true;
+  if (name == NULL || strcmp (name, "read") != 0)
+    fault (place, "access", "must be \"read\" or \"write\"");
+  return false;
+}
+
+static void
+read_class (const Place *place, const json_t *json, ClassConfig *class_config)
+{
+  if (!check_object (place, json, class_keys, class_fields, G_N_ELEMENTS (class_fields)))
+    return;
+  read_numbers (place, json, class_fields, G_N_ELEMENTS (class_fields), class_config);
+  class_config->priority = read_priority (place, json);
+  class_config->write = read_access (place, json);
+  class_config->idempotent = read_bool (place, json, "idempotent");
+  if (class_config->write && class_config->max_age_ms != 0)
+    fault (place, "max_age_ms", "only a read accepts data of an age");
+}
+
+static void
+read_classes (const Place *place, const json_t *json, ServiceConfig *service)
+{
+  const char *key;
+  json_t *value;
+  size_t count = json_object_size (json);
+
+  if (!json_is_object (json) || count == 0 || count > CLASSES_MAX)
+    {
+      fault (place, "classes", "must be an object of 1 to %d classes", CLASSES_MAX);
+      return;
+    }
+  service->classes = g_new0 (ClassConfig, count);
+  json_object_foreach ((json_t *)json, key, value)
+  {
+    Place below = place_below (place, "classes", key);
+    ClassConfig *class_config = &service->classes[service->class_count++];
+
+    class_config->name = g_strdup (key);
+    check_name (&below, key);
+    read_class (&below, value, class_config);
+    g_free (below.path);
+  }
+}
+
+static void
+read_default_class (const Place *place, const json_t *json, ServiceConfig *service)
+{
+  char *name = read_string (place, json, "default_class", NULL);
+  const ClassConfig *class_config = service_config_class (service, name);
+
+  if (class_config == NULL)
+    fault (place, "default_class", "no class is called '%s'", name);
+  else
+    service->default_class = (uint32_t)(class_config - service->classes);
+  g_free (name);
+}
+
+static void
+read_floors (const Place *place, const json_t *json, ServiceConfig *service)
+{
+  const json_t *floors = json_object_get (json, "floors");
+  Place below = { place->faults, g_strdup_printf ("%s/floors", place->path) };
+
+  if (floors == NULL
+      || check_object (&below, floors, no_keys, floor_fields, G_N_ELEMENTS (floor_fields)))
+    read_numbers (&below, floors, floor_fields, G_N_ELEMENTS (floor_fields), service);
+  if (service->floor_percent[PRIORITY_NORMAL] + service->floor_percent[PRIORITY_BACKGROUND] > 90)
+    fault (&below, "", "floors must leave urgent work at least 10 percent");
+  g_free (below.path);
+}
+
+static void
+check_limits (const Place *place, const ServiceConfig *service)
+{
+  if (service->reserved_slots >= service->slots)
+    fault (place, "reserved_slots", "must be below slots (%u)", service->slots);
+  if (service->reserved_connections >= service->connections)
+    fault (place, "reserved_connections", "must be below connections (%u)", service->connections);
+}
+
+static void
+service_config_clear (void *data)
+{
+  ServiceConfig *service = data;
+
+  for (uint32_t i = 0; i < service->instance_count; i++)
+    {
+      g_free (service->instances[i].name);
+      g_free (service->instances[i].address);
+    }
+  for (uint32_t i = 0; i < service->class_count; i++)
+    g_free (service->classes[i].name);
+  g_free (service->instances);
+  g_free (service->classes);
+  g_free (service->database);
+  g_free (service->user);
+  g_free (service->name);
+}
+
+ServiceConfig *
+service_config_parse (const char *name, const json_t *json, GHashTable *regions, GString *faults)
+{
+  Place place = { faults, g_strdup_printf ("/services/%s", name) };
+  gsize faults_before = faults->len;
+  ServiceConfig *service = g_atomic_rc_box_new0 (ServiceConfig);
+
+  service->name = g_strdup (name);
+  check_name (&place, name);
+  if (check_object (&place, json, service_keys, service_fields, G_N_ELEMENTS (service_fields)))
+    {
+      service->database = read_string (&place, json, "database", name);
+      service->user = read_string (&place, json, "user", "peridotstep");
+      read_numbers (&place, json, service_fields, G_N_ELEMENTS (service_fields), service);
+      read_floors (&place, json, service);
+      read_instances (&place, json_object_get (json, "instances"), regions, service);
+      read_classes (&place, json_object_get (json, "classes"), service);
+      read_default_class (&place, json, service);
+      check_limits (&place, service);
+    }
+  g_free (place.path);
+  if (faults->len == faults_before)
+    return service;
+  service_config_unref (service);
+  return NULL;
+}
+
+ServiceConfig *
+service_config_ref (ServiceConfig *service)
+{
+  return g_atomic_rc_box_acquire (service);
+}
+
+void
+service_config_unref (ServiceConfig *service)
+{
+  g_atomic_rc_box_release_full (service, service_config_clear);
+}
+
+const ClassConfig *
+service_config_class (const ServiceConfig *service, const char *name)
+{
+  for (uint32_t i = 0; i < service->class_count; i++)
+    if (strcmp (service->classes[i].name, name) == 0)
+      return &service->classes[i];
+  return NULL;
+}
+
+AdmissionOptions
+service_config_admission (const ServiceConfig *service)
+{
+  AdmissionOptions options = {
+    .slots = service->slots,
+    .reserved_slots = service->reserved_slots,
+    .queue_limit = service->queue_limit,
+  };
+
+  memcpy (options.floor_percent, service->floor_percent, sizeof options.floor_percent);
+  return options;
+}
--- /dev/null
+++ b/src/daemon/daemon.h
@@ -0,0 +1,132 @@
+/**
+ * DOC: One daemon: its worker threads, its control thread and what they share. Several may
+ * live in one process.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "base/counters.h"
+#include "config/config-document.h"
+#include "link/peer-link.h"
+#include "policy/ownership.h"
+
+typedef struct Daemon Daemon;
+typedef struct Worker Worker;
+typedef struct Control Control;
+
+/**
+ * struct NetworkEmulation - Emulated network between hosts and instances; demos only.
+ * @delay_us: one-way delay between two failure domains.
+ * @pipe: capacity from one region to another, or %NULL.
+ */
+typedef struct
+{
+  int64_t (*delay_us) (const char *from_domain, const char *to_domain, void *data);
+  RegionPipe *(*pipe) (const char *from_region, const char *to_region, void *data);
+  void *data;
+} NetworkEmulation;
+
+/**
+ * struct DaemonOptions - Settings of a daemon.
+ * @self: id, place, address and ports; port 0 takes any and is filled in.
+ * @caller_port: TCP port for callers.
+ * @admin_port: TCP port of the admin pages.
+ * @platform_url: base address of the platform's service.
+ * @workers: threads that serve callers.
+ * @seeds: addresses ("IP:PORT" of gossip) to start from beside the platform's list.
+ * @trace_path: file to write decisions to, or %NULL.
+ * @network: emulated network, or %NULL.
+ */
+typedef struct
+{
+  Host self;
+  uint16_t caller_port;
+  uint16_t admin_port;
+  const char *platform_url;
+  uint32_t workers;
+  const char *trace_path;
+  const NetworkEmulation *network;
+} DaemonOptions;
+
+/** daemon_start() - Listens and starts the threads. Errors: %PERIDOTSTEP_ERROR_IO. */
+Daemon *daemon_start (const DaemonOptions *options, GError **error);
+
+/** daemon_drain() - Starts a graceful shutdown; returns at once. */
+void daemon_drain (Daemon *daemon);
+
+/** daemon_ended() - Whether the graceful shutdown is complete. */
+bool daemon_ended (Daemon *daemon);
+
+/** daemon_stop() - Stops the threads now and frees the daemon. */
+void daemon_stop (Daemon *daemon);
+
+/** daemon_set_paused() - Freezes all threads of the daemon, or lets them go on; demos only. */
+void daemon_set_paused (Daemon *daemon, bool paused);
+
+/** daemon_options() - Its settings, with the ports that were taken. */
+const DaemonOptions *daemon_options (const Daemon *daemon);
+
+/** daemon_counters() - Its counters. */
+Counters *daemon_counters (Daemon *daemon);
+
+/** daemon_worker_count() - Number of worker threads. */
+uint32_t daemon_worker_count (const Daemon *daemon);
+
+/** daemon_worker() - Worker number @index. */
+Worker *daemon_worker (const Daemon *daemon, uint32_t index);
+
+/** daemon_control() - The control thread's state. */
+Control *daemon_control (const Daemon *daemon);
+
+/** daemon_service() - New reference to the service called @name, or %NULL. Any worker. */
+ServiceConfig *daemon_service (Daemon *daemon, const char *name);
+
+/** daemon_config() - New reference to the configuration in force. Any worker. */
+ConfigDocument *daemon_config (Daemon *daemon);
+
+/** daemon_config_version() - Its version, without a lock. */
+uint64_t daemon_config_version (const Daemon *daemon);
+
+/** daemon_view_version() - Version of the host view, without a lock. */
+uint64_t daemon_view_version (const Daemon *daemon);
+
+/**
+ * daemon_owner() - Owner of an instance at @place of the order, in the current view. False
+ * when there are not so many hosts. Any worker.
+ */
+bool daemon_owner (Daemon *daemon, uint64_t instance, const char *failure_domain,
+                   const char *region, uint32_t place, Host *host);
+
+/** daemon_view_each() - Calls @each for every live host. Any worker. */
+void daemon_view_each (Daemon *daemon, void (*each) (const Host *host, void *data), void *data);
+
+/** daemon_publish_config() - Puts @document in force and owns it. Control thread only. */
+void daemon_publish_config (Daemon *daemon, ConfigDocument *document);
+
+/** daemon_publish_view() - Puts @view in force and owns it. Control thread only. */
+void daemon_publish_view (Daemon *daemon, HostView *view);
+
+/** daemon_set_admitting() - Whether new work may start. Control thread only. */
+void daemon_set_admitting (Daemon *daemon, bool admitting);
+
+/** daemon_admits() - Whether new work may start. */
+bool daemon_admits (const Daemon *daemon);
+
+/** daemon_set_closing() - Callers are to be ended between transactions. */
+void daemon_set_closing (Daemon *daemon);
+
+/** daemon_closing() - Whether callers are to be ended between transactions. */
+bool daemon_closing (const Daemon *daemon);
+
+/** daemon_leaving() - Whether a graceful shutdown has begun. */
+bool daemon_leaving (const Daemon *daemon);
+
+/** daemon_add_jobs() - Counts statements and transactions held as an owner. */
+void daemon_add_jobs (Daemon *daemon, int64_t delta);
+
+/** daemon_jobs() - That count. */
+uint64_t daemon_jobs (const Daemon *daemon);
--- /dev/null
+++ b/src/daemon/link-table.h
@@ -0,0 +1,38 @@
+/**
+ * DOC: The links of one thread: opened on demand towards other hosts, accepted from them.
+ */
+#pragma once
+
+#include "daemon/daemon.h"
+#include "link/frame.h"
+#include "link/peer-link.h"
+
+typedef struct LinkTable LinkTable;
+
+/**
+ * struct LinkTableOptions - What the links belong to.
+ * @frame: a frame came in on link @link; the callee owns it.
+ * @closed: link @link is gone; @host_id is empty for accepted links.
+ */
+typedef struct
+{
+  struct tevent_context *events;
+  Counters *counters;
+  const Host *self;
+  const NetworkEmulation *network;
+  void (*frame) (void *data, uint64_t link, Frame *frame);
+  void (*closed) (void *data, uint64_t link, const char *host_id);
+  void *data;
+} LinkTableOptions;
+
+/** link_table_new() - Empty table. */
+LinkTable *link_table_new (TALLOC_CTX *parent, const LinkTableOptions *options);
+
+/** link_table_listen() - Accepts links on the listening socket @fd, which it owns. */
+void link_table_listen (LinkTable *table, int fd);
+
+/** link_table_send() - Sends to @host, opening a link if there is none; owns @frame. */
+void link_table_send (LinkTable *table, const Host *host, Frame *frame, FrameLane lane);
+
+/** link_table_reply() - Sends on link @link if it still is there; owns @frame. */
+void link_table_reply (LinkTable *table, uint64_t link, Frame *frame, FrameLane lane);
--- /dev/null
+++ b/src/daemon/worker.c
@@ -0,0 +1,373 @@
+#include "daemon/worker.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include <urcu.h>
+
+#include "base/log.h"
+#include "daemon/control.h"
+#include "daemon/link-table.h"
+#include "pipeline/caller-table.h"
+#include "pipeline/owner-table.h"
+#include "pipeline/request.h"
+#include "pipeline/route.h"
+
+/* A worker with what other modules need not see. */
+typedef struct
+{
+  Worker worker;
+  pthread_t thread;
+  bool running; /* touched by its own thread only */
+  bool started;
+  pthread_mutex_t pause_lock;
+  pthread_cond_t pause_ended;
+  bool paused;
+} WorkerThread;
+
+typedef struct
+{
+  MailboxMessage head;
+  Origin origin;
+  FrameLane lane;
+  Frame *frame;
+} FrameMessage;
+
+FrameLane
+worker_lane (uint32_t priority)
+{
+  static const FrameLane lanes[PRIORITY_COUNT] = {
+    [PRIORITY_URGENT] = FRAME_LANE_URGENT,
+    [PRIORITY_NORMAL] = FRAME_LANE_NORMAL,
+    [PRIORITY_BACKGROUND] = FRAME_LANE_BACKGROUND,
+  };
+
+  return priority < PRIORITY_COUNT ? lanes[priority] : FRAME_LANE_BACKGROUND;
+}
+
+uint64_t
+worker_next_id (Worker *worker)
+{
+  return ++worker->next_id;
+}
+
+/* All instances of a service are run by one worker, so that they share their monitor. */
+static Worker *
+service_worker (Worker *worker, const char *service)
+{
+  return daemon_worker (worker->daemon,
+                        (uint32_t)(host_hash (service) % daemon_worker_count (worker->daemon)));
+}
+
+static void
+handle_here (Worker *worker, Origin origin, Frame *frame)
+{
+  if (frame_service (frame) != NULL)
+    owner_table_receive (worker->owners, origin, frame);
+  else if (frame->body_case == PERIDOTSTEP__FRAME__BODY_CALLER_CANCEL)
+    {
+      caller_table_cancel (worker->callers, frame->caller_cancel->pid, frame->caller_cancel->key);
+      frame_free (frame);
+    }
+  else
+    request_table_receive (worker->requests, frame);
+}
+
+static void
+deliver_frame (void *receiver, MailboxMessage *message)
+{
+  FrameMessage *frame_message = (FrameMessage *)message;
+
+  handle_here (receiver, frame_message->origin, frame_message->frame);
+  g_free (frame_message);
+}
+
+static void
+deliver_reply (void *receiver, MailboxMessage *message)
+{
+  FrameMessage *frame_message = (FrameMessage *)message;
+  Worker *worker = receiver;
+
+  if (frame_message->origin.link == 0)
+    handle_here (worker, frame_message->origin, frame_message->frame);
+  else
+    link_table_reply (worker->links, frame_message->origin.link, frame_message->frame,
+                      frame_message->lane);
+  g_free (frame_message);
+}
+
+static FrameMessage *
+frame_message_new (Origin origin, Frame *frame, FrameLane lane)
+{
+  FrameMessage *message = g_new0 (FrameMessage, 1);
+
+  message->origin = origin;
+  message->frame = frame;
+  message->lane = lane;
+  return message;
+}
+
+void
+worker_post_frame (Worker *worker, Origin origin, Frame *frame)
+{
+  FrameMessage *message = frame_message_new (origin, frame, FRAME_LANE_CONTROL);
+
+  message->head.deliver = deliver_frame;
+  mailbox_post (worker->mailbox, &message->head);
+}
+
+void
+worker_post_reply (Worker *worker, Origin origin, Frame *frame, FrameLane lane)
+{
+  FrameMessage *message = frame_message_new (origin, frame, lane);
+
+  message->head.deliver = deliver_reply;
+  mailbox_post (worker->mailbox, &message->head);
+}
+
+void
+worker_reply (Worker *worker, Origin origin, Frame *frame, FrameLane lane)
+{
+  if (origin.worker == worker->index && origin.link != 0)
+    link_table_reply (worker->links, origin.link, frame, lane);
+  else
+    worker_post_reply (daemon_worker (worker->daemon, origin.worker), origin, frame, lane);
+}
+
+void
+worker_send (Worker *worker, const Host *host, Frame *frame, FrameLane lane)
+{
+  const Host *self = &daemon_options (worker->daemon)->self;
+  const Origin origin = { worker->index, 0 };
+  const char *service = frame_service (frame);
+
+  if (strcmp (host->id, self->id) != 0)
+    link_table_send (worker->links, host, frame, lane);
+  else if (service != NULL)
+    worker_post_frame (service_worker (worker, service), origin, frame);
+  else
+    worker_post_frame (worker, origin, frame);
+}
+
+static void
+cancel_caller (Worker *worker, Frame *frame)
+{
+  uint32_t target
+      = caller_table_worker_of (frame->caller_cancel->pid) % daemon_worker_count (worker->daemon);
+  const Origin origin = { worker->index, 0 };
+
+  worker_post_frame (daemon_worker (worker->daemon, target), origin, frame);
+}
+
+void
+worker_receive (Worker *worker, Origin origin, Frame *frame)
+{
+  const char *service = frame_service (frame);
+
+  if (service != NULL)
+    {
+      Worker *owner = service_worker (worker, service);
+
+      if (owner == worker)
+        handle_here (worker, origin, frame);
+      else
+        worker_post_frame (owner, origin, frame);
+      return;
+    }
+  switch (frame->body_case)
+    {
+    case PERIDOTSTEP__FRAME__BODY_DATA:
+    case PERIDOTSTEP__FRAME__BODY_DONE:
+      request_table_receive (worker->requests, frame);
+      return;
+    case PERIDOTSTEP__FRAME__BODY_CALLER_CANCEL:
+      cancel_caller (worker, frame);
+      return;
+    case PERIDOTSTEP__FRAME__BODY_CONFIG_REQUEST:
+    case PERIDOTSTEP__FRAME__BODY_CONFIG_PART:
+    case PERIDOTSTEP__FRAME__BODY_MEMBER_EXCHANGE:
+      control_post_frame (daemon_control (worker->daemon), origin, frame);
+      return;
+    default:
+      frame_free (frame);
+    }
+}
+
+typedef struct
+{
+  MailboxMessage head;
+  Origin origin;
+} OriginLost;
+
+static void
+deliver_origin_lost (void *receiver, MailboxMessage *message)
+{
+  OriginLost *lost = (OriginLost *)message;
+  Worker *worker = receiver;
+
+  owner_table_origin_lost (worker->owners, lost->origin);
+  g_free (lost);
+}
+
+/* Any worker may hold transactions of the lost link. */
+static void
+announce_origin_lost (Worker *worker, uint64_t link)
+{
+  for (uint32_t i = 0; i < daemon_worker_count (worker->daemon); i++)
+    {
+      OriginLost *lost = g_new0 (OriginLost, 1);
+
+      lost->head.deliver = deliver_origin_lost;
+      lost->origin.worker = worker->index;
+      lost->origin.link = link;
+      mailbox_post (daemon_worker (worker->daemon, i)->mailbox, &lost->head);
+    }
+}
+
+void
+worker_link_closed (Worker *worker, uint64_t link, const char *host_id)
+{
+  if (host_id[0] == '\0')
+    announce_origin_lost (worker, link);
+  else
+    request_table_host_lost (worker->requests, host_id);
+}
+
+static void
+on_link_frame (void *data, uint64_t link, Frame *frame)
+{
+  Worker *worker = data;
+  const Origin origin = { worker->index, link };
+
+  worker_receive (worker, origin, frame);
+}
+
+static void
+on_link_closed (void *data, uint64_t link, const char *host_id)
+{
+  worker_link_closed (data, link, host_id);
+}
+
+Worker *
+worker_new (Daemon *daemon, uint32_t index, int caller_fd, int link_fd)
+{
+  WorkerThread *thread = talloc_zero (NULL, WorkerThread);
+  Worker *worker = &thread->worker;
+  LinkTableOptions links = { .frame = on_link_frame, .closed = on_link_closed, .data = worker };
+
+  pthread_mutex_init (&thread->pause_lock, NULL);
+  pthread_cond_init (&thread->pause_ended, NULL);
+  worker->daemon = daemon;
+  worker->counters = daemon_counters (daemon);
+  worker->index = index;
+  if (getrandom (&worker->next_id, sizeof worker->next_id, 0) != sizeof worker->next_id)
+    g_error ("no random numbers");
+  worker->events = tevent_context_init (thread);
+  worker->mailbox = mailbox_new (thread, worker->events, worker);
+  links.events = worker->events;
+  links.counters = worker->counters;
+  links.self = &daemon_options (daemon)->self;
+  links.network = daemon_options (daemon)->network;
+  worker->links = link_table_new (thread, &links);
+  link_table_listen (worker->links, link_fd);
+  worker->routes = route_table_new (thread, worker);
+  worker->requests = request_table_new (thread, worker);
+  worker->owners = owner_table_new (thread, worker);
+  worker->callers = caller_table_new (thread, worker, caller_fd);
+  retry_budget_init (&worker->budget);
+  return worker;
+}
+
+static void *
+worker_main (void *data)
+{
+  WorkerThread *thread = data;
+
+  rcu_register_thread ();
+  while (thread->running)
+    if (tevent_loop_once (thread->worker.events) != 0)
+      break;
+  // All state is freed where it was used.
+  TALLOC_FREE (thread->worker.callers);
+  TALLOC_FREE (thread->worker.requests);
+  TALLOC_FREE (thread->worker.owners);
+  TALLOC_FREE (thread->worker.routes);
+  TALLOC_FREE (thread->worker.links);
+  rcu_unregister_thread ();
+  return NULL;
+}
+
+void
+worker_start (Worker *worker)
+{
+  WorkerThread *thread = (WorkerThread *)worker;
+
+  thread->running = true;
+  thread->started = true;
+  if (pthread_create (&thread->thread, NULL, worker_main, thread) != 0)
+    g_error ("cannot start a thread");
+}
+
+static void
+deliver_stop (void *receiver, MailboxMessage *message)
+{
+  WorkerThread *thread = receiver;
+
+  thread->running = false;
+  g_free (message);
+}
+
+void
+worker_join (Worker *worker)
+{
+  WorkerThread *thread = (WorkerThread *)worker;
+  MailboxMessage *message;
+
+  if (!thread->started)
+    return;
+  message = g_new0 (MailboxMessage, 1);
+  message->deliver = deliver_stop;
+  mailbox_post (worker->mailbox, message);
+  pthread_join (thread->thread, NULL);
+}
+
+void
+worker_free (Worker *worker)
+{
+  WorkerThread *thread = (WorkerThread *)worker;
+
+  pthread_cond_destroy (&thread->pause_ended);
+  pthread_mutex_destroy (&thread->pause_lock);
+  talloc_free (thread);
+}
+
+static void
+deliver_pause (void *receiver, MailboxMessage *message)
+{
+  WorkerThread *thread = receiver;
+
+  g_free (message);
+  pthread_mutex_lock (&thread->pause_lock);
+  while (thread->paused)
+    pthread_cond_wait (&thread->pause_ended, &thread->pause_lock);
+  pthread_mutex_unlock (&thread->pause_lock);
+}
+
+void
+worker_set_paused (Worker *worker, bool paused)
+{
+  WorkerThread *thread = (WorkerThread *)worker;
+  MailboxMessage *message;
+
+  pthread_mutex_lock (&thread->pause_lock);
+  thread->paused = paused;
+  pthread_cond_broadcast (&thread->pause_ended);
+  pthread_mutex_unlock (&thread->pause_lock);
+  if (!paused)
+    return;
+  message = g_new0 (MailboxMessage, 1);
+  message->deliver = deliver_pause;
+  mailbox_post (worker->mailbox, message);
+}
--- /dev/null
+++ b/src/pipeline/caller.c
@@ -0,0 +1,1001 @@
+#include "pipeline/caller.h"
+
+#include <string.h>
+
+#include "adapter/pgwire.h"
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/sql-text.h"
+#include "base/stream.h"
+#include "pipeline/caller-table.h"
+#include "pipeline/classify.h"
+#include "pipeline/local-statement.h"
+#include "pipeline/prepared.h"
+#include "pipeline/request.h"
+
+/* Above this much unsent output no more of an answer is asked for. */
+#define OUTPUT_HIGH_BYTES (128 * 1024)
+
+/* What the caller is told apart from rows when a request ends. */
+typedef struct
+{
+  Peridotstep__Operation operation;
+  bool extended;
+  bool strip_parameters;
+  bool answered;
+} Running;
+
+struct Caller
+{
+  CallerOptions options;
+  Stream *stream;
+  Session session;
+  PreparedStore *prepared;
+  Request *request;
+  Running running;
+  bool started;
+  bool ending;
+  bool processing;
+  bool skip_to_sync;
+  bool describe_pending;
+  char describe_portal[NAME_BYTES];
+  SessionToken reported;
+  uint32_t owed_bytes;
+  int64_t active_ms;
+};
+
+static void process (Caller *caller);
+
+static GByteArray *
+out (Caller *caller)
+{
+  return stream_output (caller->stream);
+}
+
+static void
+put_refusal (Caller *caller, const char *severity, RefusalKind refusal, const char *more)
+{
+  const RefusalInfo *info = refusal_info (refusal);
+  char *detail = more[0] == '\0' ? g_strdup (verdict_name (info->verdict))
+                                 : g_strdup_printf ("%s: %s", verdict_name (info->verdict), more);
+
+  pgwire_put_error (out (caller), severity, info->sqlstate, info->message, detail);
+  g_free (detail);
+}
+
+static void
+end_connection (Caller *caller)
+{
+  caller->ending = true;
+  stream_pause (caller->stream, true);
+  stream_flush (caller->stream);
+  // What the socket did not take at once is small, and is given up with the connection.
+  caller_table_closed (caller->options.table, caller);
+}
+
+static void
+end_malformed (Caller *caller, const char *message)
+{
+  counter_add (caller->options.worker->counters, COUNTER_PROTOCOL_ERRORS, 1);
+  pgwire_put_error (out (caller), "FATAL", "08P01", message, "not run");
+  end_connection (caller);
+}
+
+static void
+report_token (Caller *caller)
+{
+  char text[SESSION_TOKEN_TEXT_BYTES];
+
+  if (session_token_compare (caller->session.token, caller->reported) == 0)
+    return;
+  caller->reported = caller->session.token;
+  session_token_print (caller->session.token, text);
+  pgwire_put_parameter (out (caller), "peridotstep.session", text);
+}
+
+static void
+put_ready (Caller *caller)
+{
+  report_token (caller);
+  pgwire_put_ready (out (caller), session_status (&caller->session));
+  stream_flush (caller->stream);
+}
+
+/* The answer to a statement is complete. */
+static void
+end_statement (Caller *caller, bool extended, bool failed)
+{
+  caller->active_ms = clock_now_ms ();
+  if (!extended)
+    put_ready (caller);
+  else if (failed)
+    caller->skip_to_sync = true;
+}
+
+static void
+refuse_statement (Caller *caller, bool extended, const char *sqlstate, const char *message)
+{
+  pgwire_put_error (out (caller), "ERROR", sqlstate, message, "not run");
+  if (caller->session.transaction != TRANSACTION_NONE)
+    caller->session.transaction = TRANSACTION_FAILED;
+  end_statement (caller, extended, true);
+}
+
+static void
+release_pin (Caller *caller)
+{
+  Session *session = &caller->session;
+  Frame *frame;
+
+  if (!session->pinned)
+    return;
+  session->pinned = false;
+  frame = frame_new (PERIDOTSTEP__FRAME__BODY_SESSION_END);
+  frame->session_end->session = session->id;
+  frame->session_end->service = strdup (session->service);
+  worker_send (caller->options.worker, &session->pinned_host, frame, FRAME_LANE_CONTROL);
+}
+
+static void
+update_transaction (Caller *caller, const RequestOutcome *outcome)
+{
+  Session *session = &caller->session;
+  Peridotstep__Operation operation = caller->running.operation;
+
+  if (session->transaction == TRANSACTION_NONE)
+    return;
+  if (operation == PERIDOTSTEP__OPERATION__COMMIT || operation == PERIDOTSTEP__OPERATION__ROLLBACK)
+    {
+      if (outcome->refusal != REFUSAL_NONE)
+        release_pin (caller);
+      session_end_transaction (session);
+      return;
+    }
+  if (outcome->refusal != REFUSAL_NONE)
+    {
+      release_pin (caller);
+      session->transaction = TRANSACTION_FAILED;
+      return;
+    }
+  if (outcome->transaction_status == 'I')
+    {
+      session_end_transaction (session);
+      return;
+    }
+  session->has_run = true;
+  session->pinned = true;
+  session->pinned_host = *outcome->host;
+  session->pinned_instance = outcome->instance;
+  session->transaction = outcome->transaction_status == 'E' ? TRANSACTION_FAILED : TRANSACTION_OPEN;
+}
+
+static void
+put_outcome (Caller *caller, const RequestOutcome *outcome)
+{
+  if (outcome->refusal != REFUSAL_NONE)
+    {
+      put_refusal (caller, "ERROR", outcome->refusal, outcome->detail);
+      return;
+    }
+  // The transaction ended, but its answer came by way of the outcome look-up.
+  if (!caller->running.answered && caller->running.operation == PERIDOTSTEP__OPERATION__COMMIT)
+    pgwire_put_complete (out (caller), "COMMIT");
+}
+
+static void
+on_request_done (void *user, const RequestOutcome *outcome)
+{
+  Caller *caller = user;
+  Running running = caller->running;
+
+  caller->request = NULL;
+  caller->owed_bytes = 0;
+  if (outcome->refusal != REFUSAL_NONE && running.answered)
+    {
+      put_refusal (caller, "FATAL", outcome->refusal, "the answer is incomplete");
+      end_connection (caller);
+      return;
+    }
+  update_transaction (caller, outcome);
+  put_outcome (caller, outcome);
+  end_statement (caller, running.extended, outcome->refusal != REFUSAL_NONE || outcome->failed);
+  process (caller);
+}
+
+/* A portal's description leaves the parameters out. */
+static void
+skip_parameter_description (const uint8_t **bytes, size_t *length)
+{
+  PgwireMessage message;
+
+  if (pgwire_read_message (*bytes, *length, &message) != PGWIRE_MESSAGE || message.type != 't')
+    return;
+  *bytes += message.size_bytes;
+  *length -= message.size_bytes;
+}
+
+static void
+on_request_data (void *user, const uint8_t *bytes, size_t length)
+{
+  Caller *caller = user;
+  uint32_t credit = (uint32_t)length;
+
+  if (caller->running.strip_parameters)
+    skip_parameter_description (&bytes, &length);
+  caller->running.answered = true;
+  g_byte_array_append (out (caller), bytes, (guint)length);
+  stream_flush (caller->stream);
+  if (stream_pending (caller->stream) < OUTPUT_HIGH_BYTES)
+    request_credit (caller->request, credit);
+  else
+    caller->owed_bytes += credit;
+}
+
+static RequestKind
+request_kind (const Session *session, const ClassConfig *class_config,
+              Peridotstep__Operation operation)
+{
+  if (operation == PERIDOTSTEP__OPERATION__COMMIT)
+    return REQUEST_COMMIT;
+  if (session->transaction != TRANSACTION_NONE)
+    return REQUEST_IN_TRANSACTION;
+  if (operation == PERIDOTSTEP__OPERATION__DESCRIBE)
+    return REQUEST_READ;
+  return class_config->write ? REQUEST_WRITE : REQUEST_READ;
+}
+
+static void
+send_request (Caller *caller, const char *sql, RequestOptions *options, bool strip_parameters)
+{
+  Worker *worker = caller->options.worker;
+  ServiceConfig *service = daemon_service (worker->daemon, caller->session.service);
+  const ClassConfig *class_config;
+
+  if (service == NULL)
+    {
+      refuse_statement (caller, options->extended, "3D000", "the service was removed");
+      return;
+    }
+  class_config = classify_statement (service, &caller->session, sql);
+  if (class_config == NULL)
+    {
+      service_config_unref (service);
+      refuse_statement (caller, options->extended, "22023", "no such class in this service");
+      return;
+    }
+  caller->running = (Running){ .operation = options->operation,
+                               .extended = options->extended,
+                               .strip_parameters = strip_parameters };
+  options->session = &caller->session;
+  options->class_config = class_config;
+  options->kind = request_kind (&caller->session, class_config, options->operation);
+  options->sql = sql;
+  options->data = on_request_data;
+  options->done = on_request_done;
+  options->user = caller;
+  request_start (worker, options, &caller->request);
+  service_config_unref (service);
+}
+
+static void
+answer_tag (Caller *caller, bool extended, const char *tag)
+{
+  pgwire_put_complete (out (caller), tag);
+  end_statement (caller, extended, false);
+}
+
+static void
+run_begin (Caller *caller, const char *sql, bool extended)
+{
+  if (caller->session.transaction == TRANSACTION_NONE)
+    session_begin (&caller->session, sql);
+  answer_tag (caller, extended, "BEGIN");
+}
+
+static void
+run_end (Caller *caller, SqlVerb verb, bool extended)
+{
+  Session *session = &caller->session;
+  bool commit = verb == SQL_VERB_COMMIT && session->transaction != TRANSACTION_FAILED;
+  RequestOptions options = { .extended = extended };
+
+  if (!session->pinned)
+    {
+      session_end_transaction (session);
+      answer_tag (caller, extended, commit ? "COMMIT" : "ROLLBACK");
+      return;
+    }
+  options.operation = commit ? PERIDOTSTEP__OPERATION__COMMIT : PERIDOTSTEP__OPERATION__ROLLBACK;
+  send_request (caller, commit ? "COMMIT" : "ROLLBACK", &options, false);
+}
+
+/* Transaction verbs and what the entry host answers itself. Returns false for the rest. */
+static bool
+run_locally (Caller *caller, const char *sql, bool extended)
+{
+  SqlVerb verb = sql_text_verb (sql);
+  ServiceConfig *service;
+  LocalResult result;
+
+  switch (verb)
+    {
+    case SQL_VERB_EMPTY:
+      pgwire_put_empty (out (caller), 'I');
+      end_statement (caller, extended, false);
+      return true;
+    case SQL_VERB_BEGIN:
+      run_begin (caller, sql, extended);
+      return true;
+    case SQL_VERB_COMMIT:
+    case SQL_VERB_ROLLBACK:
+      run_end (caller, verb, extended);
+      return true;
+    default:
+      break;
+    }
+  service = daemon_service (caller->options.worker->daemon, caller->session.service);
+  if (service == NULL)
+    return false;
+  result = local_statement (&caller->session, service, sql, out (caller));
+  service_config_unref (service);
+  if (result == LOCAL_PASS)
+    return false;
+  if (result == LOCAL_REFUSED && caller->session.transaction != TRANSACTION_NONE)
+    caller->session.transaction = TRANSACTION_FAILED;
+  end_statement (caller, extended, result == LOCAL_REFUSED);
+  return true;
+}
+
+static bool
+ends_transaction (const char *sql)
+{
+  SqlVerb verb = sql_text_verb (sql);
+
+  return verb == SQL_VERB_COMMIT || verb == SQL_VERB_ROLLBACK || verb == SQL_VERB_ROLLBACK_TO;
+}
+
+/* Refuses what can't run now. Returns true if it did. */
+static bool
+refuse_early (Caller *caller, const char *sql, bool extended)
+{
+  if (!sql_text_is_single (sql))
+    {
+      refuse_statement (caller, extended, "0A000",
+                        "several statements in one query are not supported");
+      return true;
+    }
+  if (caller->session.transaction == TRANSACTION_FAILED && !ends_transaction (sql))
+    {
+      refuse_statement (
+          caller, extended, "25P02",
+          "current transaction is aborted, commands ignored until end of transaction block");
+      return true;
+    }
+  return false;
+}
+
+static void
+run_simple (Caller *caller, const char *sql)
+{
+  RequestOptions options = { .describe = true };
+
+  if (refuse_early (caller, sql, false) || run_locally (caller, sql, false))
+    return;
+  send_request (caller, sql, &options, false);
+}
+
+/* Whether another Execute follows in the same batch, as far as it has arrived. */
+static bool
+batch_continues (Caller *caller)
+{
+  const GByteArray *input = stream_input (caller->stream);
+  size_t at = 0;
+  PgwireMessage message;
+
+  while (pgwire_read_message (input->data + at, input->len - at, &message) == PGWIRE_MESSAGE)
+    {
+      if (message.type == 'E')
+        return true;
+      if (message.type == 'S')
+        return false;
+      at += message.size_bytes;
+    }
+  return false;
+}
+
+static void
+run_portal (Caller *caller, const Portal *portal, bool describe)
+{
+  RequestOptions options = {
+    .extended = true,
+    .describe = describe,
+    .param_count = portal->param_count,
+    .params = portal->params,
+    .type_count = portal->statement.type_count,
+    .types = portal->statement.types,
+    .result_format = portal->result_format,
+  };
+
+  if (refuse_early (caller, portal->statement.sql, true))
+    return;
+  if (portal->mixed_formats)
+    {
+      refuse_statement (caller, true, "0A000", "result formats must be all text or all binary");
+      return;
+    }
+  if (describe && sql_text_verb (portal->statement.sql) != SQL_VERB_OTHER
+      && sql_text_verb (portal->statement.sql) != SQL_VERB_SHOW)
+    pgwire_put_empty (out (caller), 'n');
+  if (run_locally (caller, portal->statement.sql, true))
+    return;
+  if (caller->session.transaction == TRANSACTION_NONE && batch_continues (caller))
+    {
+      refuse_statement (caller, true, "0A000",
+                        "several statements in one batch need a transaction block");
+      return;
+    }
+  send_request (caller, portal->statement.sql, &options, false);
+}
+
+static void
+handle_execute (Caller *caller, PgwireCursor *cursor)
+{
+  const char *name = pgwire_get_string (cursor);
+  uint32_t max_rows = pgwire_get_u32 (cursor);
+  const Portal *portal = prepared_store_portal (caller->prepared, name);
+  bool describe = caller->describe_pending;
+
+  caller->describe_pending = false;
+  if (cursor->failed)
+    end_malformed (caller, "malformed Execute message");
+  else if (portal == NULL)
+    refuse_statement (caller, true, "34000", "portal does not exist");
+  else if (max_rows != 0)
+    refuse_statement (caller, true, "0A000", "fetching a portal in parts is not supported");
+  else
+    run_portal (caller, portal, describe);
+}
+
+static bool
+is_described_locally (const char *sql)
+{
+  return sql_text_verb (sql) != SQL_VERB_OTHER && sql_text_verb (sql) != SQL_VERB_SHOW;
+}
+
+static void
+put_no_parameters (Caller *caller)
+{
+  guint mark = pgwire_begin (out (caller), 't');
+
+  pgwire_put_u16 (out (caller), 0);
+  pgwire_end (out (caller), mark);
+}
+
+static void
+describe_at_backend (Caller *caller, const PreparedStatement *statement, bool portal)
+{
+  RequestOptions options = {
+    .operation = PERIDOTSTEP__OPERATION__DESCRIBE,
+    .extended = true,
+    .type_count = statement->type_count,
+    .types = statement->types,
+  };
+
+  if (refuse_early (caller, statement->sql, true))
+    return;
+  send_request (caller, statement->sql, &options, portal);
+}
+
+static void
+describe_statement (Caller *caller, const char *name)
+{
+  const PreparedStatement *statement = prepared_store_statement (caller->prepared, name);
+
+  if (statement == NULL)
+    {
+      refuse_statement (caller, true, "26000", "prepared statement does not exist");
+      return;
+    }
+  if (!is_described_locally (statement->sql))
+    {
+      describe_at_backend (caller, statement, false);
+      return;
+    }
+  put_no_parameters (caller);
+  pgwire_put_empty (out (caller), 'n');
+}
+
+/* A portal is described along with its execution, which mostly follows at once. */
+static void
+describe_portal_later (Caller *caller, const char *name)
+{
+  if (prepared_store_portal (caller->prepared, name) == NULL)
+    {
+      refuse_statement (caller, true, "34000", "portal does not exist");
+      return;
+    }
+  caller->describe_pending = true;
+  g_strlcpy (caller->describe_portal, name, sizeof caller->describe_portal);
+}
+
+static void
+handle_describe (Caller *caller, PgwireCursor *cursor)
+{
+  char kind = (char)pgwire_get_u8 (cursor);
+  const char *name = pgwire_get_string (cursor);
+
+  if (cursor->failed || (kind != 'S' && kind != 'P'))
+    end_malformed (caller, "malformed Describe message");
+  else if (kind == 'S')
+    describe_statement (caller, name);
+  else
+    describe_portal_later (caller, name);
+}
+
+/* Returns true if a described portal's Execute does not follow, and starts the description. */
+static bool
+settle_pending_describe (Caller *caller, const PgwireMessage *next)
+{
+  PgwireCursor cursor = pgwire_cursor (next);
+  const Portal *portal;
+
+  if (!caller->describe_pending)
+    return false;
+  if (next->type == 'E' && strcmp (pgwire_get_string (&cursor), caller->describe_portal) == 0)
+    return false;
+  caller->describe_pending = false;
+  portal = prepared_store_portal (caller->prepared, caller->describe_portal);
+  if (portal == NULL || is_described_locally (portal->statement.sql))
+    {
+      pgwire_put_empty (out (caller), 'n');
+      return false;
+    }
+  describe_at_backend (caller, &portal->statement, true);
+  return true;
+}
+
+typedef const char *(*StoreMessage) (PreparedStore *store, PgwireCursor *cursor, bool *malformed);
+
+static void
+handle_store (Caller *caller, PgwireCursor *cursor, StoreMessage store, char complete)
+{
+  bool malformed = false;
+  const char *message = store (caller->prepared, cursor, &malformed);
+
+  if (malformed)
+    end_malformed (caller, message);
+  else if (message != NULL)
+    refuse_statement (caller, true, complete == '1' ? "42P05" : "26000", message);
+  else
+    pgwire_put_empty (out (caller), complete);
+}
+
+static void
+handle_close (Caller *caller, PgwireCursor *cursor)
+{
+  char kind = (char)pgwire_get_u8 (cursor);
+  const char *name = pgwire_get_string (cursor);
+
+  if (cursor->failed)
+    {
+      end_malformed (caller, "malformed Close message");
+      return;
+    }
+  prepared_store_close (caller->prepared, kind, name);
+  pgwire_put_empty (out (caller), '3');
+}
+
+static void
+handle_query (Caller *caller, PgwireCursor *cursor)
+{
+  const char *sql = pgwire_get_string (cursor);
+
+  if (cursor->failed)
+    end_malformed (caller, "malformed Query message");
+  else
+    run_simple (caller, sql);
+}
+
+static void
+handle_message (Caller *caller, const PgwireMessage *message)
+{
+  PgwireCursor cursor = pgwire_cursor (message);
+
+  if (caller->skip_to_sync && message->type != 'S' && message->type != 'X')
+    return;
+  switch (message->type)
+    {
+    case 'Q':
+      handle_query (caller, &cursor);
+      return;
+    case 'P':
+      handle_store (caller, &cursor, prepared_store_parse, '1');
+      return;
+    case 'B':
+      handle_store (caller, &cursor, prepared_store_bind, '2');
+      return;
+    case 'D':
+      handle_describe (caller, &cursor);
+      return;
+    case 'E':
+      handle_execute (caller, &cursor);
+      return;
+    case 'C':
+      handle_close (caller, &cursor);
+      return;
+    case 'S':
+      caller->skip_to_sync = false;
+      put_ready (caller);
+      return;
+    case 'H':
+      stream_flush (caller->stream);
+      return;
+    case 'X':
+      end_connection (caller);
+      return;
+    case 'F':
+      refuse_statement (caller, false, "0A000", "function calls are not supported");
+      return;
+    case 'd':
+    case 'c':
+    case 'f':
+      // Left over from a refused COPY.
+      return;
+    default:
+      end_malformed (caller, "unknown message type");
+    }
+}
+
+static void
+put_greeting (Caller *caller)
+{
+  static const char *const parameters[][2] = {
+    { "server_version", "15.0 (peridotstep)" },
+    { "server_encoding", "UTF8" },
+    { "client_encoding", "UTF8" },
+    { "DateStyle", "ISO, MDY" },
+    { "IntervalStyle", "postgres" },
+    { "TimeZone", "UTC" },
+    { "integer_datetimes", "on" },
+    { "standard_conforming_strings", "on" },
+  };
+  guint mark = pgwire_begin (out (caller), 'R');
+
+  pgwire_put_u32 (out (caller), 0);
+  pgwire_end (out (caller), mark);
+  for (size_t i = 0; i < G_N_ELEMENTS (parameters); i++)
+    pgwire_put_parameter (out (caller), parameters[i][0], parameters[i][1]);
+  mark = pgwire_begin (out (caller), 'K');
+  pgwire_put_u32 (out (caller), caller->options.pid);
+  pgwire_put_u32 (out (caller), caller->options.key);
+  pgwire_end (out (caller), mark);
+  put_ready (caller);
+}
+
+static void
+refuse_startup (Caller *caller, const char *sqlstate, const char *message)
+{
+  pgwire_put_error (out (caller), "FATAL", sqlstate, message, "not run");
+  end_connection (caller);
+}
+
+/* Reads "-c name=value" settings. Returns the first that is unknown or wrong, or %NULL. */
+static char *
+apply_options (Session *session, const ServiceConfig *service, const char *options)
+{
+  char **words = g_strsplit_set (options, " \t", -1);
+  char *wrong = NULL;
+
+  for (char **word = words; *word != NULL && wrong == NULL; word++)
+    {
+      char *setting = *word;
+      char *equals;
+
+      if (setting[0] == '\0' || strcmp (setting, "-c") == 0)
+        continue;
+      if (g_str_has_prefix (setting, "--") || g_str_has_prefix (setting, "-c"))
+        setting += 2;
+      equals = strchr (setting, '=');
+      if (equals == NULL)
+        {
+          wrong = g_strdup (setting);
+          break;
+        }
+      *equals = '\0';
+      if (!local_statement_setting (session, service, setting, equals + 1))
+        wrong = g_strdup (setting);
+    }
+  g_strfreev (words);
+  return wrong;
+}
+
+/* What the startup packet said. */
+typedef struct
+{
+  const char *user;
+  const char *database;
+  const char *options;
+  const char *class_name;
+  const char *token;
+} Startup;
+
+static bool
+read_startup (PgwireCursor *cursor, Startup *startup)
+{
+  *startup = (Startup){ "", "", "", NULL, NULL };
+  for (;;)
+    {
+      const char *name = pgwire_get_string (cursor);
+      const char *value;
+
+      if (name[0] == '\0')
+        return !cursor->failed;
+      value = pgwire_get_string (cursor);
+      if (strcmp (name, "user") == 0)
+        startup->user = value;
+      else if (strcmp (name, "database") == 0)
+        startup->database = value;
+      else if (strcmp (name, "options") == 0)
+        startup->options = value;
+      else if (strcmp (name, "peridotstep.class") == 0)
+        startup->class_name = value;
+      else if (strcmp (name, "peridotstep.session") == 0)
+        startup->token = value;
+    }
+}
+
+static char *
+apply_startup (Session *session, const ServiceConfig *service, const Startup *startup)
+{
+  if (startup->class_name != NULL
+      && !local_statement_setting (session, service, "peridotstep.class", startup->class_name))
+    return g_strdup ("peridotstep.class");
+  if (startup->token != NULL
+      && !local_statement_setting (session, service, "peridotstep.session", startup->token))
+    return g_strdup ("peridotstep.session");
+  return apply_options (session, service, startup->options);
+}
+
+static void
+open_session (Caller *caller, const Startup *startup)
+{
+  Session *session = &caller->session;
+  Worker *worker = caller->options.worker;
+  const char *name = startup->database[0] != '\0' ? startup->database : startup->user;
+  ServiceConfig *service = daemon_service (worker->daemon, name);
+  char *wrong;
+
+  if (service == NULL)
+    {
+      refuse_startup (caller, "3D000", "no such service");
+      return;
+    }
+  g_strlcpy (session->service, name, sizeof session->service);
+  g_strlcpy (session->user, startup->user, sizeof session->user);
+  session->source = host_hash (session->user) ^ daemon_options (worker->daemon)->self.id_hash;
+  wrong = apply_startup (session, service, startup);
+  service_config_unref (service);
+  if (wrong != NULL)
+    {
+      char *message = g_strdup_printf ("setting \"%s\" is unknown or its value is wrong", wrong);
+
+      refuse_startup (caller, "22023", message);
+      g_free (message);
+      g_free (wrong);
+      return;
+    }
+  caller->started = true;
+  put_greeting (caller);
+}
+
+static void
+handle_startup (Caller *caller, const PgwireMessage *message)
+{
+  PgwireCursor cursor = pgwire_cursor (message);
+  uint32_t code = pgwire_get_u32 (&cursor);
+  Startup startup;
+
+  switch (code)
+    {
+    case PGWIRE_SSL_REQUEST:
+    case PGWIRE_GSS_REQUEST:
+      pgwire_put_u8 (out (caller), 'N');
+      stream_flush (caller->stream);
+      return;
+    case PGWIRE_CANCEL_REQUEST:
+      {
+        uint32_t pid = pgwire_get_u32 (&cursor);
+        uint32_t key = pgwire_get_u32 (&cursor);
+
+        if (!cursor.failed)
+          caller_table_request_cancel (caller->options.table, pid, key);
+        end_connection (caller);
+        return;
+      }
+    default:
+      break;
+    }
+  if (code >> 16 != PGWIRE_VERSION_3 >> 16)
+    {
+      refuse_startup (caller, "0A000", "only protocol version 3 is supported");
+      return;
+    }
+  if (daemon_closing (caller->options.worker->daemon))
+    {
+      refuse_startup (caller, "57P03", "this host is leaving");
+      return;
+    }
+  if (!read_startup (&cursor, &startup))
+    {
+      end_malformed (caller, "malformed startup packet");
+      return;
+    }
+  open_session (caller, &startup);
+}
+
+static PgwireRead
+next_message (Caller *caller, PgwireMessage *message)
+{
+  const GByteArray *input = stream_input (caller->stream);
+
+  if (!caller->started)
+    return pgwire_read_startup (input->data, input->len, message);
+  return pgwire_read_message (input->data, input->len, message);
+}
+
+static int
+note_freed (bool **freed)
+{
+  **freed = true;
+  return 0;
+}
+
+/* Handles messages until one waits for its answer, or the caller is gone (returns true). */
+static bool
+process_messages (Caller *caller, const bool *freed)
+{
+  PgwireMessage message;
+
+  while (caller->request == NULL)
+    {
+      PgwireRead read = next_message (caller, &message);
+      uint8_t *copy;
+
+      if (read == PGWIRE_INCOMPLETE)
+        return false;
+      if (read == PGWIRE_MALFORMED)
+        {
+          end_malformed (caller, "malformed or oversized message");
+          return true;
+        }
+      if (caller->started && settle_pending_describe (caller, &message))
+        {
+          if (*freed)
+            return true;
+          continue;
+        }
+      copy = g_memdup2 (message.body, (gsize)message.length + 1);
+      message.body = copy;
+      stream_consume (caller->stream, message.size_bytes);
+      caller->active_ms = clock_now_ms ();
+      if (message.type == 0)
+        handle_startup (caller, &message);
+      else
+        handle_message (caller, &message);
+      g_free (copy);
+      if (*freed)
+        return true;
+    }
+  return false;
+}
+
+static void
+process (Caller *caller)
+{
+  bool freed = false;
+  bool **guard;
+
+  // A request that ends at once comes back here; the outer loop goes on with the input.
+  if (caller->processing || caller->ending)
+    return;
+  caller->processing = true;
+  guard = talloc (caller, bool *);
+  *guard = &freed;
+  talloc_set_destructor (guard, note_freed);
+  if (process_messages (caller, &freed))
+    {
+      if (freed)
+        return;
+    }
+  talloc_set_destructor (guard, NULL);
+  talloc_free (guard);
+  caller->processing = false;
+  if (caller->request == NULL)
+    stream_pause (caller->stream, false);
+}
+
+static void
+on_readable (void *data)
+{
+  Caller *caller = data;
+
+  // Nothing is read ahead of a statement in flight beyond one message's worth.
+  if (caller->request != NULL && stream_input (caller->stream)->len > PGWIRE_MESSAGE_LIMIT_BYTES)
+    {
+      stream_pause (caller->stream, true);
+      return;
+    }
+  process (caller);
+}
+
+static void
+on_drained (void *data)
+{
+  Caller *caller = data;
+  uint32_t owed_bytes = caller->owed_bytes;
+
+  caller->owed_bytes = 0;
+  if (caller->request != NULL && owed_bytes > 0)
+    request_credit (caller->request, owed_bytes);
+}
+
+static void
+on_closed (void *data)
+{
+  Caller *caller = data;
+
+  caller_table_closed (caller->options.table, caller);
+}
+
+static const StreamEvents stream_events = { on_readable, on_drained, on_closed };
+
+static int
+caller_destroy (Caller *caller)
+{
+  if (caller->request != NULL)
+    request_abandon (caller->request);
+  release_pin (caller);
+  session_done (&caller->session);
+  prepared_store_free (caller->prepared);
+  return 0;
+}
+
+Caller *
+caller_new (TALLOC_CTX *parent, const CallerOptions *options)
+{
+  Caller *caller = talloc_zero (parent, Caller);
+
+  caller->options = *options;
+  caller->prepared = prepared_store_new ();
+  caller->active_ms = clock_now_ms ();
+  session_init (&caller->session, worker_next_id (options->worker));
+  caller->stream
+      = stream_new (caller, options->worker->events, options->fd, &stream_events, caller);
+  talloc_set_destructor (caller, caller_destroy);
+  return caller;
+}
+
+bool
+caller_matches (const Caller *caller, uint32_t pid, uint32_t key)
+{
+  return caller->options.pid == pid && caller->options.key == key;
+}
+
+void
+caller_cancel (Caller *caller)
+{
+  if (caller->request != NULL)
+    request_cancel (caller->request);
+}
+
+void
+caller_end_if_idle (Caller *caller, int64_t since_ms)
+{
+  if (caller->request != NULL || caller->active_ms > since_ms)
+    return;
+  if (caller->session.transaction != TRANSACTION_NONE || stream_input (caller->stream)->len > 0)
+    return;
+  pgwire_put_error (out (caller), "FATAL", "57P01",
+                    "terminating connection due to administrator command", "not run");
+  end_connection (caller);
+}
--- /dev/null
+++ b/src/pipeline/caller.h
@@ -0,0 +1,33 @@
+/**
+ * DOC: One caller's connection: startup, statements, answers.
+ */
+#pragma once
+
+#include <stdint.h>
+
+#include "daemon/worker.h"
+
+typedef struct Caller Caller;
+
+/** struct CallerOptions - A new connection on socket @fd. */
+typedef struct
+{
+  Worker *worker;
+  CallerTable *table;
+  int fd;
+  uint32_t pid;
+  uint32_t key;
+} CallerOptions;
+
+/** caller_new() - Takes over the socket. */
+Caller *caller_new (TALLOC_CTX *parent, const CallerOptions *options);
+
+/** caller_matches() - Whether its cancel key is (pid, key). */
+bool caller_matches (const Caller *caller, uint32_t pid, uint32_t key);
+
+/** caller_cancel() - Cancels its running statement. */
+void caller_cancel (Caller *caller);
+
+/** caller_end_if_idle() - Ends the connection with 57P01 if nothing is in flight since @since_ms.
+ */
+void caller_end_if_idle (Caller *caller, int64_t since_ms);
--- /dev/null
+++ b/src/pipeline/owner-job.c
@@ -0,0 +1,860 @@
+#include "pipeline/owner-job.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/verdict.h"
+#include "policy/request-fate.h"
+
+/* An answer up to this size leaves whole; a larger one is streamed. */
+#define HOLD_BYTES (64 * 1024)
+/* Bytes on their way to the caller before reading from the backend server stops. */
+#define WINDOW_BYTES (256 * 1024)
+/* A cancelled statement that does not end loses its connection. */
+#define CANCEL_LIMIT_MS 1000
+/* Time for the answer's position to reach a majority, past the deadline. */
+#define GATE_GRACE_MS 1000
+/* A monitor that has just been started is given time to hear of its instances. */
+#define MONITOR_START_MS 700
+
+typedef enum
+{
+  JOB_WAITING_FRESH,      /* for the replica or the monitor */
+  JOB_QUEUED,             /* for a slot */
+  JOB_WAITING_CONNECTION, /* has a slot */
+  JOB_BEGINNING,          /* BEGIN is running */
+  JOB_RUNNING,
+  JOB_GATED,
+  JOB_SAMPLING,
+  JOB_RESOLVING
+} JobState;
+
+struct OwnerJob
+{
+  GroupOwner *group;
+  InstanceOwner *instance;
+  Origin origin;
+  Frame *frame;
+  const Peridotstep__Execute *execute;
+  AdmissionItem item;
+  JobState state;
+  OwnerTransaction *transaction;
+  PooledConnection *connection;
+  int64_t arrived_us;
+  int64_t deadline_ms;
+  int64_t fresh_until_ms;
+  int64_t started_us;
+  int64_t cancelled_ms;
+  GByteArray *sink;
+  uint64_t sent_bytes;
+  uint64_t credited_bytes;
+  bool streaming;
+  bool orphaned;
+  bool failed;
+  char status;
+  SessionToken position;
+  ResolvedOutcome outcome;
+};
+
+static int
+job_destroy (OwnerJob *job)
+{
+  g_hash_table_remove (job->group->jobs, &job->execute->request);
+  daemon_add_jobs (job->group->worker->daemon, -1);
+  if (job->transaction != NULL)
+    job->transaction->job = NULL;
+  g_byte_array_free (job->sink, true);
+  frame_free (job->frame);
+  return 0;
+}
+
+static bool
+runs_on_primary (const OwnerJob *job)
+{
+  return !job->execute->read_only || job->execute->max_age_ms == 0;
+}
+
+static Peridotstep__InstanceNews *
+make_news (const OwnerJob *job)
+{
+  GroupMonitor *monitor = job->group->monitor;
+  const InstanceStatus *status = group_monitor_status (monitor, job->instance->index);
+  int32_t primary = group_monitor_primary (monitor);
+  Peridotstep__InstanceNews *news = malloc (sizeof *news);
+
+  peridotstep__instance_news__init (news);
+  news->known = status->answered_ms > 0;
+  news->primary = primary == (int32_t)job->instance->index;
+  news->term = status->term;
+  news->applied = frame_token_new (status->applied);
+  news->age_ms = group_monitor_age_ms (monitor, status->applied);
+  news->wait_us = admission_queue_expected_wait_us (
+      job->instance->queue, (Priority)MIN (job->execute->priority, PRIORITY_COUNT - 1));
+  if (primary >= 0)
+    {
+      news->primary_hint = (uint32_t)primary + 1;
+      news->primary_hint_term = group_monitor_status (monitor, (uint32_t)primary)->term;
+    }
+  return news;
+}
+
+static void
+reply (OwnerJob *job, Frame *frame)
+{
+  if (job->orphaned)
+    frame_free (frame);
+  else
+    worker_reply (job->group->worker, job->origin, frame, worker_lane (job->execute->priority));
+}
+
+static void
+send_data (OwnerJob *job)
+{
+  Frame *frame;
+
+  if (job->sink->len == 0)
+    return;
+  frame = frame_new (PERIDOTSTEP__FRAME__BODY_DATA);
+  frame->data->request = job->execute->request;
+  frame->data->bytes.len = job->sink->len;
+  frame->data->bytes.data = g_memdup2 (job->sink->data, job->sink->len);
+  job->sent_bytes += job->sink->len;
+  g_byte_array_set_size (job->sink, 0);
+  reply (job, frame);
+}
+
+static Frame *
+done_frame (const OwnerJob *job)
+{
+  Frame *frame = frame_new (PERIDOTSTEP__FRAME__BODY_DONE);
+
+  frame->done->request = job->execute->request;
+  frame->done->instance = job->instance->index;
+  frame->done->news = make_news (job);
+  return frame;
+}
+
+static void
+finish_refused (OwnerJob *job, RefusalKind refusal)
+{
+  Frame *frame = done_frame (job);
+
+  frame->done->refusal = refusal;
+  reply (job, frame);
+  talloc_free (job);
+}
+
+static void
+finish_failed (OwnerJob *job, FailureKind failure)
+{
+  Frame *frame = done_frame (job);
+
+  frame->done->failure = (uint32_t)failure + 1;
+  reply (job, frame);
+  talloc_free (job);
+}
+
+static void
+finish_answered (OwnerJob *job)
+{
+  Frame *frame;
+
+  send_data (job);
+  frame = done_frame (job);
+  frame->done->failed = job->failed;
+  frame->done->transaction_status = (uint32_t)job->status;
+  frame->done->token = frame_token_new (job->position);
+  frame->done->outcome = job->outcome;
+  reply (job, frame);
+  talloc_free (job);
+}
+
+/* What stands against starting on this instance now; %REFUSAL_NONE if nothing does. */
+static RefusalKind
+primary_refusal (const OwnerJob *job)
+{
+  GroupMonitor *monitor = job->group->monitor;
+
+  if (group_monitor_primary (monitor) != (int32_t)job->instance->index)
+    return REFUSAL_NOT_PRIMARY;
+  if (!group_monitor_answers (monitor, job->instance->index))
+    return REFUSAL_BACKEND_DOWN;
+  if (!group_monitor_has_majority (monitor))
+    return REFUSAL_NO_MAJORITY;
+  return REFUSAL_NONE;
+}
+
+static RefusalKind
+replica_refusal (const OwnerJob *job)
+{
+  GroupMonitor *monitor = job->group->monitor;
+  const InstanceStatus *status = group_monitor_status (monitor, job->instance->index);
+  int64_t age_ms;
+
+  if (job->group->service->instances[job->instance->index].leaving)
+    return REFUSAL_DRAINING;
+  if (!group_monitor_answers (monitor, job->instance->index))
+    return REFUSAL_BACKEND_DOWN;
+  if (status->role != ROLE_REPLICA)
+    return REFUSAL_BEHIND;
+  if (!session_token_covers (status->applied, frame_token (job->execute->need)))
+    return REFUSAL_BEHIND;
+  age_ms = group_monitor_age_ms (monitor, status->applied);
+  if (age_ms < 0 || age_ms > job->execute->max_age_ms)
+    return REFUSAL_BEHIND;
+  return REFUSAL_NONE;
+}
+
+static bool
+is_on_primary (const OwnerJob *job)
+{
+  return group_monitor_primary (job->group->monitor) == (int32_t)job->instance->index;
+}
+
+static RefusalKind
+start_refusal (const OwnerJob *job)
+{
+  if (job->transaction != NULL)
+    return REFUSAL_NONE;
+  if (runs_on_primary (job) || is_on_primary (job))
+    return primary_refusal (job);
+  return replica_refusal (job);
+}
+
+static bool
+monitor_is_young (const OwnerJob *job, int64_t now_ms)
+{
+  return now_ms - job->group->created_ms < MONITOR_START_MS;
+}
+
+static void
+enqueue (OwnerJob *job, int64_t now_ms)
+{
+  job->state = JOB_QUEUED;
+  if (admission_queue_push (job->instance->queue, &job->item, now_ms))
+    {
+      group_owner_pump (job->group);
+      return;
+    }
+  counter_add (job->group->worker->counters, COUNTER_QUEUE_REFUSED, 1);
+  finish_refused (job, REFUSAL_OVERLOAD);
+}
+
+static void
+wait_fresh (OwnerJob *job)
+{
+  if (job->state != JOB_WAITING_FRESH)
+    g_queue_push_tail (&job->instance->waiting_fresh, job);
+  job->state = JOB_WAITING_FRESH;
+  if (!runs_on_primary (job))
+    group_monitor_want_applied (job->group->monitor, job->instance->index,
+                                frame_token (job->execute->need));
+}
+
+static void
+stop_waiting_fresh (OwnerJob *job)
+{
+  if (job->state == JOB_WAITING_FRESH)
+    g_queue_remove (&job->instance->waiting_fresh, job);
+}
+
+static void
+admit (OwnerJob *job)
+{
+  int64_t now_ms = clock_now_ms ();
+  RefusalKind refusal = start_refusal (job);
+
+  if (refusal == REFUSAL_NONE)
+    {
+      stop_waiting_fresh (job);
+      enqueue (job, now_ms);
+      return;
+    }
+  // A replica may catch up, and a monitor just started may hear, within a short time.
+  if ((refusal == REFUSAL_BEHIND && now_ms < job->fresh_until_ms)
+      || (refusal != REFUSAL_DRAINING && monitor_is_young (job, now_ms)))
+    {
+      wait_fresh (job);
+      return;
+    }
+  stop_waiting_fresh (job);
+  finish_refused (job, refusal);
+}
+
+void
+owner_job_recheck (OwnerJob *job)
+{
+  admit (job);
+}
+
+static void
+release_slot (OwnerJob *job)
+{
+  int64_t service_us = clock_now_us () - job->started_us;
+
+  if (job->started_us == 0)
+    admission_queue_abort (job->instance->queue, job->item.priority);
+  else
+    admission_queue_finish (job->instance->queue, job->item.priority, service_us);
+}
+
+/* Text with the transaction id in front, where the platform looks for it. */
+static char *
+tagged_sql (const OwnerJob *job)
+{
+  if (job->execute->transaction_id[0] == '\0')
+    return g_strdup (job->execute->sql);
+  return g_strdup_printf ("/*peridotstep_txid='%s'*/ %s", job->execute->transaction_id,
+                          job->execute->sql);
+}
+
+static BackendParam *
+make_params (const Peridotstep__Execute *execute, uint32_t *count)
+{
+  BackendParam *params;
+
+  *count = (uint32_t)MAX (execute->n_params, execute->n_param_types);
+  params = g_new0 (BackendParam, *count + 1);
+  for (size_t i = 0; i < execute->n_params; i++)
+    {
+      const Peridotstep__Param *param = execute->params[i];
+
+      params[i].format = param->format;
+      params[i].length = (uint32_t)param->value.len;
+      if (!param->is_null)
+        {
+          char *value = g_malloc0 (param->value.len + 1);
+
+          if (param->value.len > 0)
+            memcpy (value, param->value.data, param->value.len);
+          params[i].value = value;
+        }
+    }
+  for (size_t i = 0; i < execute->n_param_types; i++)
+    params[i].type = execute->param_types[i];
+  return params;
+}
+
+static void
+free_params (BackendParam *params, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    g_free ((void *)params[i].value);
+  g_free (params);
+}
+
+static bool
+send_statement (OwnerJob *job)
+{
+  BackendConnection *backend = backend_pool_connection (job->connection);
+  char *sql = tagged_sql (job);
+  uint32_t param_count;
+  BackendParam *params = make_params (job->execute, &param_count);
+  const BackendStatement statement = {
+    .sql = sql,
+    .extended = job->execute->extended && job->execute->operation == PERIDOTSTEP__OPERATION__RUN,
+    .describe = job->execute->describe,
+    .result_format = job->execute->result_format,
+    .param_count = param_count,
+    .params = params,
+  };
+  bool sent;
+
+  job->state = JOB_RUNNING;
+  if (job->execute->operation == PERIDOTSTEP__OPERATION__DESCRIBE)
+    sent = backend_connection_describe (backend, &statement, job->sink);
+  else
+    sent = backend_connection_run (backend, &statement, job->sink);
+  free_params (params, param_count);
+  g_free (sql);
+  return sent;
+}
+
+static bool
+send_begin (OwnerJob *job)
+{
+  const BackendStatement statement = { .sql = job->execute->begin_sql };
+
+  job->state = JOB_BEGINNING;
+  return backend_connection_run (backend_pool_connection (job->connection), &statement, job->sink);
+}
+
+static bool
+starts_transaction (const OwnerJob *job)
+{
+  return job->execute->in_transaction && job->transaction == NULL;
+}
+
+static void on_lost (void *data);
+
+static void
+start_statement (OwnerJob *job)
+{
+  bool sent;
+
+  job->started_us = clock_now_us ();
+  if (is_on_primary (job) && job->execute->operation != PERIDOTSTEP__OPERATION__ROLLBACK)
+    group_monitor_confirm (job->group->monitor);
+  sent = starts_transaction (job) ? send_begin (job) : send_statement (job);
+  if (!sent)
+    {
+      backend_pool_drop (job->connection);
+      on_lost (job);
+    }
+}
+
+static GateTicket
+make_ticket (OwnerJob *job, SessionToken position)
+{
+  GateTicket ticket = {
+    .position = position,
+    .expires_ms = job->deadline_ms + GATE_GRACE_MS,
+    .data = job,
+  };
+
+  return ticket;
+}
+
+static void
+hold_answer (OwnerJob *job)
+{
+  GateTicket ticket = make_ticket (job, job->position);
+  int64_t age_us = job->execute->read_only ? job->execute->max_age_ms * 1000 : 0;
+
+  job->state = JOB_GATED;
+  ticket.confirm_after_us = MAX (job->arrived_us - age_us, 1);
+  if (job->execute->operation == PERIDOTSTEP__OPERATION__COMMIT)
+    ticket.confirm_after_us = 0;
+  counter_add (job->group->worker->counters, COUNTER_COMMITS_GATED, 1);
+  group_monitor_hold (job->group->monitor, job->instance->index, &ticket);
+}
+
+static bool
+ends_transaction (const OwnerJob *job)
+{
+  return job->execute->operation == PERIDOTSTEP__OPERATION__COMMIT
+         || job->execute->operation == PERIDOTSTEP__OPERATION__ROLLBACK;
+}
+
+/* The connection goes back, stays with its transaction, or is closed with it. */
+static void
+settle_connection (OwnerJob *job)
+{
+  GroupOwner *group = job->group;
+  OwnerTransaction *transaction = job->transaction;
+
+  if (transaction == NULL)
+    {
+      backend_pool_give_back (job->connection);
+      job->connection = NULL;
+      return;
+    }
+  job->connection = NULL;
+  transaction->job = NULL;
+  transaction->used_ms = clock_now_ms ();
+  if (transaction->doomed)
+    group_owner_drop_transaction (group, transaction);
+  else if (job->status == 'I')
+    backend_pool_give_back (group_owner_close_transaction (group, transaction));
+  job->transaction = NULL;
+}
+
+static bool
+needs_gate (const OwnerJob *job)
+{
+  if (job->failed || job->execute->operation == PERIDOTSTEP__OPERATION__ROLLBACK
+      || job->execute->operation == PERIDOTSTEP__OPERATION__DESCRIBE)
+    return false;
+  // On a replica the position was vetted before it started.
+  return is_on_primary (job) || runs_on_primary (job) || job->execute->in_transaction;
+}
+
+static void
+statement_ended (OwnerJob *job, const BackendEvent *event)
+{
+  GroupOwner *group = job->group;
+
+  job->failed = event->failed;
+  job->status = event->status;
+  job->position = event->position;
+  group_monitor_applied (group->monitor, job->instance->index, event->position);
+  release_slot (job);
+  settle_connection (job);
+  if (needs_gate (job))
+    hold_answer (job);
+  else
+    finish_answered (job);
+  group_owner_pump (group);
+}
+
+static void
+begin_ended (OwnerJob *job, const BackendEvent *event)
+{
+  GroupOwner *group = job->group;
+
+  g_byte_array_set_size (job->sink, 0);
+  if (event->failed || event->status != 'T')
+    {
+      release_slot (job);
+      backend_pool_drop (job->connection);
+      job->connection = NULL;
+      finish_refused (job, REFUSAL_ROLLED_BACK);
+      group_owner_pump (group);
+      return;
+    }
+  job->transaction = group_owner_open_transaction (job->instance, job->execute->session,
+                                                   job->origin, job->connection);
+  job->transaction->job = job;
+  if (!send_statement (job))
+    {
+      backend_pool_drop (job->connection);
+      on_lost (job);
+    }
+}
+
+static void
+stream_answer (OwnerJob *job)
+{
+  if (!job->streaming && job->sink->len < HOLD_BYTES)
+    return;
+  job->streaming = true;
+  send_data (job);
+  if (job->sent_bytes - job->credited_bytes >= WINDOW_BYTES && !job->orphaned)
+    backend_connection_pause (backend_pool_connection (job->connection), true);
+}
+
+static void
+on_event (void *data, const BackendEvent *event)
+{
+  OwnerJob *job = data;
+
+  switch (event->kind)
+    {
+    case BACKEND_DATA:
+      if (job->state == JOB_RUNNING)
+        stream_answer (job);
+      return;
+    case BACKEND_IDLE:
+      if (job->state == JOB_BEGINNING)
+        begin_ended (job, event);
+      else
+        statement_ended (job, event);
+      return;
+    default:
+      return;
+    }
+}
+
+/* The connection is gone with the statement on it. */
+static void
+on_lost (void *data)
+{
+  OwnerJob *job = data;
+  GroupOwner *group = job->group;
+  bool began = job->state == JOB_RUNNING;
+
+  release_slot (job);
+  job->connection = NULL;
+  if (job->transaction != NULL)
+    {
+      OwnerTransaction *transaction = job->transaction;
+
+      job->transaction = NULL;
+      transaction->job = NULL;
+      group_owner_close_transaction (group, transaction);
+    }
+  if (began)
+    finish_failed (job, FAILURE_BACKEND_LOST);
+  else
+    finish_refused (job, REFUSAL_BACKEND_DOWN);
+  group_owner_pump (group);
+}
+
+bool
+owner_job_take_connection (OwnerJob *job)
+{
+  const PooledUser user = { on_event, on_lost, job };
+  bool read_only = job->execute->read_only || !is_on_primary (job);
+
+  job->connection = backend_pool_take (job->instance->pool, job->item.priority == PRIORITY_URGENT,
+                                       read_only, &user);
+  if (job->connection == NULL)
+    return false;
+  start_statement (job);
+  return true;
+}
+
+static void
+run_in_transaction (OwnerJob *job)
+{
+  job->connection = job->transaction->connection;
+  start_statement (job);
+}
+
+void
+owner_job_run (OwnerJob *job)
+{
+  RefusalKind refusal = start_refusal (job);
+
+  if (refusal != REFUSAL_NONE)
+    {
+      admission_queue_abort (job->instance->queue, job->item.priority);
+      finish_refused (job, refusal);
+      return;
+    }
+  if (job->transaction != NULL)
+    {
+      run_in_transaction (job);
+      return;
+    }
+  job->state = JOB_WAITING_CONNECTION;
+  if (!owner_job_take_connection (job))
+    g_queue_push_tail (&job->instance->waiting_connection, job);
+}
+
+void
+owner_job_expire (OwnerJob *job)
+{
+  counter_add (job->group->worker->counters, COUNTER_QUEUE_DEADLINE, 1);
+  finish_refused (job, REFUSAL_DEADLINE);
+}
+
+static void
+forward_event (void *data, const BackendEvent *event)
+{
+  OwnerTransaction *transaction = data;
+
+  if (transaction->job != NULL)
+    on_event (transaction->job, event);
+}
+
+static void
+forward_lost (void *data)
+{
+  OwnerTransaction *transaction = data;
+
+  if (transaction->job != NULL)
+    on_lost (transaction->job);
+  else
+    group_owner_close_transaction (transaction->instance->group, transaction);
+}
+
+static void
+start_sample (OwnerJob *job)
+{
+  RefusalKind refusal = primary_refusal (job);
+
+  if (refusal != REFUSAL_NONE && !monitor_is_young (job, clock_now_ms ()))
+    {
+      finish_refused (job, refusal);
+      return;
+    }
+  job->state = JOB_SAMPLING;
+  group_monitor_sample (job->group->monitor, job);
+}
+
+static void
+start_in_transaction (OwnerJob *job)
+{
+  OwnerTransaction *transaction = group_owner_transaction (job->group, job->execute->session);
+
+  if (transaction == NULL || transaction->job != NULL)
+    {
+      finish_refused (job, REFUSAL_ROLLED_BACK);
+      return;
+    }
+  job->transaction = transaction;
+  job->instance = transaction->instance;
+  transaction->job = job;
+  job->item.front = true;
+  enqueue (job, clock_now_ms ());
+}
+
+static void
+route_job (OwnerJob *job)
+{
+  switch (job->execute->operation)
+    {
+    case PERIDOTSTEP__OPERATION__SAMPLE:
+      start_sample (job);
+      return;
+    case PERIDOTSTEP__OPERATION__RESOLVE:
+      job->state = JOB_RESOLVING;
+      group_monitor_resolve (job->group->monitor, job->execute->transaction_id, job);
+      return;
+    default:
+      break;
+    }
+  if (ends_transaction (job)
+      || (job->execute->in_transaction && job->execute->begin_sql[0] == '\0'))
+    start_in_transaction (job);
+  else
+    admit (job);
+}
+
+/* The id is put into SQL text, so it may hold nothing that ends the comment or the literal. */
+static bool
+id_is_plain (const char *id)
+{
+  return id[strspn (id, "0123456789abcdefghijklmnopqrstuvwxyz-")] == '\0';
+}
+
+void
+owner_job_start (GroupOwner *group, Origin origin, Frame *frame)
+{
+  const Peridotstep__Execute *execute = frame->execute;
+  OwnerJob *job = talloc_zero (group, OwnerJob);
+  int64_t now_ms = clock_now_ms ();
+
+  job->group = group;
+  job->origin = origin;
+  job->frame = frame;
+  job->execute = execute;
+  job->instance = &group->instances[MIN (execute->instance, group->service->instance_count - 1)];
+  job->arrived_us = clock_now_us ();
+  job->deadline_ms = now_ms + execute->deadline_ms;
+  job->fresh_until_ms = now_ms + MIN (group->service->replica_wait_ms, execute->deadline_ms / 2);
+  job->sink = g_byte_array_new ();
+  job->status = 'I';
+  job->item.priority = (Priority)MIN (execute->priority, PRIORITY_COUNT - 1);
+  job->item.source = execute->source;
+  job->item.deadline_ms = job->deadline_ms;
+  job->item.data = job;
+  g_hash_table_insert (group->jobs, (void *)&execute->request, job);
+  daemon_add_jobs (group->worker->daemon, 1);
+  talloc_set_destructor (job, job_destroy);
+  group->used_ms = now_ms;
+  if (execute->instance >= group->service->instance_count || !id_is_plain (execute->transaction_id))
+    finish_refused (job, REFUSAL_NOT_SUPPORTED);
+  else
+    route_job (job);
+}
+
+void
+owner_job_credit (OwnerJob *job, uint32_t bytes)
+{
+  job->credited_bytes += bytes;
+  if (job->state == JOB_RUNNING && job->connection != NULL
+      && job->sent_bytes - job->credited_bytes < WINDOW_BYTES)
+    backend_connection_pause (backend_pool_connection (job->connection), false);
+}
+
+void
+owner_job_cancel (OwnerJob *job)
+{
+  switch (job->state)
+    {
+    case JOB_WAITING_FRESH:
+      stop_waiting_fresh (job);
+      finish_refused (job, REFUSAL_CANCELLED);
+      return;
+    case JOB_QUEUED:
+      admission_queue_remove (job->instance->queue, &job->item);
+      finish_refused (job, REFUSAL_CANCELLED);
+      return;
+    case JOB_WAITING_CONNECTION:
+      g_queue_remove (&job->instance->waiting_connection, job);
+      release_slot (job);
+      finish_refused (job, REFUSAL_CANCELLED);
+      return;
+    case JOB_BEGINNING:
+    case JOB_RUNNING:
+      if (job->cancelled_ms != 0)
+        return;
+      job->cancelled_ms = clock_now_ms ();
+      backend_connection_pause (backend_pool_connection (job->connection), false);
+      backend_connection_cancel (backend_pool_connection (job->connection));
+      return;
+    case JOB_GATED:
+    case JOB_SAMPLING:
+    case JOB_RESOLVING:
+      return;
+    }
+}
+
+void
+owner_job_orphan (OwnerJob *job)
+{
+  job->orphaned = true;
+  // A write under way is left to end; its outcome can be looked up.
+  if (job->state == JOB_RUNNING && !job->execute->read_only)
+    return;
+  owner_job_cancel (job);
+}
+
+Origin
+owner_job_origin (const OwnerJob *job)
+{
+  return job->origin;
+}
+
+void
+owner_job_tick (OwnerJob *job, int64_t now_ms)
+{
+  switch (job->state)
+    {
+    case JOB_BEGINNING:
+    case JOB_RUNNING:
+      if (job->cancelled_ms == 0 || now_ms - job->cancelled_ms < CANCEL_LIMIT_MS)
+        return;
+      backend_pool_drop (job->connection);
+      on_lost (job);
+      return;
+    case JOB_SAMPLING:
+      if (now_ms < job->deadline_ms)
+        return;
+      group_monitor_forget (job->group->monitor, job);
+      finish_refused (job, REFUSAL_DEADLINE);
+      return;
+    default:
+      return;
+    }
+}
+
+void
+owner_job_released (OwnerJob *job, GateResult result)
+{
+  switch (result)
+    {
+    case GATE_RELEASED:
+      finish_answered (job);
+      return;
+    case GATE_SUPERSEDED:
+      finish_failed (job, FAILURE_SUPERSEDED);
+      return;
+    case GATE_EXPIRED:
+      finish_failed (job, FAILURE_NO_MAJORITY);
+      return;
+    }
+}
+
+void
+owner_job_sampled (OwnerJob *job, SessionToken position)
+{
+  job->position = position;
+  hold_answer (job);
+}
+
+void
+owner_job_resolved (OwnerJob *job, bool known, bool committed, SessionToken position)
+{
+  GateTicket ticket;
+
+  if (!known)
+    {
+      finish_refused (job, REFUSAL_NOT_PRIMARY);
+      return;
+    }
+  job->outcome = committed ? RESOLVED_COMMITTED : RESOLVED_ABORTED;
+  job->position = position;
+  job->state = JOB_GATED;
+  ticket = make_ticket (job, position);
+  group_monitor_hold (job->group->monitor, job->instance->index, &ticket);
+}
+
+const PooledUser *
+owner_job_transaction_user (OwnerTransaction *transaction, PooledUser *user)
+{
+  *user = (PooledUser){ forward_event, forward_lost, transaction };
+  return user;
+}
--- /dev/null
+++ b/src/pipeline/request.c
@@ -0,0 +1,776 @@
+#include "pipeline/request.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "pipeline/route.h"
+#include "policy/replica-choice.h"
+
+/* Time given to an owner to say that the deadline has passed before it counts as silent. */
+#define DEADLINE_GRACE_MS 400
+/* Longest time spent on settling an outcome. */
+#define RESOLVE_LIMIT_MS 12000
+#define RESOLVE_ATTEMPT_MS 1500
+#define RESOLVE_RETRY_MS 50
+/* How long a refusal keeps an instance from being asked again. */
+#define DOWN_REFUSAL_MS 200
+#define BEHIND_REFUSAL_MS 5
+#define DETAIL_BYTES 160
+/* A host whose link was lost is passed over for this time, or until membership knows more. */
+#define AVOID_HOST_MS 1000
+
+typedef enum
+{
+  PHASE_ROUTING,  /* not handed over */
+  PHASE_SENT,     /* at an owner */
+  PHASE_RESOLVING /* its outcome is being looked up */
+} Phase;
+
+struct Request
+{
+  RequestTable *table;
+  RequestOptions options;
+  uint64_t id; /* of the current attempt */
+  Frame *frame;
+  ClassConfig class_config;
+  bool read;
+  int64_t deadline_ms;
+  Phase phase;
+  bool answering;
+  bool abandoned;
+  bool cancelled;
+  uint32_t tried;
+  uint32_t attempts;
+  Host target;
+  uint32_t instance;
+  int64_t resolve_until_ms;
+  uint32_t resolve_attempts;
+  RefusalKind last_refusal;
+  char detail[DETAIL_BYTES];
+  struct tevent_timer *timer;
+  Request **handle;
+};
+
+struct RequestTable
+{
+  Worker *worker;
+  GHashTable *by_id;
+};
+
+static void fail (Request *request, FailureKind failure);
+static void send_resolve (Request *request);
+
+static int
+table_destroy (RequestTable *table)
+{
+  g_hash_table_destroy (table->by_id);
+  return 0;
+}
+
+RequestTable *
+request_table_new (TALLOC_CTX *parent, Worker *worker)
+{
+  RequestTable *table = talloc_zero (parent, RequestTable);
+
+  table->worker = worker;
+  table->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
+  talloc_set_destructor (table, table_destroy);
+  return table;
+}
+
+static Worker *
+request_worker (const Request *request)
+{
+  return request->table->worker;
+}
+
+static Session *
+request_session (const Request *request)
+{
+  return request->options.session;
+}
+
+static int
+request_destroy (Request *request)
+{
+  if (request->id != 0)
+    g_hash_table_remove (request->table->by_id, &request->id);
+  frame_free (request->frame);
+  return 0;
+}
+
+/* Late answers to an earlier attempt must find nothing, so each attempt has its own id. */
+static void
+renew_id (Request *request)
+{
+  if (request->id != 0)
+    g_hash_table_remove (request->table->by_id, &request->id);
+  request->id = worker_next_id (request_worker (request));
+  g_hash_table_insert (request->table->by_id, &request->id, request);
+}
+
+static void
+drop_id (Request *request)
+{
+  if (request->id != 0)
+    g_hash_table_remove (request->table->by_id, &request->id);
+  request->id = 0;
+}
+
+static ServiceRoute *
+request_route (const Request *request)
+{
+  return route_find (request_worker (request), request->frame->execute->service);
+}
+
+static bool
+is_pinned (const Request *request)
+{
+  return request->frame->execute->in_transaction && request_session (request)->pinned;
+}
+
+static void
+count_outcome (const Request *request, const RequestOutcome *outcome)
+{
+  static const CounterId counters[] = {
+    [VERDICT_RAN] = COUNTER_STATEMENTS_RAN,
+    [VERDICT_NOT_RUN] = COUNTER_STATEMENTS_NOT_RUN,
+    [VERDICT_MAY_HAVE_RUN] = COUNTER_STATEMENTS_IN_DOUBT,
+  };
+
+  counter_add (request_worker (request)->counters, counters[outcome->verdict], 1);
+}
+
+static void
+finish (Request *request, RequestOutcome *outcome)
+{
+  RequestOptions options = request->options;
+  bool abandoned = request->abandoned;
+  char detail[DETAIL_BYTES];
+
+  count_outcome (request, outcome);
+  g_strlcpy (detail, request->detail, sizeof detail);
+  outcome->detail = detail;
+  if (request->handle != NULL)
+    *request->handle = NULL;
+  talloc_free (request);
+  if (!abandoned)
+    options.done (options.user, outcome);
+}
+
+static void
+finish_refused (Request *request, RefusalKind refusal)
+{
+  RequestOutcome outcome = { .refusal = refusal, .transaction_status = 'I' };
+
+  outcome.verdict = refusal_info (refusal)->verdict;
+  finish (request, &outcome);
+}
+
+/* The last thing that an owner said tells the caller more than that time ran out. */
+static void
+finish_not_run (Request *request)
+{
+  RefusalKind refusal = request->last_refusal;
+
+  if (refusal == REFUSAL_NONE || refusal_info (refusal)->verdict != VERDICT_NOT_RUN)
+    refusal = request->frame->execute->in_transaction ? REFUSAL_ROLLED_BACK : REFUSAL_DEADLINE;
+  finish_refused (request, refusal);
+}
+
+static void
+set_timer (Request *request, int64_t delay_ms, tevent_timer_handler_t handler)
+{
+  delay_ms = MAX (delay_ms, 0);
+  TALLOC_FREE (request->timer);
+  request->timer = tevent_add_timer (
+      request_worker (request)->events, request,
+      tevent_timeval_current_ofs ((uint32_t)(delay_ms / 1000), (uint32_t)(delay_ms % 1000) * 1000),
+      handler, request);
+}
+
+static void
+send_cancel (const Request *request)
+{
+  Frame *frame;
+
+  if (request->phase != PHASE_SENT || request->id == 0)
+    return;
+  frame = frame_new (PERIDOTSTEP__FRAME__BODY_CANCEL);
+  frame->cancel->request = request->id;
+  frame->cancel->service = strdup (request->frame->execute->service);
+  worker_send (request_worker (request), &request->target, frame, FRAME_LANE_CONTROL);
+}
+
+static void
+on_deadline (struct tevent_context *events, struct tevent_timer *timer, struct timeval now,
+             void *data)
+{
+  Request *request = data;
+
+  request->timer = NULL;
+  if (request->phase == PHASE_SENT)
+    {
+      send_cancel (request);
+      fail (request, FAILURE_DEADLINE);
+      return;
+    }
+  finish_not_run (request);
+}
+
+static bool
+sampling_needed (const Request *request)
+{
+  const Session *session = request_session (request);
+
+  return request->read && request->class_config.max_age_ms > 0 && !session->token_known
+         && !request->frame->execute->in_transaction;
+}
+
+static int
+choose_instance (Request *request, ServiceRoute *route)
+{
+  const ServiceConfig *config = route_config (route);
+  int64_t now_ms = clock_now_ms ();
+  ReadNeed need = { request_session (request)->token, request->class_config.max_age_ms };
+
+  if (request->read)
+    return replica_choice_read (route_views (route), config->instance_count, &need, request->tried,
+                                now_ms);
+  return replica_choice_write (route_views (route), config->instance_count, request->tried, now_ms);
+}
+
+static void
+new_transaction_id (Request *request)
+{
+  Peridotstep__Execute *execute = request->frame->execute;
+  char id[40];
+
+  if (request->options.kind != REQUEST_WRITE && request->options.kind != REQUEST_COMMIT)
+    return;
+  if (execute->transaction_id != protobuf_c_empty_string)
+    free (execute->transaction_id);
+  g_snprintf (id, sizeof id, "%016" G_GINT64_MODIFIER "x-%016" G_GINT64_MODIFIER "x",
+              request_session (request)->id, worker_next_id (request_worker (request)));
+  execute->transaction_id = strdup (id);
+}
+
+static void
+send_to (Request *request, const Host *host, uint32_t instance)
+{
+  Peridotstep__Execute *execute = request->frame->execute;
+  Frame *copy;
+
+  request->target = *host;
+  request->instance = instance;
+  request->phase = PHASE_SENT;
+  request->attempts++;
+  renew_id (request);
+  new_transaction_id (request);
+  execute->request = request->id;
+  execute->instance = instance;
+  execute->deadline_ms = (uint32_t)MAX (request->deadline_ms - clock_now_ms (), 1);
+  execute->need->term = request_session (request)->token.term;
+  execute->need->position = request_session (request)->token.position;
+  copy = frame_clone (request->frame);
+  worker_send (request_worker (request), host, copy, worker_lane (execute->priority));
+}
+
+static void
+park (Request *request, ServiceRoute *route)
+{
+  request->tried = 0;
+  route_park (route, request);
+}
+
+void
+request_dispatch (Request *request)
+{
+  ServiceRoute *route = request_route (request);
+  Host host;
+  int instance;
+
+  if (route == NULL)
+    {
+      finish_refused (request, REFUSAL_UNKNOWN_SERVICE);
+      return;
+    }
+  if (request->phase == PHASE_RESOLVING)
+    {
+      send_resolve (request);
+      return;
+    }
+  if (is_pinned (request))
+    {
+      const Session *session = request_session (request);
+
+      send_to (request, &session->pinned_host, session->pinned_instance);
+      return;
+    }
+  if (sampling_needed (request))
+    {
+      route_sample (route, request);
+      return;
+    }
+  instance = choose_instance (request, route);
+  if (instance < 0 || !route_owner (route, (uint32_t)instance, 0, &host))
+    park (request, route);
+  else
+    send_to (request, &host, (uint32_t)instance);
+}
+
+void
+request_sampled (Request *request, SessionToken token)
+{
+  Session *session = request_session (request);
+
+  session_token_raise (&session->token, token);
+  session->token_known = true;
+  request_dispatch (request);
+}
+
+static void
+copy_params (Peridotstep__Execute *execute, const RequestOptions *options)
+{
+  execute->n_params = options->param_count;
+  execute->params = calloc (options->param_count + 1, sizeof (Peridotstep__Param *));
+  for (uint32_t i = 0; i < options->param_count; i++)
+    {
+      const RequestParam *param = &options->params[i];
+      Peridotstep__Param *message = malloc (sizeof *message);
+
+      peridotstep__param__init (message);
+      message->is_null = param->value == NULL;
+      message->format = param->format;
+      message->value.len = param->length;
+      message->value.data = malloc (param->length + 1);
+      if (param->length > 0)
+        memcpy (message->value.data, param->value, param->length);
+      execute->params[i] = message;
+    }
+  execute->n_param_types = options->type_count;
+  execute->param_types = calloc (options->type_count + 1, sizeof (uint32_t));
+  if (options->type_count > 0)
+    memcpy (execute->param_types, options->types, options->type_count * sizeof (uint32_t));
+}
+
+static Frame *
+make_frame (const RequestOptions *options)
+{
+  const Session *session = options->session;
+  Frame *frame = frame_new (PERIDOTSTEP__FRAME__BODY_EXECUTE);
+  Peridotstep__Execute *execute = frame->execute;
+
+  execute->service = strdup (session->service);
+  execute->operation = options->operation;
+  execute->sql = strdup (options->sql);
+  execute->extended = options->extended;
+  execute->describe = options->describe;
+  execute->result_format = options->result_format;
+  execute->priority = options->class_config->priority;
+  execute->read_only = !options->class_config->write;
+  execute->max_age_ms = options->class_config->max_age_ms;
+  execute->session = session->id;
+  execute->source = session->source;
+  execute->need = frame_token_new (session->token);
+  execute->in_transaction = session->transaction != TRANSACTION_NONE;
+  if (session->transaction == TRANSACTION_BEGUN)
+    execute->begin_sql = strdup (session->begin_sql);
+  copy_params (execute, options);
+  return frame;
+}
+
+void
+request_start (Worker *worker, const RequestOptions *options, Request **handle)
+{
+  Request *request = talloc_zero (worker->requests, Request);
+
+  request->table = worker->requests;
+  request->options = *options;
+  request->class_config = *options->class_config;
+  request->options.class_config = &request->class_config;
+  request->read = !options->class_config->write;
+  request->frame = make_frame (options);
+  request->deadline_ms = clock_now_ms () + options->class_config->deadline_ms;
+  request->handle = handle;
+  *handle = request;
+  talloc_set_destructor (request, request_destroy);
+  counter_add (worker->counters, COUNTER_STATEMENTS, 1);
+  if (!daemon_admits (worker->daemon) && !is_pinned (request))
+    {
+      finish_refused (request, REFUSAL_ISOLATED);
+      return;
+    }
+  set_timer (request, options->class_config->deadline_ms + DEADLINE_GRACE_MS, on_deadline);
+  request_dispatch (request);
+}
+
+void
+request_credit (Request *request, uint32_t bytes)
+{
+  Frame *frame;
+
+  if (request->phase != PHASE_SENT)
+    return;
+  frame = frame_new (PERIDOTSTEP__FRAME__BODY_CREDIT);
+  frame->credit->request = request->id;
+  frame->credit->bytes = bytes;
+  frame->credit->service = strdup (request->frame->execute->service);
+  worker_send (request_worker (request), &request->target, frame, FRAME_LANE_CONTROL);
+}
+
+void
+request_cancel (Request *request)
+{
+  ServiceRoute *route;
+
+  request->cancelled = true;
+  if (request->phase == PHASE_SENT)
+    {
+      send_cancel (request);
+      return;
+    }
+  if (request->phase != PHASE_ROUTING)
+    return;
+  route = request_route (request);
+  if (route != NULL)
+    route_forget (route, request);
+  finish_refused (request, REFUSAL_CANCELLED);
+}
+
+void
+request_abandon (Request *request)
+{
+  ServiceRoute *route = request_route (request);
+
+  send_cancel (request);
+  if (route != NULL)
+    route_forget (route, request);
+  if (request->handle != NULL)
+    *request->handle = NULL;
+  talloc_free (request);
+}
+
+static RequestState
+request_state (const Request *request)
+{
+  const Session *session = request_session (request);
+  RequestState state = {
+    .kind = request->options.kind,
+    .step = REQUEST_RECEIVED,
+    .idempotent = request->class_config.idempotent,
+    .first_in_transaction = session->transaction == TRANSACTION_BEGUN && !session->has_run,
+    .retryable = refusal_info (request->last_refusal)->retryable,
+    .time_left = clock_now_ms () < request->deadline_ms && !request->cancelled,
+  };
+
+  if (request->answering)
+    state.step = REQUEST_ANSWERING;
+  else if (request->phase == PHASE_SENT)
+    state.step = REQUEST_HANDED;
+  return state;
+}
+
+static void
+on_resolve_timer (struct tevent_context *events, struct tevent_timer *timer, struct timeval now,
+                  void *data)
+{
+  Request *request = data;
+
+  request->timer = NULL;
+  send_resolve (request);
+}
+
+/* Asks the owner of the primary, and in turn the next in order, which is never the silent one. */
+static void
+send_resolve (Request *request)
+{
+  ServiceRoute *route = request_route (request);
+  int64_t now_ms = clock_now_ms ();
+  Frame *frame;
+  Host host;
+  int instance = -1;
+
+  drop_id (request);
+  if (route != NULL)
+    route_forget (route, request);
+  if (now_ms >= request->resolve_until_ms || route == NULL)
+    {
+      finish_refused (request, REFUSAL_IN_DOUBT);
+      return;
+    }
+  instance = replica_choice_write (route_views (route), route_config (route)->instance_count,
+                                   request->tried, now_ms);
+  if (instance < 0
+      || !route_owner (route, (uint32_t)instance, request->resolve_attempts % 2, &host))
+    {
+      request->tried = 0;
+      request->resolve_attempts++;
+      set_timer (request, RESOLVE_RETRY_MS, on_resolve_timer);
+      return;
+    }
+  renew_id (request);
+  request->target = host;
+  request->instance = (uint32_t)instance;
+  request->resolve_attempts++;
+  frame = frame_new (PERIDOTSTEP__FRAME__BODY_EXECUTE);
+  frame->execute->request = request->id;
+  frame->execute->service = strdup (request->frame->execute->service);
+  frame->execute->operation = PERIDOTSTEP__OPERATION__RESOLVE;
+  frame->execute->transaction_id = strdup (request->frame->execute->transaction_id);
+  frame->execute->instance = (uint32_t)instance;
+  frame->execute->deadline_ms = RESOLVE_ATTEMPT_MS;
+  set_timer (request, RESOLVE_ATTEMPT_MS, on_resolve_timer);
+  worker_send (request_worker (request), &host, frame, FRAME_LANE_URGENT);
+}
+
+static void
+start_resolve (Request *request)
+{
+  request->phase = PHASE_RESOLVING;
+  request->resolve_until_ms = clock_now_ms () + RESOLVE_LIMIT_MS;
+  request->tried = 0;
+  // The owner that failed goes first only if it is not the one that fell silent.
+  request->resolve_attempts = 0;
+  counter_add (request_worker (request)->counters, COUNTER_COMMITS_RESOLVED, 1);
+  send_resolve (request);
+}
+
+static void
+retry (Request *request)
+{
+  ServiceRoute *route = request_route (request);
+
+  request->phase = PHASE_ROUTING;
+  drop_id (request);
+  counter_add (request_worker (request)->counters, COUNTER_RETRIES, 1);
+  if (route == NULL || request->tried == 0)
+    {
+      request_dispatch (request);
+      return;
+    }
+  if (choose_instance (request, route) < 0)
+    park (request, route);
+  else
+    request_dispatch (request);
+}
+
+/* Another try after work may have started costs budget; a redirect does not. */
+static bool
+may_retry (Request *request, FailureKind failure)
+{
+  if (failure == FAILURE_REFUSED)
+    return true;
+  if (retry_budget_take (&request_worker (request)->budget))
+    return true;
+  counter_add (request_worker (request)->counters, COUNTER_RETRIES_DENIED, 1);
+  return false;
+}
+
+static void
+fail (Request *request, FailureKind failure)
+{
+  RequestState state = request_state (request);
+  FateAction action = request_fate (&state, failure);
+
+  if (log_enabled (LOG_LEVEL_DEBUG))
+    log_event (LOG_LEVEL_DEBUG, "request_failed", "failure=%d kind=%d step=%d action=%s", failure,
+               state.kind, state.step, fate_action_name (action));
+  if (action == FATE_RETRY && !may_retry (request, failure))
+    action = state.kind == REQUEST_WRITE ? FATE_RESOLVE : FATE_NOT_RUN;
+  switch (action)
+    {
+    case FATE_RETRY:
+      retry (request);
+      return;
+    case FATE_NOT_RUN:
+      finish_not_run (request);
+      return;
+    case FATE_RESOLVE:
+      start_resolve (request);
+      return;
+    case FATE_IN_DOUBT:
+    case FATE_DROP:
+      finish_refused (request, REFUSAL_IN_DOUBT);
+      return;
+    }
+}
+
+static void
+take_resolved (Request *request, const Peridotstep__Done *done)
+{
+  ServiceRoute *route = request_route (request);
+  RequestState state;
+
+  if (done->refusal != REFUSAL_NONE || done->outcome == RESOLVED_UNKNOWN)
+    {
+      if (route != NULL && done->refusal == REFUSAL_NOT_PRIMARY)
+        request->tried |= 1u << request->instance;
+      set_timer (request, RESOLVE_RETRY_MS, on_resolve_timer);
+      return;
+    }
+  session_token_raise (&request_session (request)->token, frame_token (done->token));
+  if (request_fate_resolved ((ResolvedOutcome)done->outcome) == VERDICT_RAN)
+    {
+      if (request->options.kind == REQUEST_COMMIT)
+        finish_refused (request, REFUSAL_NONE);
+      else
+        finish_refused (request, REFUSAL_ANSWER_LOST);
+      return;
+    }
+  // Ruled out for good: it may be tried anew under another transaction id.
+  request->phase = PHASE_ROUTING;
+  request->last_refusal = REFUSAL_NOT_PRIMARY;
+  state = request_state (request);
+  if (request_fate (&state, FAILURE_REFUSED) == FATE_RETRY
+      && may_retry (request, FAILURE_LINK_LOST))
+    {
+      set_timer (request, request->deadline_ms - clock_now_ms () + DEADLINE_GRACE_MS, on_deadline);
+      request->tried = 0;
+      retry (request);
+      return;
+    }
+  finish_refused (request, REFUSAL_ROLLED_BACK);
+}
+
+static void
+note_refusal (Request *request, ServiceRoute *route, RefusalKind refusal)
+{
+  int64_t now_ms = clock_now_ms ();
+
+  request->last_refusal = refusal;
+  request->tried |= 1u << request->instance;
+  switch (refusal)
+    {
+    case REFUSAL_BACKEND_DOWN:
+    case REFUSAL_DRAINING:
+      route_refused (route, request->instance, now_ms + DOWN_REFUSAL_MS);
+      return;
+    case REFUSAL_BEHIND:
+      route_refused (route, request->instance, now_ms + BEHIND_REFUSAL_MS);
+      return;
+    default:
+      return;
+    }
+}
+
+static void
+count_read (const Request *request, const ServiceRoute *route, const Peridotstep__Done *done)
+{
+  Counters *counters = request_worker (request)->counters;
+
+  if (!request->read || done->news == NULL)
+    return;
+  counter_add (counters, done->news->primary ? COUNTER_READS_PRIMARY : COUNTER_READS_REPLICA, 1);
+  if (route_views (route)[request->instance].distance == DISTANCE_REMOTE)
+    counter_add (counters, COUNTER_READS_REMOTE, 1);
+}
+
+static void
+take_answer (Request *request, ServiceRoute *route, const Peridotstep__Done *done)
+{
+  Session *session = request_session (request);
+  Host target = request->target;
+  RequestOutcome outcome = {
+    .verdict = VERDICT_RAN,
+    .failed = done->failed,
+    .transaction_status = done->transaction_status == 0 ? 'I' : (char)done->transaction_status,
+    .host = &target,
+    .instance = request->instance,
+  };
+
+  session_token_raise (&session->token, frame_token (done->token));
+  // What the primary answered lies after every write acknowledged before.
+  if (done->news != NULL && done->news->primary && done->token != NULL && done->token->term > 0)
+    session->token_known = true;
+  retry_budget_success (&request_worker (request)->budget);
+  if (route != NULL)
+    {
+      count_read (request, route, done);
+      route_served (route);
+    }
+  finish (request, &outcome);
+}
+
+static void
+take_done (Request *request, const Peridotstep__Done *done)
+{
+  ServiceRoute *route = request_route (request);
+
+  if (route != NULL)
+    route_news (route, request->instance, done->news);
+  if (request->phase == PHASE_RESOLVING)
+    {
+      take_resolved (request, done);
+      return;
+    }
+  g_strlcpy (request->detail, done->detail, sizeof request->detail);
+  if (done->failure != 0)
+    {
+      fail (request, (FailureKind)MIN (done->failure - 1, FAILURE_KIND_COUNT - 1));
+      return;
+    }
+  if (done->refusal == REFUSAL_NONE)
+    {
+      take_answer (request, route, done);
+      return;
+    }
+  if (route != NULL)
+    note_refusal (request, route, (RefusalKind)done->refusal);
+  fail (request, FAILURE_REFUSED);
+}
+
+void
+request_table_receive (RequestTable *table, Frame *frame)
+{
+  uint64_t id = 0;
+  Request *request;
+
+  if (frame->body_case == PERIDOTSTEP__FRAME__BODY_DATA)
+    id = frame->data->request;
+  else if (frame->body_case == PERIDOTSTEP__FRAME__BODY_DONE)
+    id = frame->done->request;
+  request = id == 0 ? NULL : g_hash_table_lookup (table->by_id, &id);
+  if (request == NULL)
+    {
+      frame_free (frame);
+      return;
+    }
+  if (frame->body_case == PERIDOTSTEP__FRAME__BODY_DONE)
+    take_done (request, frame->done);
+  else if (request->phase == PHASE_SENT)
+    {
+      request->answering = true;
+      request->options.data (request->options.user, frame->data->bytes.data,
+                             frame->data->bytes.len);
+    }
+  frame_free (frame);
+}
+
+void
+request_table_host_lost (RequestTable *table, const char *host_id)
+{
+  GHashTableIter iter;
+  void *value;
+  GPtrArray *lost = g_ptr_array_new ();
+
+  route_avoid_host (table->worker, host_id, clock_now_ms () + AVOID_HOST_MS);
+  g_hash_table_iter_init (&iter, table->by_id);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (strcmp (((Request *)value)->target.id, host_id) == 0)
+      g_ptr_array_add (lost, (void *)(uintptr_t)((Request *)value)->id);
+  for (guint i = 0; i < lost->len; i++)
+    {
+      uint64_t id = (uintptr_t)lost->pdata[i];
+      Request *request = g_hash_table_lookup (table->by_id, &id);
+
+      if (request == NULL)
+        continue;
+      if (request->phase == PHASE_RESOLVING)
+        send_resolve (request);
+      else if (request->phase == PHASE_SENT)
+        fail (request, FAILURE_LINK_LOST);
+    }
+  g_ptr_array_free (lost, true);
+}
--- /dev/null
+++ b/src/pipeline/request.h
@@ -0,0 +1,96 @@
+/**
+ * DOC: A request on its way from a caller's session to the owner of an instance and back:
+ * route, hand over, retry, settle what is in doubt.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/verdict.h"
+#include "config/service-config.h"
+#include "daemon/worker.h"
+#include "pipeline/session.h"
+#include "policy/request-fate.h"
+
+typedef struct Request Request;
+
+/**
+ * struct RequestOutcome - How a request ended.
+ * @verdict: whether it may have run.
+ * @refusal: why the system itself ended it; %REFUSAL_NONE when the backend server answered.
+ * @detail: more about the refusal, or "".
+ * @failed: the backend server answered with an error, relayed in the data.
+ * @transaction_status: 'I', 'T' or 'E' at the backend server.
+ * @host: owner that answered; valid if @transaction_status is not 'I'.
+ * @instance: instance that answered.
+ */
+typedef struct
+{
+  Verdict verdict;
+  RefusalKind refusal;
+  const char *detail;
+  bool failed;
+  char transaction_status;
+  const Host *host;
+  uint32_t instance;
+} RequestOutcome;
+
+/** struct RequestParam - One bound parameter; @value %NULL is SQL NULL. */
+typedef struct
+{
+  const uint8_t *value;
+  uint32_t length;
+  uint32_t format;
+} RequestParam;
+
+/**
+ * struct RequestOptions - A new request. All pointers but @session and the callbacks are
+ * copied; the session must outlive the request or end it by request_abandon().
+ * @data: part of the answer, whole protocol messages. @done: the end; the request is gone.
+ */
+typedef struct
+{
+  Session *session;
+  const ClassConfig *class_config;
+  RequestKind kind;
+  Peridotstep__Operation operation;
+  const char *sql;
+  bool extended;
+  bool describe;
+  uint32_t param_count;
+  const RequestParam *params;
+  uint32_t type_count;
+  const uint32_t *types;
+  uint32_t result_format;
+  void (*data) (void *user, const uint8_t *bytes, size_t length);
+  void (*done) (void *user, const RequestOutcome *outcome);
+  void *user;
+} RequestOptions;
+
+/** request_start() - Starts a request; @done may be called before it returns. */
+void request_start (Worker *worker, const RequestOptions *options, Request **handle);
+
+/** request_credit() - The caller took @bytes of the answer. */
+void request_credit (Request *request, uint32_t bytes);
+
+/** request_cancel() - Asks for an early end; the outcome comes as usual. */
+void request_cancel (Request *request);
+
+/** request_abandon() - The caller is gone: nobody waits for the outcome. */
+void request_abandon (Request *request);
+
+/** request_dispatch() - Routes a request that was waiting for a route or a position. */
+void request_dispatch (Request *request);
+
+/** request_sampled() - A position sampled after the request came in; it goes on. */
+void request_sampled (Request *request, SessionToken token);
+
+/** request_table_new() - Requests of a worker. */
+RequestTable *request_table_new (TALLOC_CTX *parent, Worker *worker);
+
+/** request_table_receive() - A Data or Done frame; owns it. */
+void request_table_receive (RequestTable *table, Frame *frame);
+
+/** request_table_host_lost() - No answer will come from @host_id any more. */
+void request_table_host_lost (RequestTable *table, const char *host_id);
--- /dev/null
+++ b/src/pipeline/sampler.c
@@ -0,0 +1,125 @@
+#include "pipeline/sampler.h"
+
+#include "pipeline/request.h"
+
+#define SAMPLE_DEADLINE_MS 2000
+
+struct Sampler
+{
+  Worker *worker;
+  ServiceRoute *route;
+  Session session;
+  Request *in_flight;
+  GQueue waiting; /* served by the next sample */
+  GQueue served;  /* served by the sample in flight */
+};
+
+static const ClassConfig sample_class = {
+  .name = "sample",
+  .priority = PRIORITY_URGENT,
+  .write = true,
+  .idempotent = true,
+  .deadline_ms = SAMPLE_DEADLINE_MS,
+};
+
+static void start_sample (Sampler *sampler);
+
+static void
+requeue_served (Sampler *sampler)
+{
+  Request *request;
+
+  while ((request = g_queue_pop_tail (&sampler->served)) != NULL)
+    g_queue_push_head (&sampler->waiting, request);
+}
+
+static void
+release_served (Sampler *sampler)
+{
+  const SessionToken token = sampler->session.token;
+  Request *request;
+
+  while ((request = g_queue_pop_head (&sampler->served)) != NULL)
+    request_sampled (request, token);
+}
+
+static void
+on_done (void *user, const RequestOutcome *outcome)
+{
+  Sampler *sampler = user;
+
+  sampler->in_flight = NULL;
+  if (outcome->refusal == REFUSAL_NONE)
+    release_served (sampler);
+  else
+    requeue_served (sampler);
+  if (!g_queue_is_empty (&sampler->waiting))
+    start_sample (sampler);
+}
+
+static void
+on_data (void *user, const uint8_t *bytes, size_t length)
+{
+}
+
+static void
+start_sample (Sampler *sampler)
+{
+  const RequestOptions options = {
+    .session = &sampler->session,
+    .class_config = &sample_class,
+    .kind = REQUEST_READ,
+    .operation = PERIDOTSTEP__OPERATION__SAMPLE,
+    .sql = "",
+    .data = on_data,
+    .done = on_done,
+    .user = sampler,
+  };
+  GQueue waiting = sampler->waiting;
+
+  if (sampler->in_flight != NULL)
+    return;
+  g_queue_init (&sampler->waiting);
+  for (GList *l = waiting.head; l != NULL; l = l->next)
+    g_queue_push_tail (&sampler->served, l->data);
+  g_queue_clear (&waiting);
+  counter_add (sampler->worker->counters, COUNTER_SAMPLES, 1);
+  request_start (sampler->worker, &options, &sampler->in_flight);
+}
+
+static int
+sampler_destroy (Sampler *sampler)
+{
+  g_queue_clear (&sampler->waiting);
+  g_queue_clear (&sampler->served);
+  return 0;
+}
+
+Sampler *
+sampler_new (TALLOC_CTX *parent, Worker *worker, ServiceRoute *route)
+{
+  Sampler *sampler = talloc_zero (parent, Sampler);
+
+  sampler->worker = worker;
+  sampler->route = route;
+  session_init (&sampler->session, worker_next_id (worker));
+  sampler->session.token_known = true;
+  g_queue_init (&sampler->waiting);
+  g_queue_init (&sampler->served);
+  talloc_set_destructor (sampler, sampler_destroy);
+  return sampler;
+}
+
+void
+sampler_wait (Sampler *sampler, Request *request)
+{
+  g_queue_push_tail (&sampler->waiting, request);
+  start_sample (sampler);
+}
+
+void
+sampler_forget (Sampler *sampler, Request *request)
+{
+  g_queue_remove (&sampler->waiting, request);
+  g_queue_remove (&sampler->served, request);
+}
--- /dev/null
+++ b/src/pipeline/sampler.h
@@ -0,0 +1,19 @@
+/**
+ * DOC: Positions sampled from a service's primary for sessions that came without a token.
+ * One sample serves all that were waiting when it was asked for.
+ */
+#pragma once
+
+#include "daemon/worker.h"
+#include "pipeline/route.h"
+
+typedef struct Sampler Sampler;
+
+/** sampler_new() - Sampler of the service of @route. */
+Sampler *sampler_new (TALLOC_CTX *parent, Worker *worker, ServiceRoute *route);
+
+/** sampler_wait() - @request is given the position of a sample asked for from now on. */
+void sampler_wait (Sampler *sampler, Request *request);
+
+/** sampler_forget() - @request waits no more. */
+void sampler_forget (Sampler *sampler, Request *request);
--- /dev/null
+++ b/src/pipeline/session.h
@@ -0,0 +1,67 @@
+/**
+ * DOC: State of a caller's session that has to hold from one statement to the next.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "policy/ownership.h"
+#include "policy/session-token.h"
+
+/** enum TransactionState - Transaction block of the session. */
+typedef enum
+{
+  TRANSACTION_NONE,
+  TRANSACTION_BEGUN, /* BEGIN was answered; nothing was sent yet */
+  TRANSACTION_OPEN,  /* pinned to a backend connection */
+  TRANSACTION_FAILED /* only ROLLBACK is accepted */
+} TransactionState;
+
+/**
+ * struct Session - One caller's session.
+ * @id: names the transaction at the owner.
+ * @service: service it is connected to.
+ * @user: name the caller gave; part of the fairness key.
+ * @source: fairness key.
+ * @class_name: class set for the session; empty for the service's default.
+ * @token: position its reads must include.
+ * @token_known: the token covers all that the caller may rely on.
+ * @transaction: state of the transaction block.
+ * @begin_sql: the BEGIN statement as the caller wrote it.
+ * @has_run: something of the open transaction may have run.
+ * @pinned: the transaction is open at @pinned_host.
+ * @pinned_host: owner that holds the open transaction.
+ * @pinned_instance: instance on which it is open.
+ */
+typedef struct
+{
+  uint64_t id;
+  char service[NAME_BYTES];
+  char user[NAME_BYTES];
+  uint64_t source;
+  char class_name[NAME_BYTES];
+  SessionToken token;
+  bool token_known;
+  TransactionState transaction;
+  char *begin_sql;
+  bool has_run;
+  bool pinned;
+  Host pinned_host;
+  uint32_t pinned_instance;
+} Session;
+
+/** session_init() - Fresh session called @id. */
+void session_init (Session *session, uint64_t id);
+
+/** session_done() - Frees what it holds. */
+void session_done (Session *session);
+
+/** session_status() - Status byte of ReadyForQuery: 'I', 'T' or 'E'. */
+char session_status (const Session *session);
+
+/** session_begin() - A transaction block was opened by @sql. */
+void session_begin (Session *session, const char *sql);
+
+/** session_end_transaction() - No transaction is open any more. */
+void session_end_transaction (Session *session);
--- /dev/null
+++ b/src/policy/commit-gate.c
@@ -0,0 +1,189 @@
+#include "policy/commit-gate.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+struct CommitGate
+{
+  uint32_t instance_count;
+  GateReport reports[GROUP_INSTANCES_MAX];
+  uint64_t greatest_term;
+  GArray *tickets;
+};
+
+CommitGate *
+commit_gate_new (uint32_t instance_count)
+{
+  CommitGate *gate = g_new0 (CommitGate, 1);
+
+  gate->instance_count = instance_count;
+  gate->tickets = g_array_new (false, false, sizeof (GateTicket));
+  return gate;
+}
+
+void
+commit_gate_free (CommitGate *gate)
+{
+  g_array_free (gate->tickets, true);
+  g_free (gate);
+}
+
+static uint32_t
+majority (const CommitGate *gate)
+{
+  return gate->instance_count / 2 + 1;
+}
+
+static bool
+holds (const GateReport *report, SessionToken position)
+{
+  return report->received.term == position.term && report->received.position >= position.position;
+}
+
+static bool
+confirms (const GateReport *report, uint64_t term, int64_t after_us)
+{
+  return report->term == term && report->began_us >= after_us;
+}
+
+static uint32_t
+count_holders (const CommitGate *gate, SessionToken position)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < gate->instance_count; i++)
+    if (holds (&gate->reports[i], position))
+      count++;
+  return count;
+}
+
+static uint32_t
+count_confirms (const CommitGate *gate, uint64_t term, int64_t after_us)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < gate->instance_count; i++)
+    if (confirms (&gate->reports[i], term, after_us))
+      count++;
+  return count;
+}
+
+static bool
+ticket_satisfied (const CommitGate *gate, const GateTicket *ticket)
+{
+  if (count_holders (gate, ticket->position) < majority (gate))
+    return false;
+  if (ticket->confirm_after_us == 0)
+    return true;
+  return count_confirms (gate, ticket->position.term, ticket->confirm_after_us) >= majority (gate);
+}
+
+void
+commit_gate_report (CommitGate *gate, const GateReport *report)
+{
+  GateReport *known = &gate->reports[report->instance];
+
+  // Answers on a retired connection may arrive after newer ones.
+  if (report->began_us < known->began_us)
+    return;
+  *known = *report;
+  if (report->term > gate->greatest_term)
+    gate->greatest_term = report->term;
+}
+
+void
+commit_gate_holder (CommitGate *gate, uint32_t instance, SessionToken position)
+{
+  session_token_raise (&gate->reports[instance].received, position);
+}
+
+void
+commit_gate_add (CommitGate *gate, const GateTicket *ticket)
+{
+  g_array_append_val (gate->tickets, *ticket);
+}
+
+static bool
+ticket_leaves (const CommitGate *gate, const GateTicket *ticket, int64_t now_ms, GateResult *result)
+{
+  if (ticket_satisfied (gate, ticket))
+    *result = GATE_RELEASED;
+  else if (gate->greatest_term > ticket->position.term)
+    *result = GATE_SUPERSEDED;
+  else if (now_ms >= ticket->expires_ms)
+    *result = GATE_EXPIRED;
+  else
+    return false;
+  return true;
+}
+
+bool
+commit_gate_pop (CommitGate *gate, int64_t now_ms, GateTicket *ticket, GateResult *result)
+{
+  for (guint i = 0; i < gate->tickets->len; i++)
+    {
+      const GateTicket *held = &g_array_index (gate->tickets, GateTicket, i);
+
+      if (!ticket_leaves (gate, held, now_ms, result))
+        continue;
+      *ticket = *held;
+      g_array_remove_index (gate->tickets, i);
+      return true;
+    }
+  return false;
+}
+
+uint32_t
+commit_gate_waiting (const CommitGate *gate)
+{
+  return gate->tickets->len;
+}
+
+bool
+commit_gate_target (const CommitGate *gate, uint32_t instance, SessionToken *target)
+{
+  bool found = false;
+
+  for (guint i = 0; i < gate->tickets->len; i++)
+    {
+      const GateTicket *held = &g_array_index (gate->tickets, GateTicket, i);
+
+      if (holds (&gate->reports[instance], held->position))
+        continue;
+      if (!found || session_token_compare (held->position, *target) < 0)
+        *target = held->position;
+      found = true;
+    }
+  return found;
+}
+
+bool
+commit_gate_confirm_wanted (const CommitGate *gate, uint32_t instance)
+{
+  for (guint i = 0; i < gate->tickets->len; i++)
+    {
+      const GateTicket *held = &g_array_index (gate->tickets, GateTicket, i);
+
+      if (held->confirm_after_us > gate->reports[instance].began_us)
+        return true;
+    }
+  return false;
+}
+
+int64_t
+commit_gate_confirmed_us (const CommitGate *gate, uint64_t term)
+{
+  int64_t best_us = 0;
+
+  for (uint32_t i = 0; i < gate->instance_count; i++)
+    {
+      int64_t began_us = gate->reports[i].began_us;
+
+      if (began_us <= best_us)
+        continue;
+      if (count_confirms (gate, term, began_us) >= majority (gate))
+        best_us = began_us;
+    }
+  return best_us;
+}
--- /dev/null
+++ b/src/standin/backend-session.c
@@ -0,0 +1,1130 @@
+#include "standin/backend-session.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "adapter/pgwire.h"
+#include "base/clock.h"
+#include "base/sql-text.h"
+
+#define STREAM_HIGH_BYTES (256 * 1024)
+#define LOCK_RETRY_US 1000
+#define LOCK_LIMIT_MS 5000
+#define TRANSACTION_ID_BYTES 64
+
+/* A statement being run. */
+typedef struct
+{
+  sqlite3_stmt *statement;
+  SqlVerb verb;
+  char tag_word[16];
+  char tag_second[16];
+  char transaction_id[TRANSACTION_ID_BYTES];
+  bool describe;
+  bool extended;
+  bool described;
+  bool has_slot;
+  uint64_t rows;
+  int64_t lock_until_ms;
+} Run;
+
+typedef struct
+{
+  uint64_t min_term;
+  uint64_t min_position;
+  int64_t until_ms;
+  bool applied; /* waits for the position to be applied, not just received */
+  bool waiting;
+} StatusWait;
+
+/* Input that has crossed the emulated network by @due_us. */
+typedef struct
+{
+  int64_t due_us;
+  uint64_t upto_bytes;
+} Arrival;
+
+struct BackendSession
+{
+  BackendSessionOptions options;
+  struct tevent_context *events;
+  Stream *stream;
+  SqlSession *sql;
+  GQueue arrivals;
+  uint64_t received_bytes;
+  uint64_t consumed_bytes;
+  uint64_t allowed_bytes;
+  struct tevent_timer *arrival_timer;
+  struct tevent_timer *run_timer;
+  int64_t rtt_us;
+  uint32_t key;
+  bool started;
+  bool frozen;
+  bool busy;
+  bool skip_to_sync;
+  bool read_only;
+  bool read_only_at_start;
+  char status;
+  GPtrArray *writes;
+  SessionToken reported;
+  Run run;
+  StatusWait wait;
+  /* extended protocol: the unnamed statement and portal */
+  char *parsed_sql;
+  sqlite3_stmt *parsed;
+  bool describe_portal;
+};
+
+static void process_input (BackendSession *session);
+static void run_step (BackendSession *session);
+
+static GByteArray *
+out (BackendSession *session)
+{
+  return stream_output (session->stream);
+}
+
+static InstanceStatus
+own_status (const BackendSession *session)
+{
+  return database_group_status (session->options.group, session->options.instance);
+}
+
+static void
+report_position (BackendSession *session)
+{
+  InstanceStatus status = own_status (session);
+  char text[SESSION_TOKEN_TEXT_BYTES];
+
+  if (session_token_compare (status.applied, session->reported) == 0)
+    return;
+  session->reported = status.applied;
+  session_token_print (status.applied, text);
+  pgwire_put_parameter (out (session), "peridotstep.position", text);
+}
+
+static void
+put_ready (BackendSession *session)
+{
+  report_position (session);
+  pgwire_put_ready (out (session), session->status);
+  stream_flush (session->stream);
+}
+
+static void
+put_error (BackendSession *session, const char *sqlstate, const char *message)
+{
+  pgwire_put_error (out (session), "ERROR", sqlstate, message, NULL);
+  if (session->status == 'T')
+    session->status = 'E';
+}
+
+static void
+free_run (BackendSession *session)
+{
+  bool had_slot = session->run.has_slot;
+
+  TALLOC_FREE (session->run_timer);
+  if (session->run.statement != NULL && session->run.statement != session->parsed)
+    sqlite3_finalize (session->run.statement);
+  else if (session->run.statement != NULL)
+    sqlite3_reset (session->run.statement);
+  session->run = (Run){ 0 };
+  session->busy = false;
+  if (had_slot)
+    session->options.host->slot_freed (session->options.host_data, session);
+}
+
+/* Ends the statement; in the simple protocol the answer ends with it. */
+static void
+finish_run (BackendSession *session, bool failed)
+{
+  bool extended = session->run.extended;
+
+  free_run (session);
+  if (!extended)
+    put_ready (session);
+  else if (failed)
+    session->skip_to_sync = true;
+  process_input (session);
+}
+
+static void
+fail_run (BackendSession *session, const char *sqlstate, const char *message)
+{
+  put_error (session, sqlstate, message);
+  finish_run (session, true);
+}
+
+static void
+put_row_description (BackendSession *session, sqlite3_stmt *statement, bool row)
+{
+  GByteArray *output = out (session);
+  guint mark = pgwire_begin (output, 'T');
+  int columns = sqlite3_column_count (statement);
+
+  pgwire_put_u16 (output, (uint16_t)columns);
+  for (int i = 0; i < columns; i++)
+    {
+      pgwire_put_string (output, sqlite3_column_name (statement, i));
+      pgwire_put_u32 (output, 0);
+      pgwire_put_u16 (output, 0);
+      pgwire_put_u32 (output, sql_column_type (statement, i, row));
+      pgwire_put_u16 (output, (uint16_t)-1);
+      pgwire_put_u32 (output, (uint32_t)-1);
+      pgwire_put_u16 (output, 0);
+    }
+  pgwire_end (output, mark);
+}
+
+static void
+put_row (BackendSession *session, sqlite3_stmt *statement)
+{
+  GByteArray *output = out (session);
+  guint mark = pgwire_begin (output, 'D');
+  int columns = sqlite3_column_count (statement);
+
+  pgwire_put_u16 (output, (uint16_t)columns);
+  for (int i = 0; i < columns; i++)
+    {
+      const unsigned char *text = sqlite3_column_text (statement, i);
+      int length = sqlite3_column_bytes (statement, i);
+
+      pgwire_put_u32 (output, text == NULL ? (uint32_t)-1 : (uint32_t)length);
+      pgwire_put_bytes (output, text, text == NULL ? 0 : (uint32_t)length);
+    }
+  pgwire_end (output, mark);
+}
+
+static void
+describe_once (BackendSession *session, bool row)
+{
+  Run *run = &session->run;
+
+  if (run->described || !run->describe)
+    return;
+  run->described = true;
+  if (sqlite3_column_count (run->statement) > 0)
+    put_row_description (session, run->statement, row);
+  else if (run->extended)
+    pgwire_put_empty (out (session), 'n');
+}
+
+static void
+put_run_complete (BackendSession *session)
+{
+  const Run *run = &session->run;
+  char tag[64];
+
+  if (strcmp (run->tag_word, "INSERT") == 0)
+    g_snprintf (tag, sizeof tag, "INSERT 0 %" G_GINT64_FORMAT, sql_session_changes (session->sql));
+  else if (strcmp (run->tag_word, "UPDATE") == 0 || strcmp (run->tag_word, "DELETE") == 0)
+    g_snprintf (tag, sizeof tag, "%s %" G_GINT64_FORMAT, run->tag_word,
+                sql_session_changes (session->sql));
+  else if (sqlite3_column_count (run->statement) > 0)
+    g_snprintf (tag, sizeof tag, "SELECT %" G_GUINT64_FORMAT, run->rows);
+  else
+    g_snprintf (tag, sizeof tag, "%s %s", run->tag_word, run->tag_second);
+  pgwire_put_complete (out (session), tag);
+}
+
+static const char *
+commit_refusal (CommitCheck check, const char **sqlstate)
+{
+  if (check == COMMIT_NOT_PRIMARY)
+    {
+      *sqlstate = "25006";
+      return "this instance is not the primary";
+    }
+  *sqlstate = "40001";
+  return "transaction id is ruled out";
+}
+
+static CommitCheck
+check_commit (BackendSession *session, const char *transaction_id)
+{
+  return group_log_may_commit (database_group_log (session->options.group),
+                               session->options.instance,
+                               transaction_id[0] == '\0' ? NULL : transaction_id);
+}
+
+static void
+log_commit (BackendSession *session, const char *transaction_id, GPtrArray *statements)
+{
+  group_log_commit (database_group_log (session->options.group), session->options.instance,
+                    transaction_id[0] == '\0' ? NULL : transaction_id, statements, clock_now_ms ());
+}
+
+/* A write that has run is logged now, or kept for the commit of its transaction. */
+static void
+record_write (BackendSession *session)
+{
+  char *expanded = sqlite3_expanded_sql (session->run.statement);
+  GPtrArray *statements;
+
+  if (session->status == 'T')
+    {
+      g_ptr_array_add (session->writes, g_strdup (expanded));
+      sqlite3_free (expanded);
+      return;
+    }
+  statements = g_ptr_array_new_with_free_func (g_free);
+  g_ptr_array_add (statements, g_strdup (expanded));
+  sqlite3_free (expanded);
+  log_commit (session, session->run.transaction_id, statements);
+}
+
+static void
+run_later (BackendSession *session, int64_t delay_us, tevent_timer_handler_t handler)
+{
+  TALLOC_FREE (session->run_timer);
+  session->run_timer = tevent_add_timer (
+      session->events, session,
+      tevent_timeval_current_ofs ((uint32_t)(delay_us / 1000000), (uint32_t)(delay_us % 1000000)),
+      handler, session);
+}
+
+static void
+on_run_timer (struct tevent_context *events, struct tevent_timer *timer, struct timeval now,
+              void *data)
+{
+  BackendSession *session = data;
+
+  session->run_timer = NULL;
+  if (session->frozen)
+    run_later (session, LOCK_RETRY_US, on_run_timer);
+  else
+    run_step (session);
+}
+
+/* Returns false if the write may not run. */
+static bool
+write_allowed (BackendSession *session)
+{
+  const char *sqlstate;
+  CommitCheck check;
+
+  if (sqlite3_stmt_readonly (session->run.statement))
+    return true;
+  if (session->read_only)
+    {
+      fail_run (session, "25006", "cannot execute a write in a read-only transaction");
+      return false;
+    }
+  check = check_commit (session, session->run.transaction_id);
+  if (check == COMMIT_ALLOWED)
+    return true;
+  {
+    const char *message = commit_refusal (check, &sqlstate);
+
+    fail_run (session, sqlstate, message);
+  }
+  return false;
+}
+
+static void
+run_step (BackendSession *session)
+{
+  Run *run = &session->run;
+  char *message = NULL;
+  const char *sqlstate = "XX000";
+
+  if (!write_allowed (session))
+    return;
+  for (;;)
+    {
+      SqlStep step = sql_session_step (session->sql, run->statement, &message, &sqlstate);
+
+      switch (step)
+        {
+        case SQL_ROW:
+          describe_once (session, true);
+          run->rows++;
+          put_row (session, run->statement);
+          if (stream_pending (session->stream) < STREAM_HIGH_BYTES)
+            continue;
+          stream_flush (session->stream);
+          if (stream_pending (session->stream) < STREAM_HIGH_BYTES)
+            continue;
+          return;
+        case SQL_DONE:
+          describe_once (session, false);
+          if (!sqlite3_stmt_readonly (run->statement))
+            record_write (session);
+          put_run_complete (session);
+          finish_run (session, false);
+          return;
+        case SQL_LOCKED:
+          if (run->lock_until_ms == 0)
+            run->lock_until_ms = clock_now_ms () + LOCK_LIMIT_MS;
+          if (clock_now_ms () < run->lock_until_ms)
+            run_later (session, LOCK_RETRY_US, on_run_timer);
+          else
+            fail_run (session, "55P03", "lock not available");
+          return;
+        case SQL_FAILED:
+          fail_run (session, sqlstate, message);
+          g_free (message);
+          return;
+        }
+    }
+}
+
+/* The service time grows by what pg_sleep() asks for. */
+static int64_t
+sleep_us (const char *sql)
+{
+  const char *call = strstr (sql, "pg_sleep(");
+
+  return call == NULL ? 0 : (int64_t)(g_ascii_strtod (call + strlen ("pg_sleep("), NULL) * 1e6);
+}
+
+void
+backend_session_start (BackendSession *session, uint32_t service_us)
+{
+  session->run.has_slot = true;
+  run_later (session, service_us + sleep_us (sqlite3_sql (session->run.statement)), on_run_timer);
+}
+
+static void
+start_run (BackendSession *session, sqlite3_stmt *statement, const char *sql, bool extended)
+{
+  Run *run = &session->run;
+
+  session->busy = true;
+  *run = (Run){ .statement = statement, .extended = extended };
+  run->describe = !extended || session->describe_portal;
+  session->describe_portal = false;
+  sql_text_word (sql, 0, run->tag_word, sizeof run->tag_word);
+  sql_text_word (sql, 1, run->tag_second, sizeof run->tag_second);
+  for (char *c = run->tag_word; *c != '\0'; c++)
+    *c = g_ascii_toupper (*c);
+  for (char *c = run->tag_second; *c != '\0'; c++)
+    *c = g_ascii_toupper (*c);
+  sql_text_tag (sql, "peridotstep_txid", run->transaction_id, sizeof run->transaction_id);
+  run->has_slot = true;
+  session->options.host->slot_wanted (session->options.host_data, session);
+}
+
+static void
+put_single_row (BackendSession *session, const char *const *names, const char *const *values,
+                int count)
+{
+  GByteArray *output = out (session);
+  guint mark = pgwire_begin (output, 'T');
+
+  pgwire_put_u16 (output, (uint16_t)count);
+  for (int i = 0; i < count; i++)
+    {
+      pgwire_put_string (output, names[i]);
+      pgwire_put_u32 (output, 0);
+      pgwire_put_u16 (output, 0);
+      pgwire_put_u32 (output, 25);
+      pgwire_put_u16 (output, (uint16_t)-1);
+      pgwire_put_u32 (output, (uint32_t)-1);
+      pgwire_put_u16 (output, 0);
+    }
+  pgwire_end (output, mark);
+  mark = pgwire_begin (output, 'D');
+  pgwire_put_u16 (output, (uint16_t)count);
+  for (int i = 0; i < count; i++)
+    {
+      pgwire_put_u32 (output, (uint32_t)strlen (values[i]));
+      pgwire_put_bytes (output, values[i], (uint32_t)strlen (values[i]));
+    }
+  pgwire_end (output, mark);
+  pgwire_put_complete (output, "SELECT 1");
+}
+
+static void
+answer_status (BackendSession *session)
+{
+  static const char *const names[]
+      = { "role", "term", "received", "applied", "heard_primary_ms", "following" };
+  static const char *const roles[]
+      = { [ROLE_REPLICA] = "replica", [ROLE_PRIMARY] = "primary", [ROLE_FENCED] = "fenced" };
+  InstanceStatus status = own_status (session);
+  char term[24], heard[24], received[SESSION_TOKEN_TEXT_BYTES], applied[SESSION_TOKEN_TEXT_BYTES];
+  const char *following = "";
+  const char *values[6];
+
+  g_snprintf (term, sizeof term, "%" G_GUINT64_FORMAT, status.term);
+  g_snprintf (heard, sizeof heard, "%" G_GINT64_FORMAT, status.heard_primary_ms);
+  session_token_print (status.received, received);
+  session_token_print (status.applied, applied);
+  if (status.following >= 0)
+    following = session->options.emulation->instances[status.following].name;
+  values[0] = roles[status.role];
+  values[1] = term;
+  values[2] = received;
+  values[3] = applied;
+  values[4] = heard;
+  values[5] = following;
+  put_single_row (session, names, values, G_N_ELEMENTS (values));
+  put_ready (session);
+}
+
+static bool
+status_wait_over (const BackendSession *session, int64_t now_ms)
+{
+  InstanceStatus status = own_status (session);
+  SessionToken wanted = { session->wait.min_term, session->wait.min_position };
+
+  return now_ms >= session->wait.until_ms || status.term > session->wait.min_term
+         || session_token_covers (session->wait.applied ? status.applied : status.received, wanted);
+}
+
+void
+backend_session_tick (BackendSession *session, int64_t now_ms)
+{
+  if (!session->wait.waiting || session->frozen || !status_wait_over (session, now_ms))
+    return;
+  session->wait.waiting = false;
+  session->busy = false;
+  answer_status (session);
+  process_input (session);
+}
+
+static void
+control_status (BackendSession *session, const char *arguments)
+{
+  unsigned long long term = 0, position = 0;
+  long wait_ms = 0;
+  char what[16] = "";
+
+  if (sscanf (arguments, "%llu, %llu, %ld, '%15[a-z]'", &term, &position, &wait_ms, what) != 4)
+    wait_ms = 0;
+  session->wait = (StatusWait){ term, position, clock_now_ms () + wait_ms,
+                                strcmp (what, "applied") == 0, true };
+  session->busy = true;
+  backend_session_tick (session, clock_now_ms ());
+}
+
+static void
+put_boolean (BackendSession *session, bool value)
+{
+  static const char *const names[] = { "accepted" };
+  const char *values[] = { value ? "t" : "f" };
+
+  put_single_row (session, names, values, 1);
+  put_ready (session);
+}
+
+static void
+control_advance (BackendSession *session, const char *arguments)
+{
+  put_boolean (session,
+               group_log_advance_term (database_group_log (session->options.group),
+                                       session->options.instance, strtoull (arguments, NULL, 10)));
+}
+
+static void
+control_promote (BackendSession *session, const char *arguments)
+{
+  put_boolean (session, group_log_promote (database_group_log (session->options.group),
+                                           session->options.instance,
+                                           strtoull (arguments, NULL, 10), clock_now_ms ()));
+}
+
+static void
+control_follow (BackendSession *session, const char *arguments)
+{
+  char name[64] = "";
+  unsigned long long term = 0;
+  int primary;
+
+  if (sscanf (arguments, "%llu, '%63[^']'", &term, name) != 2)
+    name[0] = '\0';
+  primary = database_group_find (session->options.group, name);
+  put_boolean (session,
+               primary >= 0
+                   && group_log_follow (database_group_log (session->options.group),
+                                        session->options.instance, term, (uint32_t)primary));
+}
+
+static void
+control_resolve (BackendSession *session, const char *arguments)
+{
+  static const char *const names[] = { "outcome", "position" };
+  char id[TRANSACTION_ID_BYTES] = "";
+  char text[SESSION_TOKEN_TEXT_BYTES];
+  const char *values[2];
+  SessionToken token;
+  bool committed;
+
+  if (sscanf (arguments, "'%63[^']'", id) != 1
+      || !group_log_resolve (database_group_log (session->options.group), session->options.instance,
+                             id, clock_now_ms (), &committed, &token))
+    {
+      put_error (session, "25006", "this instance is not the primary");
+      put_ready (session);
+      return;
+    }
+  session_token_print (token, text);
+  values[0] = committed ? "committed" : "aborted";
+  values[1] = text;
+  put_single_row (session, names, values, 2);
+  put_ready (session);
+}
+
+typedef void (*ControlHandler) (BackendSession *session, const char *arguments);
+
+static bool
+handle_control (BackendSession *session, const char *body)
+{
+  static const struct
+  {
+    const char *prefix;
+    ControlHandler handler;
+  } controls[] = {
+    { "SELECT * FROM peridotstep_status(", control_status },
+    { "SELECT peridotstep_advance_term(", control_advance },
+    { "SELECT peridotstep_promote(", control_promote },
+    { "SELECT peridotstep_follow(", control_follow },
+    { "SELECT * FROM peridotstep_resolve(", control_resolve },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (controls); i++)
+    if (g_str_has_prefix (body, controls[i].prefix))
+      {
+        controls[i].handler (session, body + strlen (controls[i].prefix));
+        return true;
+      }
+  return false;
+}
+
+static void
+end_transaction (BackendSession *session, const char *verb)
+{
+  sql_session_exec (session->sql, verb);
+  g_ptr_array_set_size (session->writes, 0);
+  session->status = 'I';
+}
+
+static void
+commit (BackendSession *session, const char *sql)
+{
+  char transaction_id[TRANSACTION_ID_BYTES] = "";
+  const char *sqlstate;
+  CommitCheck check;
+
+  if (session->status != 'T')
+    {
+      end_transaction (session, "ROLLBACK");
+      pgwire_put_complete (out (session), session->status == 'E' ? "ROLLBACK" : "COMMIT");
+      return;
+    }
+  sql_text_tag (sql, "peridotstep_txid", transaction_id, sizeof transaction_id);
+  check = session->writes->len == 0 ? COMMIT_ALLOWED : check_commit (session, transaction_id);
+  if (check != COMMIT_ALLOWED)
+    {
+      const char *message = commit_refusal (check, &sqlstate);
+
+      end_transaction (session, "ROLLBACK");
+      put_error (session, sqlstate, message);
+      return;
+    }
+  if (session->writes->len > 0)
+    {
+      log_commit (session, transaction_id, session->writes);
+      session->writes = g_ptr_array_new_with_free_func (g_free);
+    }
+  end_transaction (session, "COMMIT");
+  pgwire_put_complete (out (session), "COMMIT");
+}
+
+static void
+set_variable (BackendSession *session, const char *sql)
+{
+  char name[64], value[64];
+
+  if (!sql_text_assignment (sql, name, sizeof name, value, sizeof value))
+    return;
+  if (strcmp (name, "default_transaction_read_only") == 0)
+    session->read_only = strcmp (value, "on") == 0;
+}
+
+/* Verbs that need no slot. Returns false for all other statements. */
+static bool
+run_verb (BackendSession *session, SqlVerb verb, const char *sql)
+{
+  switch (verb)
+    {
+    case SQL_VERB_EMPTY:
+      pgwire_put_empty (out (session), 'I');
+      return true;
+    case SQL_VERB_BEGIN:
+      if (session->status == 'I' && sql_session_exec (session->sql, "BEGIN") == SQL_DONE)
+        session->status = 'T';
+      pgwire_put_complete (out (session), "BEGIN");
+      return true;
+    case SQL_VERB_COMMIT:
+      commit (session, sql);
+      return true;
+    case SQL_VERB_ROLLBACK:
+      end_transaction (session, "ROLLBACK");
+      pgwire_put_complete (out (session), "ROLLBACK");
+      return true;
+    case SQL_VERB_SET:
+      set_variable (session, sql);
+      pgwire_put_complete (out (session), "SET");
+      return true;
+    case SQL_VERB_DISCARD:
+      if (session->status == 'I')
+        session->read_only = session->read_only_at_start;
+      pgwire_put_complete (out (session), "DISCARD ALL");
+      return true;
+    default:
+      return false;
+    }
+}
+
+static sqlite3_stmt *
+prepare_or_fail (BackendSession *session, const char *sql)
+{
+  char *message = NULL;
+  sqlite3_stmt *statement;
+
+  if (session->status == 'E')
+    {
+      put_error (session, "25P02",
+                 "current transaction is aborted, commands ignored until end of transaction block");
+      return NULL;
+    }
+  statement = sql_session_prepare (session->sql, sql, &message);
+  if (statement == NULL)
+    {
+      const char *sqlstate = strstr (message, "no such table") != NULL ? "42P01" : "42601";
+
+      put_error (session, sqlstate, message);
+      g_free (message);
+    }
+  return statement;
+}
+
+static void
+handle_query (BackendSession *session, const char *sql)
+{
+  sqlite3_stmt *statement;
+
+  if (handle_control (session, sql_text_body (sql)))
+    return;
+  if (run_verb (session, sql_text_verb (sql), sql))
+    {
+      put_ready (session);
+      return;
+    }
+  statement = prepare_or_fail (session, sql);
+  if (statement == NULL)
+    put_ready (session);
+  else
+    start_run (session, statement, sql, false);
+}
+
+static void
+drop_parsed (BackendSession *session)
+{
+  if (session->parsed != NULL)
+    sqlite3_finalize (session->parsed);
+  session->parsed = NULL;
+  g_free (session->parsed_sql);
+  session->parsed_sql = NULL;
+}
+
+static void
+handle_parse (BackendSession *session, PgwireCursor *cursor)
+{
+  const char *name = pgwire_get_string (cursor);
+  const char *sql = pgwire_get_string (cursor);
+
+  drop_parsed (session);
+  if (name[0] != '\0')
+    {
+      put_error (session, "0A000", "named statements are not emulated");
+      session->skip_to_sync = true;
+      return;
+    }
+  session->parsed_sql = g_strdup (sql);
+  if (sql_text_verb (sql) == SQL_VERB_OTHER)
+    {
+      session->parsed = prepare_or_fail (session, sql);
+      if (session->parsed == NULL)
+        {
+          session->skip_to_sync = true;
+          return;
+        }
+    }
+  pgwire_put_empty (out (session), '1');
+}
+
+static void
+bind_parameter (BackendSession *session, int number, const uint8_t *bytes, uint32_t length)
+{
+  char name[16];
+  int at;
+
+  g_snprintf (name, sizeof name, "$%d", number);
+  at = sqlite3_bind_parameter_index (session->parsed, name);
+  if (at > 0 && bytes != NULL)
+    sqlite3_bind_text (session->parsed, at, (const char *)bytes, (int)length, SQLITE_TRANSIENT);
+  else if (at > 0)
+    sqlite3_bind_null (session->parsed, at);
+}
+
+static void
+handle_bind (BackendSession *session, PgwireCursor *cursor)
+{
+  uint16_t count;
+
+  pgwire_get_string (cursor);
+  pgwire_get_string (cursor);
+  count = pgwire_get_u16 (cursor);
+  for (uint16_t i = 0; i < count; i++)
+    if (pgwire_get_u16 (cursor) != 0)
+      {
+        put_error (session, "0A000", "binary parameters are not emulated");
+        session->skip_to_sync = true;
+        return;
+      }
+  count = pgwire_get_u16 (cursor);
+  if (session->parsed != NULL)
+    {
+      sqlite3_reset (session->parsed);
+      sqlite3_clear_bindings (session->parsed);
+    }
+  for (uint16_t i = 0; i < count && !cursor->failed; i++)
+    {
+      uint32_t length = pgwire_get_u32 (cursor);
+      const uint8_t *bytes = length == (uint32_t)-1 ? NULL : pgwire_get_bytes (cursor, length);
+
+      if (session->parsed != NULL)
+        bind_parameter (session, i + 1, bytes, length);
+    }
+  pgwire_put_empty (out (session), '2');
+}
+
+static void
+put_parameter_description (BackendSession *session)
+{
+  GByteArray *output = out (session);
+  guint mark = pgwire_begin (output, 't');
+  int count = session->parsed == NULL ? 0 : sqlite3_bind_parameter_count (session->parsed);
+
+  pgwire_put_u16 (output, (uint16_t)count);
+  for (int i = 0; i < count; i++)
+    pgwire_put_u32 (output, 25);
+  pgwire_end (output, mark);
+}
+
+static void
+handle_describe (BackendSession *session, PgwireCursor *cursor)
+{
+  if (pgwire_get_u8 (cursor) == 'P')
+    {
+      session->describe_portal = true;
+      return;
+    }
+  put_parameter_description (session);
+  if (session->parsed != NULL && sqlite3_column_count (session->parsed) > 0)
+    put_row_description (session, session->parsed, false);
+  else
+    pgwire_put_empty (out (session), 'n');
+}
+
+static void
+handle_execute (BackendSession *session)
+{
+  if (session->parsed == NULL)
+    {
+      if (session->describe_portal)
+        pgwire_put_empty (out (session), 'n');
+      session->describe_portal = false;
+      run_verb (session, sql_text_verb (session->parsed_sql), session->parsed_sql);
+      return;
+    }
+  start_run (session, session->parsed, session->parsed_sql, true);
+}
+
+static void
+handle_message (BackendSession *session, const PgwireMessage *message)
+{
+  PgwireCursor cursor = pgwire_cursor (message);
+
+  if (session->skip_to_sync && message->type != 'S' && message->type != 'X')
+    return;
+  switch (message->type)
+    {
+    case 'Q':
+      handle_query (session, pgwire_get_string (&cursor));
+      return;
+    case 'P':
+      handle_parse (session, &cursor);
+      return;
+    case 'B':
+      handle_bind (session, &cursor);
+      return;
+    case 'D':
+      handle_describe (session, &cursor);
+      return;
+    case 'E':
+      handle_execute (session);
+      return;
+    case 'C':
+      pgwire_put_empty (out (session), '3');
+      return;
+    case 'H':
+      stream_flush (session->stream);
+      return;
+    case 'S':
+      session->skip_to_sync = false;
+      put_ready (session);
+      return;
+    default:
+      put_error (session, "08P01", "unexpected message");
+      stream_flush (session->stream);
+    }
+}
+
+static void
+on_connected (struct tevent_context *events, struct tevent_timer *timer, struct timeval now,
+              void *data)
+{
+  BackendSession *session = data;
+  GByteArray *output = out (session);
+  guint mark;
+
+  session->run_timer = NULL;
+  session->busy = false;
+  mark = pgwire_begin (output, 'R');
+  pgwire_put_u32 (output, 0);
+  pgwire_end (output, mark);
+  pgwire_put_parameter (output, "server_version", "15.0");
+  pgwire_put_parameter (output, "client_encoding", "UTF8");
+  pgwire_put_parameter (output, "standard_conforming_strings", "on");
+  mark = pgwire_begin (output, 'K');
+  pgwire_put_u32 (output, session->options.pid);
+  pgwire_put_u32 (output, session->key);
+  pgwire_end (output, mark);
+  put_ready (session);
+  process_input (session);
+}
+
+static void
+read_startup_parameters (BackendSession *session, PgwireCursor *cursor)
+{
+  const DatabaseGroupOptions *emulation = session->options.emulation;
+  const char *prefix = "peridotstep:";
+
+  while (!cursor->failed)
+    {
+      const char *name = pgwire_get_string (cursor);
+      const char *value;
+
+      if (name[0] == '\0')
+        return;
+      value = pgwire_get_string (cursor);
+      if (strcmp (name, "options") == 0
+          && strstr (value, "default_transaction_read_only=on") != NULL)
+        session->read_only = session->read_only_at_start = true;
+      if (strcmp (name, "application_name") == 0 && g_str_has_prefix (value, prefix)
+          && emulation->delay != NULL)
+        session->rtt_us
+            = 2
+              * emulation->delay (value + strlen (prefix),
+                                  emulation->instances[session->options.instance].failure_domain,
+                                  emulation->delay_data);
+    }
+}
+
+static void
+handle_startup (BackendSession *session, const PgwireMessage *message)
+{
+  PgwireCursor cursor = pgwire_cursor (message);
+  uint32_t code = pgwire_get_u32 (&cursor);
+
+  if (code == PGWIRE_SSL_REQUEST || code == PGWIRE_GSS_REQUEST)
+    {
+      pgwire_put_u8 (out (session), 'N');
+      stream_flush (session->stream);
+      return;
+    }
+  if (code == PGWIRE_CANCEL_REQUEST)
+    {
+      uint32_t pid = pgwire_get_u32 (&cursor);
+
+      session->options.host->cancel (session->options.host_data, pid, pgwire_get_u32 (&cursor));
+      return;
+    }
+  session->started = true;
+  if (session->options.refuse)
+    {
+      pgwire_put_error (out (session), "FATAL", "53300", "sorry, too many clients already", NULL);
+      stream_flush (session->stream);
+      return;
+    }
+  read_startup_parameters (session, &cursor);
+  session->busy = true;
+  run_later (session,
+             (int64_t)session->options.emulation->connect_delay_ms * 1000 + session->rtt_us,
+             on_connected);
+}
+
+/* Handles one message that has arrived. Returns false when there is none. */
+static bool
+take_message (BackendSession *session)
+{
+  const GByteArray *input = stream_input (session->stream);
+  uint64_t allowed = session->allowed_bytes - session->consumed_bytes;
+  PgwireMessage message;
+  PgwireRead read;
+  uint8_t *copy;
+
+  if (!session->started)
+    read = pgwire_read_startup (input->data, allowed, &message);
+  else
+    read = pgwire_read_message (input->data, allowed, &message);
+  if (read != PGWIRE_MESSAGE)
+    return false;
+  copy = g_memdup2 (message.body, message.length);
+  message.body = copy;
+  stream_consume (session->stream, message.size_bytes);
+  session->consumed_bytes += message.size_bytes;
+  if (message.type == 0)
+    handle_startup (session, &message);
+  else
+    handle_message (session, &message);
+  g_free (copy);
+  return true;
+}
+
+static void
+process_input (BackendSession *session)
+{
+  while (!session->busy && !session->frozen && take_message (session))
+    ;
+}
+
+static void on_arrival (struct tevent_context *events, struct tevent_timer *timer,
+                        struct timeval now, void *data);
+
+static void
+schedule_arrival (BackendSession *session)
+{
+  const Arrival *next = g_queue_peek_head (&session->arrivals);
+  int64_t wait_us;
+
+  if (next == NULL || session->arrival_timer != NULL)
+    return;
+  wait_us = MAX (next->due_us - clock_now_us (), 0);
+  session->arrival_timer
+      = tevent_add_timer (session->events, session,
+                          tevent_timeval_current_ofs (0, (uint32_t)wait_us), on_arrival, session);
+}
+
+static void
+on_arrival (struct tevent_context *events, struct tevent_timer *timer, struct timeval now,
+            void *data)
+{
+  BackendSession *session = data;
+  Arrival *arrival;
+
+  session->arrival_timer = NULL;
+  while ((arrival = g_queue_peek_head (&session->arrivals)) != NULL
+         && arrival->due_us <= clock_now_us ())
+    {
+      session->allowed_bytes = arrival->upto_bytes;
+      g_free (g_queue_pop_head (&session->arrivals));
+    }
+  schedule_arrival (session);
+  process_input (session);
+}
+
+static void
+on_readable (void *data)
+{
+  BackendSession *session = data;
+  Arrival *arrival;
+
+  session->received_bytes = session->consumed_bytes + stream_input (session->stream)->len;
+  if (session->rtt_us == 0)
+    {
+      session->allowed_bytes = session->received_bytes;
+      process_input (session);
+      return;
+    }
+  arrival = g_new (Arrival, 1);
+  arrival->due_us = clock_now_us () + session->rtt_us;
+  arrival->upto_bytes = session->received_bytes;
+  g_queue_push_tail (&session->arrivals, arrival);
+  schedule_arrival (session);
+}
+
+static void
+on_drained (void *data)
+{
+  BackendSession *session = data;
+
+  // A long result goes on once the reader has taken what was sent.
+  if (session->run.statement != NULL && session->run.rows > 0 && session->run_timer == NULL)
+    run_step (session);
+}
+
+static void
+on_closed (void *data)
+{
+  BackendSession *session = data;
+
+  session->options.host->closed (session->options.host_data, session);
+}
+
+static const StreamEvents stream_events = { on_readable, on_drained, on_closed };
+
+static int
+session_destroy (BackendSession *session)
+{
+  free_run (session);
+  drop_parsed (session);
+  g_queue_clear_full (&session->arrivals, g_free);
+  g_ptr_array_free (session->writes, true);
+  TALLOC_FREE (session->stream);
+  sql_session_free (session->sql);
+  return 0;
+}
+
+BackendSession *
+backend_session_new (TALLOC_CTX *parent, struct tevent_context *events,
+                     const BackendSessionOptions *options)
+{
+  BackendSession *session = talloc_zero (parent, BackendSession);
+
+  session->options = *options;
+  session->events = events;
+  session->status = 'I';
+  session->key = options->pid * 2654435761u;
+  session->writes = g_ptr_array_new_with_free_func (g_free);
+  session->sql = sql_session_new (database_group_database (options->group, options->instance));
+  session->stream = stream_new (session, events, options->fd, &stream_events, session);
+  g_queue_init (&session->arrivals);
+  talloc_set_destructor (session, session_destroy);
+  return session;
+}
+
+bool
+backend_session_cancel (BackendSession *session, uint32_t pid, uint32_t key)
+{
+  if (session->options.pid != pid || session->key != key)
+    return false;
+  if (session->run.statement != NULL && !session->frozen)
+    fail_run (session, "57014", "canceling statement due to user request");
+  return true;
+}
+
+void
+backend_session_set_frozen (BackendSession *session, bool frozen)
+{
+  session->frozen = frozen;
+  stream_pause (session->stream, frozen);
+  if (!frozen)
+    process_input (session);
+}
