Owner jobs: a job that waits for a replica is queued for its recheck

Cause: the zero value of the job state meant 'waiting for the replica', so a new job never entered the list that is rechecked, and every read with a session token ran into its deadline. Change: a state of its own for a new job; the sampler names its service and pauses between tries. Seen: insert then stock_page read in one session answers in 20 ms (lag 20 ms), 3.4 s timeout before.

--- a/src/pipeline/owner-job.c
+++ b/src/pipeline/owner-job.c
@@ -19,6 +19,7 @@
 
 typedef enum
 {
+  JOB_NEW,
   JOB_WAITING_FRESH,      /* for the replica or the monitor */
   JOB_QUEUED,             /* for a slot */
   JOB_WAITING_CONNECTION, /* has a slot */
@@ -765,6 +766,7 @@
       backend_connection_pause (backend_pool_connection (job->connection), false);
       backend_connection_cancel (backend_pool_connection (job->connection));
       return;
+    case JOB_NEW:
     case JOB_GATED:
     case JOB_SAMPLING:
     case JOB_RESOLVING:
--- a/src/pipeline/route.c
+++ b/src/pipeline/route.c
@@ -113,7 +113,7 @@
   route->table = table;
   route->name = talloc_strdup (route, name);
   g_queue_init (&route->parked);
-  route->sampler = sampler_new (route, table->worker, route);
+  route->sampler = sampler_new (route, table->worker, name);
   g_hash_table_insert (table->by_name, route->name, route);
   return route;
 }
--- a/src/pipeline/sampler.c
+++ b/src/pipeline/sampler.c
@@ -3,11 +3,11 @@
 #include "pipeline/request.h"
 
 #define SAMPLE_DEADLINE_MS 2000
+#define RETRY_US 25000
 
 struct Sampler
 {
   Worker *worker;
-  ServiceRoute *route;
   Session session;
   Request *in_flight;
   GQueue waiting; /* served by the next sample */
@@ -43,16 +43,29 @@
     request_sampled (request, token);
 }
 
+static void
+on_retry (struct tevent_context *events, struct tevent_timer *timer, struct timeval now, void *data)
+{
+  Sampler *sampler = data;
+
+  if (!g_queue_is_empty (&sampler->waiting))
+    start_sample (sampler);
+}
+
 static void
 on_done (void *user, const RequestOutcome *outcome)
 {
   Sampler *sampler = user;
 
   sampler->in_flight = NULL;
-  if (outcome->refusal == REFUSAL_NONE)
-    release_served (sampler);
-  else
-    requeue_served (sampler);
+  if (outcome->refusal != REFUSAL_NONE)
+    {
+      requeue_served (sampler);
+      tevent_add_timer (sampler->worker->events, sampler,
+                        tevent_timeval_current_ofs (0, RETRY_US), on_retry, sampler);
+      return;
+    }
+  release_served (sampler);
   if (!g_queue_is_empty (&sampler->waiting))
     start_sample (sampler);
 }
@@ -96,14 +109,14 @@
 }
 
 Sampler *
-sampler_new (TALLOC_CTX *parent, Worker *worker, ServiceRoute *route)
+sampler_new (TALLOC_CTX *parent, Worker *worker, const char *service)
 {
   Sampler *sampler = talloc_zero (parent, Sampler);
 
   sampler->worker = worker;
-  sampler->route = route;
   session_init (&sampler->session, worker_next_id (worker));
   sampler->session.token_known = true;
+  g_strlcpy (sampler->session.service, service, sizeof sampler->session.service);
   g_queue_init (&sampler->waiting);
   g_queue_init (&sampler->served);
   talloc_set_destructor (sampler, sampler_destroy);
--- a/src/pipeline/sampler.h
+++ b/src/pipeline/sampler.h
@@ -5,12 +5,12 @@
 #pragma once
 
 #include "daemon/worker.h"
-#include "pipeline/route.h"
 
 typedef struct Sampler Sampler;
+typedef struct Request Request;
 
-/** sampler_new() - Sampler of the service of @route. */
-Sampler *sampler_new (TALLOC_CTX *parent, Worker *worker, ServiceRoute *route);
+/** sampler_new() - Sampler of the service called @service. */
+Sampler *sampler_new (TALLOC_CTX *parent, Worker *worker, const char *service);
 
 /** sampler_wait() - @request is given the position of a sample asked for from now on. */
 void sampler_wait (Sampler *sampler, Request *request);
