--- a/src/adapter/backend-connection.c
+++ b/src/adapter/backend-connection.c
@@ -380,18 +380,22 @@
 {
   BackendConnection *connection = talloc_zero (parent, BackendConnection);
   char port[8];
-  char application[96];
-  const char *read_only = options->read_only ? "-c default_transaction_read_only=on" : "";
   const char *const keys[] = { "hostaddr",         "port",    "dbname",     "user",
                                "application_name", "sslmode", "gssencmode", "tcp_user_timeout",
                                "keepalives_idle",  "options", NULL };
-  const char *const values[] = { options->address, port,        options->database,
-                                 options->user,    application, "disable",
-                                 "disable",        "5000",      "5",
-                                 read_only,        NULL };
+  const char *const values[] = { options->address,
+                                 port,
+                                 options->database,
+                                 options->user,
+                                 options->application_name,
+                                 "disable",
+                                 "disable",
+                                 "5000",
+                                 "5",
+                                 options->session_options,
+                                 NULL };
 
   g_snprintf (port, sizeof port, "%u", options->port);
-  g_snprintf (application, sizeof application, "peridotstep:%s", options->failure_domain);
   connection->options = *options;
   connection->context = context;
   connection->fd = -1;
@@ -527,6 +531,12 @@
   g_thread_pool_push (once.retval, cancel, NULL);
 }
 
+const char *
+backend_connection_parameter (const BackendConnection *connection, const char *name)
+{
+  return PQparameterStatus (connection->pg, name);
+}
+
 const char *
 backend_connection_field (const BackendConnection *connection, int column)
 {
--- a/src/adapter/backend-connection.h
+++ b/src/adapter/backend-connection.h
@@ -43,7 +43,8 @@
 
 /**
  * struct BackendOptions - Whom to connect to. @events may free the connection.
- * @read_only: the session's transactions are read-only, also after DISCARD ALL.
+ * @application_name: name shown to the server.
+ * @session_options: settings of the session ("-c name=value ..."), also after DISCARD ALL.
  */
 typedef struct
 {
@@ -51,8 +52,8 @@
   uint16_t port;
   const char *database;
   const char *user;
-  const char *failure_domain;
-  bool read_only;
+  const char *application_name;
+  const char *session_options;
   void (*events) (void *data, const BackendEvent *event);
   void *data;
 } BackendOptions;
@@ -101,5 +102,8 @@
 /** backend_connection_cancel() - Asks the server to cancel; does not block. */
 void backend_connection_cancel (BackendConnection *connection);
 
+/** backend_connection_parameter() - Value the server reported of a setting, or %NULL. */
+const char *backend_connection_parameter (const BackendConnection *connection, const char *name);
+
 /** backend_connection_field() - Value of the first row of a control query; "" if none. */
 const char *backend_connection_field (const BackendConnection *connection, int column);
--- a/src/adapter/pgwire.c
+++ b/src/adapter/pgwire.c
@@ -211,3 +211,35 @@
   pgwire_put_u8 (out, 0);
   pgwire_end (out, mark);
 }
+
+static const char *
+field_of_error (const PgwireMessage *message, char code)
+{
+  PgwireCursor cursor = pgwire_cursor (message);
+
+  while (!cursor.failed)
+    {
+      char found = (char)pgwire_get_u8 (&cursor);
+      const char *value = found == '\0' ? "" : pgwire_get_string (&cursor);
+
+      if (found == code || found == '\0')
+        return value;
+    }
+  return "";
+}
+
+const char *
+pgwire_error_field (const GByteArray *bytes, char code)
+{
+  PgwireMessage message;
+  const char *value = "";
+  size_t at = 0;
+
+  while (pgwire_read_message (bytes->data + at, bytes->len - at, &message) == PGWIRE_MESSAGE)
+    {
+      if (message.type == 'E')
+        value = field_of_error (&message, code);
+      at += message.size_bytes;
+    }
+  return value;
+}
--- a/src/adapter/pgwire.h
+++ b/src/adapter/pgwire.h
@@ -115,3 +115,9 @@
 /** pgwire_put_error() - ErrorResponse; @detail may be %NULL. */
 void pgwire_put_error (GByteArray *out, const char *severity, const char *sqlstate,
                        const char *message, const char *detail);
+
+/**
+ * pgwire_error_field() - Field @code of the last ErrorResponse in @bytes, a run of whole
+ * messages; "" if there is none. Valid until the bytes change.
+ */
+const char *pgwire_error_field (const GByteArray *bytes, char code);
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -21,6 +21,7 @@
 {
   DaemonOptions options;
   char *platform_url;
+  char application_name[NAME_BYTES + 16];
   Counters counters;
   Worker *workers[WORKERS_MAX];
   Control *control;
@@ -134,6 +135,8 @@
   daemon->options.workers = CLAMP (options->workers, 1, WORKERS_MAX);
   daemon->options.self.id_hash = host_hash (options->self.id);
   daemon->platform_url = g_strdup (options->platform_url);
+  g_snprintf (daemon->application_name, sizeof daemon->application_name, "peridotstep:%s",
+              options->self.failure_domain);
   daemon->options.platform_url = daemon->platform_url;
   daemon->config.pointer = config_document_empty ();
   if (!start_workers (daemon, error) || !start_control (daemon, error))
@@ -207,6 +210,12 @@
   return &daemon->options;
 }
 
+const char *
+daemon_application_name (const Daemon *daemon)
+{
+  return daemon->application_name;
+}
+
 Counters *
 daemon_counters (Daemon *daemon)
 {
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -70,6 +70,9 @@
 /** daemon_options() - Its settings, with the ports that were taken. */
 const DaemonOptions *daemon_options (const Daemon *daemon);
 
+/** daemon_application_name() - How it names itself to backend servers: where it stands. */
+const char *daemon_application_name (const Daemon *daemon);
+
 /** daemon_counters() - Its counters. */
 Counters *daemon_counters (Daemon *daemon);
 
--- /dev/null
+++ b/src/load/load-run.c
@@ -0,0 +1,329 @@
+#include "load/load-run.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "adapter/backend-connection.h"
+#include "adapter/pgwire.h"
+#include "base/clock.h"
+#include "load/load-session.h"
+
+#define BACKLOG_MAX 200000
+#define FINISH_LIMIT_MS 20000
+#define SETUP_LIMIT_MS 20000
+#define CHECK_ATTEMPTS 20
+#define RETRY_US 500000
+
+typedef struct
+{
+  const LoadOptions *options;
+  LoadRecord *record;
+  struct tevent_context *events;
+  TALLOC_CTX *memory;
+  GRand *random;
+  GQueue idle;
+  GQueue backlog; /* LoadWork that found no idle session */
+  uint32_t sessions;
+  uint32_t running;
+  uint64_t next_id;
+  int64_t started_us;
+  int64_t next_us[LOAD_CLASSES_MAX];
+} Run;
+
+static void
+start_work (Run *run, LoadSession *session, const LoadWork *work)
+{
+  run->running++;
+  load_session_run (session, work);
+}
+
+static void
+on_idle (void *data, LoadSession *session)
+{
+  Run *run = data;
+  LoadWork *work = g_queue_pop_head (&run->backlog);
+
+  if (run->running > 0)
+    run->running--;
+  if (work == NULL)
+    {
+      g_queue_push_tail (&run->idle, session);
+      return;
+    }
+  start_work (run, session, work);
+  g_free (work);
+}
+
+static void
+open_session (Run *run)
+{
+  const LoadSessionOptions options = {
+    .load = run->options,
+    .record = run->record,
+    .events = run->events,
+    .first_host = run->sessions % run->options->host_count,
+    .started_us = run->started_us,
+    .idle = on_idle,
+    .data = run,
+  };
+
+  run->sessions++;
+  load_session_new (run->memory, &options);
+}
+
+static LoadSession *
+take_idle (Run *run)
+{
+  guint count = g_queue_get_length (&run->idle);
+
+  if (count == 0)
+    return NULL;
+  return g_queue_pop_nth (&run->idle, (guint)g_rand_int_range (run->random, 0, (gint32)count));
+}
+
+static LoadWork
+make_work (Run *run, uint32_t class_index, int64_t arrived_us)
+{
+  LoadWork work = { .class_index = class_index, .arrived_us = arrived_us };
+
+  g_snprintf (work.id, sizeof work.id, "%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT,
+              run->options->seed, ++run->next_id);
+  work.roam = g_rand_int_range (run->random, 0, 100) < (gint32)run->options->roam_percent;
+  work.roam_with_token = g_rand_boolean (run->random);
+  return work;
+}
+
+static void
+arrive (Run *run, uint32_t class_index, int64_t arrived_us)
+{
+  LoadWork work = make_work (run, class_index, arrived_us);
+  LoadSession *session = take_idle (run);
+
+  load_record_sent (run->record, class_index);
+  if (session != NULL)
+    {
+      start_work (run, session, &work);
+      return;
+    }
+  if (run->sessions < run->options->sessions_max)
+    open_session (run);
+  if (g_queue_get_length (&run->backlog) >= BACKLOG_MAX)
+    {
+      load_record_ended (run->record, class_index, LOAD_NOT_RUN, 0, 0);
+      return;
+    }
+  g_queue_push_tail (&run->backlog, g_memdup2 (&work, sizeof work));
+}
+
+static int64_t
+next_arrival_us (Run *run, uint32_t class_index, int64_t from_us)
+{
+  double rate
+      = load_class_rate (&run->options->classes[class_index], (from_us - run->started_us) / 1000);
+
+  // A class without work is looked at again when its flood may have begun.
+  if (rate <= 0)
+    return from_us + 100000;
+  return from_us + (int64_t)(-log (1.0 - g_rand_double (run->random)) / rate * 1e6);
+}
+
+static void
+arrivals_due (Run *run, int64_t now_us)
+{
+  for (uint32_t i = 0; i < run->options->class_count; i++)
+    while (run->next_us[i] <= now_us)
+      {
+        int64_t at_us = run->next_us[i];
+
+        if (load_class_rate (&run->options->classes[i], (at_us - run->started_us) / 1000) > 0)
+          arrive (run, i, at_us);
+        run->next_us[i] = next_arrival_us (run, i, at_us);
+      }
+}
+
+static void
+on_tick (struct tevent_context *events, struct tevent_timer *timer, struct timeval now, void *data)
+{
+  Run *run = data;
+  int64_t now_us = clock_now_us ();
+
+  if (now_us - run->started_us >= run->options->duration_ms * 1000)
+    return;
+  arrivals_due (run, now_us);
+  tevent_add_timer (events, run->memory, tevent_timeval_current_ofs (0, 500), on_tick, run);
+}
+
+/* Keeps the loop turning while nothing else is due. */
+static void
+on_idle_tick (struct tevent_context *events, struct tevent_timer *timer, struct timeval now,
+              void *data)
+{
+  Run *run = data;
+
+  tevent_add_timer (events, run->memory, tevent_timeval_current_ofs (0, 20000), on_idle_tick, run);
+}
+
+static void
+loop (Run *run)
+{
+  int64_t end_us = run->started_us + run->options->duration_ms * 1000;
+  int64_t limit_us = end_us + FINISH_LIMIT_MS * 1000;
+
+  while (clock_now_us () < end_us
+         || ((run->running > 0 || !g_queue_is_empty (&run->backlog)) && clock_now_us () < limit_us))
+    tevent_loop_once (run->events);
+}
+
+/* A one-statement client for set-up and checks. */
+typedef struct
+{
+  bool connected;
+  bool ended;
+  bool failed;
+  GByteArray *sink;
+} Single;
+
+static void
+on_single (void *data, const BackendEvent *event)
+{
+  Single *single = data;
+
+  if (event->kind == BACKEND_CONNECTED)
+    single->connected = true;
+  if (event->kind == BACKEND_IDLE)
+    {
+      single->ended = true;
+      single->failed = event->failed;
+    }
+  if (event->kind == BACKEND_LOST || event->kind == BACKEND_REFUSED)
+    single->ended = single->failed = single->connected = true;
+}
+
+static bool
+run_single (const LoadOptions *options, uint32_t host, const char *sql, GByteArray *sink)
+{
+  TALLOC_CTX *memory = talloc_new (NULL);
+  struct tevent_context *events = tevent_context_init (memory);
+  Single single = { .sink = sink };
+  const BackendOptions backend = {
+    .address = options->hosts[host].address,
+    .port = options->hosts[host].port,
+    .database = options->service,
+    .user = "load",
+    .application_name = "load",
+    .session_options = "",
+    .events = on_single,
+    .data = &single,
+  };
+  BackendConnection *connection = backend_connection_new (memory, events, &backend);
+  const BackendStatement statement = { .sql = sql };
+
+  while (!single.connected)
+    tevent_loop_once (events);
+  if (!single.ended && backend_connection_run (connection, &statement, sink))
+    while (!single.ended)
+      tevent_loop_once (events);
+  talloc_free (memory);
+  return single.ended && !single.failed;
+}
+
+static bool
+run_single_somewhere (const LoadOptions *options, const char *sql, GByteArray *sink)
+{
+  for (uint32_t i = 0; i < CHECK_ATTEMPTS; i++)
+    {
+      g_byte_array_set_size (sink, 0);
+      if (run_single (options, i % options->host_count, sql, sink))
+        return true;
+      if (strstr (pgwire_error_field (sink, 'M'), "already exists") != NULL)
+        return true;
+      g_usleep (RETRY_US);
+    }
+  fprintf (stderr, "peridotstep: '%s' failed: %s %s\n", sql, pgwire_error_field (sink, 'C'),
+           pgwire_error_field (sink, 'M'));
+  return false;
+}
+
+static bool
+set_up (const LoadOptions *options)
+{
+  char *sql
+      = g_strdup_printf ("/*class='%s'*/ CREATE TABLE load_writes (id text)", options->write_class);
+  char *index = g_strdup_printf ("/*class='%s'*/ CREATE INDEX load_index ON load_writes (id)",
+                                 options->write_class);
+  GByteArray *sink = g_byte_array_new ();
+  bool done
+      = run_single_somewhere (options, sql, sink) && run_single_somewhere (options, index, sink);
+
+  g_byte_array_free (sink, true);
+  g_free (index);
+  g_free (sql);
+  return done;
+}
+
+bool
+load_run (const LoadOptions *options, LoadRecord *record)
+{
+  Run run = { .options = options, .record = record };
+
+  if (!set_up (options))
+    return false;
+  run.memory = talloc_new (NULL);
+  run.events = tevent_context_init (run.memory);
+  run.random = g_rand_new_with_seed ((guint32)options->seed);
+  g_queue_init (&run.idle);
+  g_queue_init (&run.backlog);
+  run.started_us = clock_now_us ();
+  for (uint32_t i = 0; i < options->class_count; i++)
+    run.next_us[i] = next_arrival_us (&run, i, run.started_us);
+  on_tick (run.events, NULL, tevent_timeval_zero (), &run);
+  on_idle_tick (run.events, NULL, tevent_timeval_zero (), &run);
+  loop (&run);
+  g_queue_clear (&run.idle);
+  g_queue_clear_full (&run.backlog, g_free);
+  g_rand_free (run.random);
+  talloc_free (run.memory);
+  return true;
+}
+
+static void
+take_row (LoadRecord *record, const PgwireMessage *message)
+{
+  PgwireCursor cursor = pgwire_cursor (message);
+  char id[64] = "", count[24] = "";
+  uint32_t length;
+  const uint8_t *bytes;
+
+  pgwire_get_u16 (&cursor);
+  length = pgwire_get_u32 (&cursor);
+  bytes = pgwire_get_bytes (&cursor, length);
+  if (bytes != NULL)
+    memcpy (id, bytes, MIN (length, sizeof id - 1));
+  length = pgwire_get_u32 (&cursor);
+  bytes = pgwire_get_bytes (&cursor, length);
+  if (bytes != NULL)
+    memcpy (count, bytes, MIN (length, sizeof count - 1));
+  load_record_found (record, id, g_ascii_strtoull (count, NULL, 10));
+}
+
+bool
+load_check (const LoadOptions *options, LoadRecord *record)
+{
+  char *sql = g_strdup_printf ("/*class='%s'*/ SELECT id, count(*) FROM load_writes GROUP BY id",
+                               options->write_class);
+  GByteArray *sink = g_byte_array_new ();
+  bool done = run_single_somewhere (options, sql, sink);
+  PgwireMessage message;
+  size_t at = 0;
+
+  while (done && pgwire_read_message (sink->data + at, sink->len - at, &message) == PGWIRE_MESSAGE)
+    {
+      if (message.type == 'D')
+        take_row (record, &message);
+      at += message.size_bytes;
+    }
+  g_byte_array_free (sink, true);
+  g_free (sql);
+  return done;
+}
--- a/src/main.c
+++ b/src/main.c
@@ -12,8 +12,8 @@
 extern char **environ;
 
 static const Command *const commands[] = {
-  &command_serve, &command_demo,    &command_standin, &command_apply,
-  &command_show,  &command_history, &command_status,  &command_fault,
+  &command_serve,   &command_demo,   &command_standin, &command_apply, &command_show,
+  &command_history, &command_status, &command_fault,   &command_load,
 };
 
 static void
--- a/src/pipeline/backend-pool.c
+++ b/src/pipeline/backend-pool.c
@@ -170,8 +170,8 @@
     .port = options->instance->port,
     .database = options->service->database,
     .user = options->service->user,
-    .failure_domain = daemon_options (options->worker->daemon)->self.failure_domain,
-    .read_only = read_only,
+    .application_name = daemon_application_name (options->worker->daemon),
+    .session_options = read_only ? "-c default_transaction_read_only=on" : "",
     .events = on_event,
     .data = connection,
   };
--- a/src/pipeline/control-connection.c
+++ b/src/pipeline/control-connection.c
@@ -124,7 +124,8 @@
     .port = options->instance->port,
     .database = options->service->database,
     .user = options->service->user,
-    .failure_domain = daemon_options (options->worker->daemon)->self.failure_domain,
+    .application_name = daemon_application_name (options->worker->daemon),
+    .session_options = "",
     .events = on_backend_event,
     .data = connection,
   };
