--- a/src/adapter/backend-connection.c
+++ b/src/adapter/backend-connection.c
@@ -87,16 +87,16 @@
   guint mark = pgwire_begin (sink, 'T');
   int count = PQnfields (result);
 
-  pgwire_put_u16 (sink, (uint16_t)count);
+  pgwire_put_u16 (sink, (uint16_t) count);
   for (int i = 0; i < count; i++)
     {
       pgwire_put_string (sink, PQfname (result, i));
       pgwire_put_u32 (sink, PQftable (result, i));
-      pgwire_put_u16 (sink, (uint16_t)PQftablecol (result, i));
+      pgwire_put_u16 (sink, (uint16_t) PQftablecol (result, i));
       pgwire_put_u32 (sink, PQftype (result, i));
-      pgwire_put_u16 (sink, (uint16_t)PQfsize (result, i));
-      pgwire_put_u32 (sink, (uint32_t)PQfmod (result, i));
-      pgwire_put_u16 (sink, (uint16_t)PQfformat (result, i));
+      pgwire_put_u16 (sink, (uint16_t) PQfsize (result, i));
+      pgwire_put_u32 (sink, (uint32_t) PQfmod (result, i));
+      pgwire_put_u16 (sink, (uint16_t) PQfformat (result, i));
     }
   pgwire_end (sink, mark);
 }
@@ -107,16 +107,16 @@
   guint mark = pgwire_begin (sink, 'D');
   int count = PQnfields (result);
 
-  pgwire_put_u16 (sink, (uint16_t)count);
+  pgwire_put_u16 (sink, (uint16_t) count);
   for (int i = 0; i < count; i++)
     {
       if (PQgetisnull (result, row, i))
         {
-          pgwire_put_u32 (sink, (uint32_t)-1);
+          pgwire_put_u32 (sink, (uint32_t) -1);
           continue;
         }
-      pgwire_put_u32 (sink, (uint32_t)PQgetlength (result, row, i));
-      pgwire_put_bytes (sink, PQgetvalue (result, row, i), (uint32_t)PQgetlength (result, row, i));
+      pgwire_put_u32 (sink, (uint32_t) PQgetlength (result, row, i));
+      pgwire_put_bytes (sink, PQgetvalue (result, row, i), (uint32_t) PQgetlength (result, row, i));
     }
   pgwire_end (sink, mark);
 }
@@ -127,7 +127,7 @@
   guint mark = pgwire_begin (sink, 't');
   int count = PQnparams (result);
 
-  pgwire_put_u16 (sink, (uint16_t)count);
+  pgwire_put_u16 (sink, (uint16_t) count);
   for (int i = 0; i < count; i++)
     pgwire_put_u32 (sink, PQparamtype (result, i));
   pgwire_end (sink, mark);
@@ -168,7 +168,7 @@
 
       if (value == NULL)
         continue;
-      pgwire_put_u8 (connection->sink, (uint8_t)fields[i].code);
+      pgwire_put_u8 (connection->sink, (uint8_t) fields[i].code);
       pgwire_put_string (connection->sink, value);
     }
   pgwire_put_u8 (connection->sink, 0);
@@ -215,7 +215,7 @@
           return true;
         }
       describe_once (connection, result);
-      pgwire_put_complete (connection->sink, PQcmdStatus ((PGresult *)result));
+      pgwire_put_complete (connection->sink, PQcmdStatus ((PGresult *) result));
       return true;
     case PGRES_EMPTY_QUERY:
       pgwire_put_empty (connection->sink, 'I');
@@ -437,11 +437,11 @@
     {
       types[i] = statement->params[i].type;
       values[i] = statement->params[i].value;
-      lengths[i] = (int)statement->params[i].length;
-      formats[i] = (int)statement->params[i].format;
+      lengths[i] = (int) statement->params[i].length;
+      formats[i] = (int) statement->params[i].format;
     }
-  sent = PQsendQueryParams (connection->pg, statement->sql, (int)count, types, values, lengths,
-                            formats, (int)statement->result_format);
+  sent = PQsendQueryParams (connection->pg, statement->sql, (int) count, types, values, lengths,
+                            formats, (int) statement->result_format);
   g_free (types);
   g_free (values);
   g_free (lengths);
@@ -481,7 +481,7 @@
   connection->extended = true;
   for (uint32_t i = 0; i < count; i++)
     types[i] = statement->params[i].type;
-  sent = PQsendPrepare (connection->pg, "", statement->sql, (int)count, types);
+  sent = PQsendPrepare (connection->pg, "", statement->sql, (int) count, types);
   g_free (types);
   if (sent != 1)
     return false;
--- a/src/adapter/pgwire.c
+++ b/src/adapter/pgwire.c
@@ -5,7 +5,7 @@
 static uint32_t
 load_u32 (const uint8_t *at)
 {
-  return (uint32_t)at[0] << 24 | (uint32_t)at[1] << 16 | (uint32_t)at[2] << 8 | at[3];
+  return (uint32_t) at[0] << 24 | (uint32_t) at[1] << 16 | (uint32_t) at[2] << 8 | at[3];
 }
 
 PgwireRead
@@ -34,9 +34,9 @@
   size_bytes = load_u32 (input + 1);
   if (size_bytes < 4 || size_bytes > PGWIRE_MESSAGE_LIMIT_BYTES)
     return PGWIRE_MALFORMED;
-  if (length < (size_t)size_bytes + 1)
+  if (length < (size_t) size_bytes + 1)
     return PGWIRE_INCOMPLETE;
-  *message = (PgwireMessage){ (char)input[0], input + 5, size_bytes - 4, size_bytes + 1 };
+  *message = (PgwireMessage){ (char) input[0], input + 5, size_bytes - 4, size_bytes + 1 };
   return PGWIRE_MESSAGE;
 }
 
@@ -51,7 +51,7 @@
 {
   const uint8_t *at = cursor->at;
 
-  if (cursor->failed || (size_t)(cursor->end - at) < length)
+  if (cursor->failed || (size_t) (cursor->end - at) < length)
     {
       cursor->failed = true;
       return NULL;
@@ -73,7 +73,7 @@
 {
   const uint8_t *at = pgwire_get_bytes (cursor, 2);
 
-  return at == NULL ? 0 : (uint16_t)(at[0] << 8 | at[1]);
+  return at == NULL ? 0 : (uint16_t) (at[0] << 8 | at[1]);
 }
 
 uint32_t
@@ -88,7 +88,7 @@
 pgwire_get_string (PgwireCursor *cursor)
 {
   const uint8_t *at = cursor->at;
-  const uint8_t *end = memchr (at, '\0', (size_t)(cursor->end - at));
+  const uint8_t *end = memchr (at, '\0', (size_t) (cursor->end - at));
 
   if (cursor->failed || end == NULL)
     {
@@ -96,7 +96,7 @@
       return "";
     }
   cursor->at = end + 1;
-  return (const char *)at;
+  return (const char *) at;
 }
 
 guint
@@ -104,7 +104,7 @@
 {
   guint mark;
 
-  pgwire_put_u8 (out, (uint8_t)type);
+  pgwire_put_u8 (out, (uint8_t) type);
   mark = out->len;
   pgwire_put_u32 (out, 0);
   return mark;
@@ -115,10 +115,10 @@
 {
   uint32_t length = out->len - mark;
 
-  out->data[mark] = (uint8_t)(length >> 24);
-  out->data[mark + 1] = (uint8_t)(length >> 16);
-  out->data[mark + 2] = (uint8_t)(length >> 8);
-  out->data[mark + 3] = (uint8_t)length;
+  out->data[mark] = (uint8_t) (length >> 24);
+  out->data[mark + 1] = (uint8_t) (length >> 16);
+  out->data[mark + 2] = (uint8_t) (length >> 8);
+  out->data[mark + 3] = (uint8_t) length;
 }
 
 void
@@ -130,7 +130,7 @@
 void
 pgwire_put_u16 (GByteArray *out, uint16_t value)
 {
-  uint8_t bytes[2] = { (uint8_t)(value >> 8), (uint8_t)value };
+  uint8_t bytes[2] = { (uint8_t) (value >> 8), (uint8_t) value };
 
   g_byte_array_append (out, bytes, sizeof bytes);
 }
@@ -138,14 +138,14 @@
 void
 pgwire_put_u32 (GByteArray *out, uint32_t value)
 {
-  pgwire_put_u16 (out, (uint16_t)(value >> 16));
-  pgwire_put_u16 (out, (uint16_t)value);
+  pgwire_put_u16 (out, (uint16_t) (value >> 16));
+  pgwire_put_u16 (out, (uint16_t) value);
 }
 
 void
 pgwire_put_string (GByteArray *out, const char *text)
 {
-  g_byte_array_append (out, (const uint8_t *)text, (guint)strlen (text) + 1);
+  g_byte_array_append (out, (const uint8_t *) text, (guint) strlen (text) + 1);
 }
 
 void
@@ -166,7 +166,7 @@
 {
   guint mark = pgwire_begin (out, 'Z');
 
-  pgwire_put_u8 (out, (uint8_t)status);
+  pgwire_put_u8 (out, (uint8_t) status);
   pgwire_end (out, mark);
 }
 
@@ -192,7 +192,7 @@
 static void
 put_field (GByteArray *out, char code, const char *value)
 {
-  pgwire_put_u8 (out, (uint8_t)code);
+  pgwire_put_u8 (out, (uint8_t) code);
   pgwire_put_string (out, value);
 }
 
@@ -219,7 +219,7 @@
 
   while (!cursor.failed)
     {
-      char found = (char)pgwire_get_u8 (&cursor);
+      char found = (char) pgwire_get_u8 (&cursor);
       const char *value = found == '\0' ? "" : pgwire_get_string (&cursor);
 
       if (found == code || found == '\0')
--- a/src/adapter/platform-client.c
+++ b/src/adapter/platform-client.c
@@ -56,7 +56,7 @@
 static size_t
 take_body (char *bytes, size_t size, size_t count, void *data)
 {
-  g_byte_array_append (data, (const uint8_t *)bytes, (guint)(size * count));
+  g_byte_array_append (data, (const uint8_t *) bytes, (guint) (size * count));
   return size * count;
 }
 
@@ -71,14 +71,14 @@
   curl_easy_setopt (client->curl, CURLOPT_URL, url);
   curl_easy_setopt (client->curl, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (client->curl, CURLOPT_PROXY, "");
-  curl_easy_setopt (client->curl, CURLOPT_TIMEOUT_MS, (long)client->timeout_ms);
+  curl_easy_setopt (client->curl, CURLOPT_TIMEOUT_MS, (long) client->timeout_ms);
   curl_easy_setopt (client->curl, CURLOPT_WRITEFUNCTION, take_body);
   curl_easy_setopt (client->curl, CURLOPT_WRITEDATA, result.body);
   curl_easy_setopt (client->curl, CURLOPT_CUSTOMREQUEST, method);
   if (body != NULL)
     {
       curl_easy_setopt (client->curl, CURLOPT_POSTFIELDS, body);
-      curl_easy_setopt (client->curl, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)length);
+      curl_easy_setopt (client->curl, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t) length);
     }
   if (curl_easy_perform (client->curl) == CURLE_OK)
     curl_easy_getinfo (client->curl, CURLINFO_RESPONSE_CODE, &result.status);
@@ -89,7 +89,7 @@
 static json_t *
 exchange_json (const Exchange *result)
 {
-  return json_loadb ((const char *)result->body->data, result->body->len, JSON_DECODE_ANY, NULL);
+  return json_loadb ((const char *) result->body->data, result->body->len, JSON_DECODE_ANY, NULL);
 }
 
 static void
@@ -135,7 +135,7 @@
   *value = NULL;
   if (json == NULL)
     return missing;
-  *version = (uint64_t)json_integer_value (json_object_get (json, "version"));
+  *version = (uint64_t) json_integer_value (json_object_get (json, "version"));
   *value = json_incref (json_object_get (json, "value"));
   json_decref (json);
   return true;
--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -8,7 +8,7 @@
   struct timespec ts;
 
   clock_gettime (CLOCK_MONOTONIC, &ts);
-  return (int64_t)ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
+  return (int64_t) ts.tv_sec * 1000000 + ts.tv_nsec / 1000;
 }
 
 int64_t
--- a/src/base/counters.c
+++ b/src/base/counters.c
@@ -70,6 +70,6 @@
       g_string_append_printf (out, "# HELP peridotstep_%s %s\n# TYPE peridotstep_%s %s\n",
                               info->name, info->help, info->name, info->type);
       g_string_append_printf (out, "peridotstep_%s %" PRIu64 "\n", info->name,
-                              counter_get (counters, (CounterId)i));
+                              counter_get (counters, (CounterId) i));
     }
 }
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -55,7 +55,7 @@
 static inline void
 counter_add (Counters *counters, CounterId id, int64_t delta)
 {
-  atomic_fetch_add_explicit (&counters->value[id], (uint64_t)delta, memory_order_relaxed);
+  atomic_fetch_add_explicit (&counters->value[id], (uint64_t) delta, memory_order_relaxed);
 }
 
 /** counter_set() - Sets a gauge. */
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -12,13 +12,13 @@
 void
 log_set_level (LogLevel level)
 {
-  atomic_store_explicit (&max_level, (int)level, memory_order_relaxed);
+  atomic_store_explicit (&max_level, (int) level, memory_order_relaxed);
 }
 
 int
 log_enabled (LogLevel level)
 {
-  return (int)level <= atomic_load_explicit (&max_level, memory_order_relaxed);
+  return (int) level <= atomic_load_explicit (&max_level, memory_order_relaxed);
 }
 
 void
@@ -31,9 +31,9 @@
   if (!log_enabled (level))
     return;
 
-  used = snprintf (line, sizeof line, "<%d>event=%s ", (int)level, event);
+  used = snprintf (line, sizeof line, "<%d>event=%s ", (int) level, event);
   va_start (args, format);
-  more = vsnprintf (line + used, sizeof line - (size_t)used - 1, format, args);
+  more = vsnprintf (line + used, sizeof line - (size_t) used - 1, format, args);
   va_end (args);
 
   used += more;
@@ -44,6 +44,6 @@
     if (line[i] == '\n' || line[i] == '\r')
       line[i] = ' ';
   line[used++] = '\n';
-  if (write (STDERR_FILENO, line, (size_t)used) < 0)
+  if (write (STDERR_FILENO, line, (size_t) used) < 0)
     return;
 }
--- a/src/base/mailbox.c
+++ b/src/base/mailbox.c
@@ -24,10 +24,10 @@
   if (read (mailbox->event_fd, &count, sizeof count) < 0)
     return;
   atomic_store (&mailbox->woken, false);
-  while ((node = __cds_wfcq_dequeue_blocking ((cds_wfcq_head_ptr_t)&mailbox->head, &mailbox->tail))
+  while ((node = __cds_wfcq_dequeue_blocking ((cds_wfcq_head_ptr_t) &mailbox->head, &mailbox->tail))
          != NULL)
     {
-      MailboxMessage *message = (MailboxMessage *)node;
+      MailboxMessage *message = (MailboxMessage *) node;
 
       message->deliver (mailbox->receiver, message);
     }
@@ -59,7 +59,7 @@
   const uint64_t one = 1;
 
   cds_wfcq_node_init (&message->node);
-  cds_wfcq_enqueue ((cds_wfcq_head_ptr_t)&mailbox->head, &mailbox->tail, &message->node);
+  cds_wfcq_enqueue ((cds_wfcq_head_ptr_t) &mailbox->head, &mailbox->tail, &message->node);
   // One wake-up serves all messages posted before the reader looks.
   if (atomic_exchange (&mailbox->woken, true))
     return;
--- a/src/base/rcu-cell.h
+++ b/src/base/rcu-cell.h
@@ -9,11 +9,11 @@
 #if defined(__SANITIZE_THREAD__)
 void __tsan_acquire (void *address);
 void __tsan_release (void *address);
-#define RCU_CELL_ACQUIRE(address) __tsan_acquire ((void *)(address))
-#define RCU_CELL_RELEASE(address) __tsan_release ((void *)(address))
+#define RCU_CELL_ACQUIRE(address) __tsan_acquire ((void *) (address))
+#define RCU_CELL_RELEASE(address) __tsan_release ((void *) (address))
 #else
-#define RCU_CELL_ACQUIRE(address) ((void)(address))
-#define RCU_CELL_RELEASE(address) ((void)(address))
+#define RCU_CELL_ACQUIRE(address) ((void) (address))
+#define RCU_CELL_RELEASE(address) ((void) (address))
 #endif
 
 /** struct RcuCell - Holds the published pointer. */
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -125,10 +125,10 @@
   char *value = NULL;
   const char *from_environment;
 
-  if (info->kind == SETTING_FLAG && ((struct arg_lit *)entry)->count > 0)
+  if (info->kind == SETTING_FLAG && ((struct arg_lit *) entry)->count > 0)
     return g_strdup ("1");
-  if (info->kind != SETTING_FLAG && ((struct arg_str *)entry)->count > 0)
-    return g_strdup (((struct arg_str *)entry)->sval[0]);
+  if (info->kind != SETTING_FLAG && ((struct arg_str *) entry)->count > 0)
+    return g_strdup (((struct arg_str *) entry)->sval[0]);
   variable = settings_variable (info->name);
   from_environment = getenv (variable);
   if (info->kind != SETTING_ARGUMENT && from_environment != NULL && from_environment[0] != '\0')
@@ -181,7 +181,7 @@
 
   *settings = g_new0 (Settings, 1);
   (*settings)->table = table;
-  if (((struct arg_lit *)entries[count])->count > 0)
+  if (((struct arg_lit *) entries[count])->count > 0)
     {
       print_help (command, summary, table, entries);
       result = SETTINGS_HELP;
@@ -198,7 +198,7 @@
       if (!check_value (&table[i], (*settings)->values[i], &(*settings)->numbers[i]))
         result = SETTINGS_WRONG;
     }
-  arg_freetable (entries, (size_t)count + 2);
+  arg_freetable (entries, (size_t) count + 2);
   if (result == SETTINGS_OK)
     return result;
   settings_free (*settings);
--- a/src/base/sql-text.c
+++ b/src/base/sql-text.c
@@ -40,7 +40,7 @@
 static const char *
 skip_blanks (const char *at)
 {
-  while (isspace ((unsigned char)*at))
+  while (isspace ((unsigned char) *at))
     at++;
   return at;
 }
@@ -64,10 +64,10 @@
   size_t length = 0;
 
   at = sql_text_body (at);
-  while (isalnum ((unsigned char)*at) || *at == '_' || *at == '.')
+  while (isalnum ((unsigned char) *at) || *at == '_' || *at == '.')
     {
       if (length + 1 < size)
-        word[length++] = (char)tolower ((unsigned char)*at);
+        word[length++] = (char) tolower ((unsigned char) *at);
       at++;
     }
   word[length] = '\0';
@@ -175,12 +175,12 @@
 
       if (strncmp (at, key, key_length) != 0 || at[key_length] != '=' || at[key_length + 1] != '\'')
         continue;
-      if (isalnum ((unsigned char)at[-1]) || at[-1] == '_')
+      if (isalnum ((unsigned char) at[-1]) || at[-1] == '_')
         continue;
-      stop = memchr (start, '\'', (size_t)(end - start));
-      if (stop == NULL || (size_t)(stop - start) >= size)
+      stop = memchr (start, '\'', (size_t) (end - start));
+      if (stop == NULL || (size_t) (stop - start) >= size)
         return false;
-      memcpy (value, start, (size_t)(stop - start));
+      memcpy (value, start, (size_t) (stop - start));
       value[stop - start] = '\0';
       return true;
     }
@@ -228,11 +228,11 @@
   const char *tag_end = at + 1;
   size_t length;
 
-  while (isalpha ((unsigned char)*tag_end) || *tag_end == '_')
+  while (isalpha ((unsigned char) *tag_end) || *tag_end == '_')
     tag_end++;
   if (*tag_end != '$')
     return at + 1;
-  length = (size_t)(tag_end - at) + 1;
+  length = (size_t) (tag_end - at) + 1;
   for (const char *close = at + length; *close != '\0'; close++)
     if (strncmp (close, at, length) == 0)
       return close + length;
@@ -273,7 +273,7 @@
   else
     {
       length = strcspn (at, ";");
-      while (length > 0 && isspace ((unsigned char)at[length - 1]))
+      while (length > 0 && isspace ((unsigned char) at[length - 1]))
         length--;
     }
   if (length >= size)
--- a/src/base/stream.c
+++ b/src/base/stream.c
@@ -63,7 +63,7 @@
 
       g_byte_array_set_size (stream->input, at + READ_CHUNK_BYTES);
       got = read (stream->fd, stream->input->data + at, READ_CHUNK_BYTES);
-      g_byte_array_set_size (stream->input, at + (guint)MAX (got, 0));
+      g_byte_array_set_size (stream->input, at + (guint) MAX (got, 0));
     }
   while (got == READ_CHUNK_BYTES && stream->input->len - before < READ_LIMIT_BYTES);
 
@@ -90,7 +90,7 @@
 
       if (put < 0)
         return errno == EAGAIN || errno == EINTR;
-      stream->output_sent += (guint)put;
+      stream->output_sent += (guint) put;
     }
   return true;
 }
@@ -192,8 +192,8 @@
 static socklen_t
 make_address (const char *address, uint16_t port, struct sockaddr_storage *storage)
 {
-  struct sockaddr_in *v4 = (struct sockaddr_in *)storage;
-  struct sockaddr_in6 *v6 = (struct sockaddr_in6 *)storage;
+  struct sockaddr_in *v4 = (struct sockaddr_in *) storage;
+  struct sockaddr_in6 *v6 = (struct sockaddr_in6 *) storage;
 
   memset (storage, 0, sizeof *storage);
   if (inet_pton (AF_INET, address, &v4->sin_addr) == 1)
@@ -227,7 +227,7 @@
   setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
   if (shared)
     setsockopt (fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
-  if (bind (fd, (struct sockaddr *)&storage, length) == 0 && listen (fd, LISTEN_BACKLOG) == 0)
+  if (bind (fd, (struct sockaddr *) &storage, length) == 0 && listen (fd, LISTEN_BACKLOG) == 0)
     return fd;
   close (fd);
   return -1;
@@ -239,11 +239,11 @@
   struct sockaddr_storage storage;
   socklen_t length = sizeof storage;
 
-  if (getsockname (fd, (struct sockaddr *)&storage, &length) != 0)
+  if (getsockname (fd, (struct sockaddr *) &storage, &length) != 0)
     return 0;
   if (storage.ss_family == AF_INET6)
-    return ntohs (((struct sockaddr_in6 *)&storage)->sin6_port);
-  return ntohs (((struct sockaddr_in *)&storage)->sin_port);
+    return ntohs (((struct sockaddr_in6 *) &storage)->sin6_port);
+  return ntohs (((struct sockaddr_in *) &storage)->sin_port);
 }
 
 static void
@@ -270,7 +270,7 @@
   if (fd < 0)
     return -1;
   set_options (fd);
-  if (connect (fd, (struct sockaddr *)&storage, length) == 0 || errno == EINPROGRESS)
+  if (connect (fd, (struct sockaddr *) &storage, length) == 0 || errno == EINPROGRESS)
     return fd;
   close (fd);
   return -1;
--- a/src/base/verdict.c
+++ b/src/base/verdict.c
@@ -33,7 +33,7 @@
 const RefusalInfo *
 refusal_info (RefusalKind kind)
 {
-  if ((unsigned)kind >= REFUSAL_COUNT)
+  if ((unsigned) kind >= REFUSAL_COUNT)
     kind = REFUSAL_IN_DOUBT;
   return &refusal_table[kind];
 }
--- a/src/cli/config-commands.c
+++ b/src/cli/config-commands.c
@@ -78,11 +78,11 @@
 host_has_version (const json_t *host, uint64_t version)
 {
   const char *address = json_string_value (json_object_get (host, "address"));
-  int port = (int)json_integer_value (json_object_get (host, "admin_port"));
+  int port = (int) json_integer_value (json_object_get (host, "admin_port"));
   char *url = g_strdup_printf ("http://%s:%d", address, port);
   PlatformClient *client = platform_client_new (url, 500);
   json_t *status = platform_client_get_json (client, "/status", NULL);
-  bool has = (uint64_t)json_integer_value (json_object_get (status, "config_version")) >= version;
+  bool has = (uint64_t) json_integer_value (json_object_get (status, "config_version")) >= version;
 
   json_decref (status);
   platform_client_free (client);
@@ -148,7 +148,7 @@
   const char *given_id = settings_text (settings, "change-id");
   char *uuid = g_uuid_string_random ();
   const ConfigChange change = {
-    .base = (uint64_t)settings_number (settings, "base"),
+    .base = (uint64_t) settings_number (settings, "base"),
     .id = given_id[0] == '\0' ? uuid : given_id,
     .author = settings_text (settings, "author"),
     .reason = settings_text (settings, "reason"),
@@ -173,7 +173,7 @@
 run_show (const Settings *settings)
 {
   PlatformClient *client = open_client (settings);
-  uint64_t version = (uint64_t)settings_number (settings, "version");
+  uint64_t version = (uint64_t) settings_number (settings, "version");
   ConfigDocument *document = NULL;
   GError *error = NULL;
   json_t *json;
@@ -217,7 +217,7 @@
 run_history (const Settings *settings)
 {
   PlatformClient *client = open_client (settings);
-  uint64_t last = (uint64_t)settings_number (settings, "last");
+  uint64_t last = (uint64_t) settings_number (settings, "last");
   uint64_t head = 0;
   GError *error = NULL;
 
--- a/src/cli/demo.c
+++ b/src/cli/demo.c
@@ -60,7 +60,7 @@
 static int64_t
 host_delay_us (const char *from_domain, const char *to_domain, void *data)
 {
-  return deployment_delay_us (from_domain, to_domain, (void *)((Demo *)data)->deployment);
+  return deployment_delay_us (from_domain, to_domain, (void *) ((Demo *) data)->deployment);
 }
 
 static void
@@ -75,9 +75,9 @@
   g_strlcpy (options->self.failure_domain, demo->deployment->domains[domain], NAME_BYTES);
   g_strlcpy (options->self.region, demo->deployment->regions[domain], NAME_BYTES);
   g_strlcpy (options->self.address, "127.0.0.1", NAME_BYTES);
-  options->caller_port = (uint16_t)(port == 0 ? 0 : port + index);
+  options->caller_port = (uint16_t) (port == 0 ? 0 : port + index);
   options->platform_url = standin_platform_url (demo->standin);
-  options->workers = (uint32_t)settings_number (settings, "workers");
+  options->workers = (uint32_t) settings_number (settings, "workers");
   if (index == 0 && trace[0] != '\0')
     options->trace_path = trace;
   if (!settings_flag (settings, "flat-network"))
@@ -144,7 +144,7 @@
       const DaemonOptions *options = &demo->options[i];
       Daemon *host = demo->hosts[i];
       json_t *json = json_pack ("{s:s, s:s, s:i, s:b}", "id", options->self.id, "failure_domain",
-                                options->self.failure_domain, "port", (int)options->caller_port,
+                                options->self.failure_domain, "port", (int) options->caller_port,
                                 "running", host != NULL && !daemon_ended (host));
 
       if (host != NULL)
@@ -153,14 +153,14 @@
                                json_integer (daemon_options (host)->admin_port));
           for (int c = 0; c < COUNTER_COUNT; c++)
             json_object_set_new (
-                json, counter_name ((CounterId)c),
-                json_integer ((json_int_t)counter_get (daemon_counters (host), (CounterId)c)));
+                json, counter_name ((CounterId) c),
+                json_integer ((json_int_t) counter_get (daemon_counters (host), (CounterId) c)));
         }
       json_array_append_new (list, json);
     }
   return json_pack ("{s:o, s:I, s:I}", "hosts", list, "region_bytes_out",
-                    (json_int_t)atomic_load (&demo->pipes[0].sent_bytes), "region_bytes_back",
-                    (json_int_t)atomic_load (&demo->pipes[1].sent_bytes));
+                    (json_int_t) atomic_load (&demo->pipes[0].sent_bytes), "region_bytes_back",
+                    (json_int_t) atomic_load (&demo->pipes[1].sent_bytes));
 }
 
 static json_t *
@@ -222,10 +222,10 @@
   const StandinOptions standin = {
     .deployment = demo->deployment,
     .address = "127.0.0.1",
-    .platform_port = (uint16_t)settings_number (settings, "platform-port"),
-    .connect_delay_ms = (uint32_t)settings_number (settings, "connect-ms"),
-    .service_us = (uint32_t)settings_number (settings, "service-us"),
-    .lag_ms = (uint32_t)settings_number (settings, "lag-ms"),
+    .platform_port = (uint16_t) settings_number (settings, "platform-port"),
+    .connect_delay_ms = (uint32_t) settings_number (settings, "connect-ms"),
+    .service_us = (uint32_t) settings_number (settings, "service-us"),
+    .lag_ms = (uint32_t) settings_number (settings, "lag-ms"),
     .emulate_network = !settings_flag (settings, "flat-network"),
     .command = on_command,
     .command_data = demo,
@@ -307,7 +307,7 @@
                settings_text (settings, "deployment"));
       return EXIT_WRONG_SETTINGS;
     }
-  log_set_level ((LogLevel)settings_number (settings, "log-level"));
+  log_set_level ((LogLevel) settings_number (settings, "log-level"));
   shutdown_block_signals ();
   g_mutex_init (&demo.lock);
   demo.network = (NetworkEmulation){ host_delay_us, find_pipe, &demo };
--- a/src/cli/load.c
+++ b/src/cli/load.c
@@ -45,10 +45,10 @@
   g_strlcpy (options->service, settings_text (settings, "service"), sizeof options->service);
   g_strlcpy (options->write_class, settings_text (settings, "write-class"),
              sizeof options->write_class);
-  options->seed = (uint64_t)settings_number (settings, "seed");
+  options->seed = (uint64_t) settings_number (settings, "seed");
   options->duration_ms = settings_number (settings, "duration-ms");
-  options->sessions_max = (uint32_t)settings_number (settings, "sessions");
-  options->roam_percent = (uint32_t)settings_number (settings, "roam-percent");
+  options->sessions_max = (uint32_t) settings_number (settings, "sessions");
+  options->roam_percent = (uint32_t) settings_number (settings, "roam-percent");
   return wrong;
 }
 
@@ -95,7 +95,8 @@
                      + json_integer_value (json_object_get (after, "region_bytes_back"))
                      - json_integer_value (json_object_get (before, "region_bytes_out"))
                      - json_integer_value (json_object_get (before, "region_bytes_back"));
-  double share = replica + primary == 0 ? 0 : 100.0 * (double)replica / (double)(replica + primary);
+  double share
+      = replica + primary == 0 ? 0 : 100.0 * (double) replica / (double) (replica + primary);
 
   printf ("reads: replica=%" JSON_INTEGER_FORMAT " primary=%" JSON_INTEGER_FORMAT
           " replica_share=%.1f%% remote=%" JSON_INTEGER_FORMAT
--- a/src/cli/remote-commands.c
+++ b/src/cli/remote-commands.c
@@ -64,7 +64,7 @@
   return json_pack ("{s:s, s:s, s:s, s:s, s:I}", "fault", kind, "service",
                     settings_text (settings, "service"), "instance",
                     settings_text (settings, "instance"), "host", settings_text (settings, "host"),
-                    "value", (json_int_t)settings_number (settings, "value"));
+                    "value", (json_int_t) settings_number (settings, "value"));
 }
 
 static int
--- a/src/cli/serve.c
+++ b/src/cli/serve.c
@@ -38,10 +38,10 @@
 {
   const char *trace = settings_text (settings, "trace");
   DaemonOptions options = {
-    .caller_port = (uint16_t)settings_number (settings, "port"),
-    .admin_port = (uint16_t)settings_number (settings, "admin-port"),
+    .caller_port = (uint16_t) settings_number (settings, "port"),
+    .admin_port = (uint16_t) settings_number (settings, "admin-port"),
     .platform_url = settings_text (settings, "platform-url"),
-    .workers = (uint32_t)settings_number (settings, "workers"),
+    .workers = (uint32_t) settings_number (settings, "workers"),
     .trace_path = trace[0] == '\0' ? NULL : trace,
   };
 
@@ -49,8 +49,8 @@
   copy_name (options.self.failure_domain, settings, "failure-domain");
   copy_name (options.self.region, settings, "region");
   copy_name (options.self.address, settings, "address");
-  options.self.link_port = (uint16_t)settings_number (settings, "link-port");
-  options.self.gossip_port = (uint16_t)settings_number (settings, "gossip-port");
+  options.self.link_port = (uint16_t) settings_number (settings, "link-port");
+  options.self.gossip_port = (uint16_t) settings_number (settings, "gossip-port");
   return options;
 }
 
@@ -61,7 +61,7 @@
   GError *error = NULL;
   Daemon *daemon;
 
-  log_set_level ((LogLevel)settings_number (settings, "log-level"));
+  log_set_level ((LogLevel) settings_number (settings, "log-level"));
   shutdown_block_signals ();
   daemon = daemon_start (&options, &error);
   if (daemon == NULL)
--- a/src/cli/standin.c
+++ b/src/cli/standin.c
@@ -29,11 +29,11 @@
   const StandinOptions options = {
     .deployment = deployment_find (settings_text (settings, "deployment")),
     .address = "127.0.0.1",
-    .platform_port = (uint16_t)settings_number (settings, "platform-port"),
-    .database_port = (uint16_t)settings_number (settings, "database-port"),
-    .connect_delay_ms = (uint32_t)settings_number (settings, "connect-ms"),
-    .service_us = (uint32_t)settings_number (settings, "service-us"),
-    .lag_ms = (uint32_t)settings_number (settings, "lag-ms"),
+    .platform_port = (uint16_t) settings_number (settings, "platform-port"),
+    .database_port = (uint16_t) settings_number (settings, "database-port"),
+    .connect_delay_ms = (uint32_t) settings_number (settings, "connect-ms"),
+    .service_us = (uint32_t) settings_number (settings, "service-us"),
+    .lag_ms = (uint32_t) settings_number (settings, "lag-ms"),
     .emulate_network = !settings_flag (settings, "flat-network"),
   };
   GError *error = NULL;
--- a/src/config/config-document.c
+++ b/src/config/config-document.c
@@ -118,7 +118,7 @@
 
   document->rest = json_object ();
   for (size_t i = 0; i < G_N_ELEMENTS (fleet_fields); i++)
-    *(uint32_t *)((char *)&document->fleet + fleet_fields[i].offset) = fleet_fields[i].fallback;
+    *(uint32_t *) ((char *) &document->fleet + fleet_fields[i].offset) = fleet_fields[i].fallback;
   return document;
 }
 
@@ -133,7 +133,7 @@
       g_string_append_printf (faults, "/regions/%s: must be a list of failure domains\n", name);
       return;
     }
-  json_array_foreach ((json_t *)domains, index, value)
+  json_array_foreach ((json_t *) domains, index, value)
   {
     const char *domain = json_string_value (value);
 
@@ -143,8 +143,8 @@
       g_string_append_printf (faults, "/regions/%s/%zu: '%s' is in two regions\n", name, index,
                               domain);
     else
-      g_hash_table_insert (document->regions, (char *)g_intern_string (domain),
-                           (char *)g_intern_string (name));
+      g_hash_table_insert (document->regions, (char *) g_intern_string (domain),
+                           (char *) g_intern_string (name));
   }
 }
 
@@ -159,7 +159,7 @@
       g_string_append (faults, "/regions: must map each region to its failure domains\n");
       return;
     }
-  json_object_foreach ((json_t *)json, key, value) read_region (document, key, value, faults);
+  json_object_foreach ((json_t *) json, key, value) read_region (document, key, value, faults);
 }
 
 static const FleetField *
@@ -181,14 +181,14 @@
       g_string_append_printf (faults, "/%s: unknown key\n", key);
       return;
     }
-  if (!json_is_integer (value) || json_integer_value (value) < (json_int_t)field->least
-      || json_integer_value (value) > (json_int_t)field->greatest)
+  if (!json_is_integer (value) || json_integer_value (value) < (json_int_t) field->least
+      || json_integer_value (value) > (json_int_t) field->greatest)
     {
       g_string_append_printf (faults, "/%s: must be a whole number from %u to %u\n", key,
                               field->least, field->greatest);
       return;
     }
-  *(uint32_t *)((char *)&document->fleet + field->offset) = (uint32_t)json_integer_value (value);
+  *(uint32_t *) ((char *) &document->fleet + field->offset) = (uint32_t) json_integer_value (value);
 }
 
 /* Reads every top-level key but the services. */
@@ -199,7 +199,7 @@
   json_t *value;
 
   for (size_t i = 0; i < G_N_ELEMENTS (fleet_fields); i++)
-    *(uint32_t *)((char *)&document->fleet + fleet_fields[i].offset) = fleet_fields[i].fallback;
+    *(uint32_t *) ((char *) &document->fleet + fleet_fields[i].offset) = fleet_fields[i].fallback;
   read_regions (document, json_object_get (document->rest, "regions"), faults);
   json_object_foreach (document->rest, key, value)
   {
@@ -230,7 +230,7 @@
   free (text);
   g_hash_table_iter_init (&iter, document->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    document->digest ^= ((ServiceEntry *)value)->hash;
+    document->digest ^= ((ServiceEntry *) value)->hash;
 }
 
 static ConfigDocument *
@@ -329,7 +329,7 @@
       g_string_append (faults, "/services: must be an object\n");
       return;
     }
-  json_object_foreach ((json_t *)patch, key, value) patch_service (document, key, value, faults);
+  json_object_foreach ((json_t *) patch, key, value) patch_service (document, key, value, faults);
 }
 
 ConfigDocument *
@@ -346,7 +346,7 @@
       g_string_append (faults, "/: the patch must be an object\n");
       return document_finish (document, faults, error);
     }
-  rest_patch = json_copy ((json_t *)patch);
+  rest_patch = json_copy ((json_t *) patch);
   json_object_del (rest_patch, "services");
   document->rest = merge_patch_apply (base->rest, rest_patch);
   json_decref (rest_patch);
@@ -396,7 +396,7 @@
 
   g_hash_table_iter_init (&iter, document->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    each (((ServiceEntry *)value)->service, data);
+    each (((ServiceEntry *) value)->service, data);
 }
 
 uint32_t
@@ -422,7 +422,7 @@
 
   g_hash_table_iter_init (&iter, document->services);
   while (g_hash_table_iter_next (&iter, &key, &value))
-    json_object_set_new (services, key, json_loads (((ServiceEntry *)value)->text, 0, NULL));
+    json_object_set_new (services, key, json_loads (((ServiceEntry *) value)->text, 0, NULL));
   json_object_set_new (json, "services", services);
   return json;
 }
--- a/src/config/config-store.c
+++ b/src/config/config-store.c
@@ -84,8 +84,8 @@
   *head = (Head){ 0 };
   if (!platform_client_get_row (client, HEAD_KEY, &head->row_version, &value, error))
     return false;
-  head->version = (uint64_t)json_integer_value (json_object_get (value, "version"));
-  head->snapshot = (uint64_t)json_integer_value (json_object_get (value, "snapshot"));
+  head->version = (uint64_t) json_integer_value (json_object_get (value, "version"));
+  head->snapshot = (uint64_t) json_integer_value (json_object_get (value, "snapshot"));
   json_decref (value);
   return true;
 }
@@ -166,7 +166,7 @@
 GPtrArray *
 config_store_fetch (PlatformClient *client, uint64_t have, uint64_t want, GError **error)
 {
-  GPtrArray *parts = g_ptr_array_new_with_free_func ((GDestroyNotify)config_part_free);
+  GPtrArray *parts = g_ptr_array_new_with_free_func ((GDestroyNotify) config_part_free);
   Head head;
 
   if (!read_head (client, &head, error))
@@ -283,8 +283,8 @@
   gmtime_r (&seconds, &utc);
   strftime (now, sizeof now, "%Y-%m-%dT%H:%M:%SZ", &utc);
   return json_pack ("{s:I, s:I, s:s, s:s, s:s, s:s, s:s, s:o, s:O}", "version",
-                    (json_int_t)config_document_version (document), "base",
-                    (json_int_t)change->base, "id", change->id, "time", now, "author",
+                    (json_int_t) config_document_version (document), "base",
+                    (json_int_t) change->base, "id", change->id, "time", now, "author",
                     change->author, "reason", change->reason, "digest", digest, "paths", list,
                     "patch", change->patch);
 }
@@ -301,11 +301,11 @@
   g_snprintf (transaction_id, sizeof transaction_id, "%s-%" G_GUINT64_FORMAT, change->id, version);
   return json_pack (
       "{s:s, s:[{s:s, s:I}, {s:s, s:I}], s:[{s:s, s:{s:I, s:I}}, {s:s, s:o}, {s:s, s:{s:I}}]}",
-      "id", transaction_id, "conditions", "key", HEAD_KEY, "version", (json_int_t)head->row_version,
-      "key", id_key, "version", (json_int_t)0, "puts", "key", HEAD_KEY, "value", "version",
-      (json_int_t)version, "snapshot", (json_int_t)head->snapshot, "key", key, "value",
-      make_record (change, document, paths), "key", id_key, "value", "version",
-      (json_int_t)version);
+      "id", transaction_id, "conditions", "key", HEAD_KEY, "version",
+      (json_int_t) head->row_version, "key", id_key, "version", (json_int_t) 0, "puts", "key",
+      HEAD_KEY, "value", "version", (json_int_t) version, "snapshot", (json_int_t) head->snapshot,
+      "key", key, "value", make_record (change, document, paths), "key", id_key, "value", "version",
+      (json_int_t) version);
 }
 
 /* Snapshots only save reading; one that is not written costs nothing else. */
@@ -337,8 +337,8 @@
                   head.row_version);
       transaction = json_pack (
           "{s:s, s:[{s:s, s:I}], s:[{s:s, s:{s:I, s:I}}]}", "id", id, "conditions", "key", HEAD_KEY,
-          "version", (json_int_t)head.row_version, "puts", "key", HEAD_KEY, "value", "version",
-          (json_int_t)head.version, "snapshot", (json_int_t)version);
+          "version", (json_int_t) head.row_version, "puts", "key", HEAD_KEY, "value", "version",
+          (json_int_t) head.version, "snapshot", (json_int_t) version);
       platform_client_commit (client, transaction, NULL);
       json_decref (transaction);
     }
@@ -356,7 +356,7 @@
   g_snprintf (key, sizeof key, "config-id-%s", id);
   if (!platform_client_get_row (client, key, &row_version, &value, error))
     return false;
-  *version = (uint64_t)json_integer_value (json_object_get (value, "version"));
+  *version = (uint64_t) json_integer_value (json_object_get (value, "version"));
   json_decref (value);
   return true;
 }
--- a/src/config/merge-patch.c
+++ b/src/config/merge-patch.c
@@ -13,7 +13,7 @@
     return json_deep_copy (patch);
 
   result = json_is_object (target) ? json_deep_copy (target) : json_object ();
-  json_object_foreach ((json_t *)patch, key, value)
+  json_object_foreach ((json_t *) patch, key, value)
   {
     if (json_is_null (value))
       json_object_del (result, key);
@@ -49,7 +49,7 @@
       g_ptr_array_add (paths, g_strdup (prefix->str));
       return;
     }
-  json_object_foreach ((json_t *)patch, key, value)
+  json_object_foreach ((json_t *) patch, key, value)
   {
     g_string_append_c (prefix, '/');
     append_escaped (prefix, key);
--- a/src/config/service-config.c
+++ b/src/config/service-config.c
@@ -80,17 +80,17 @@
     {
       const NumberField *field = &fields[i];
       const json_t *value = json_object_get (json, field->key);
-      uint32_t *number = (uint32_t *)((char *)into + field->offset);
+      uint32_t *number = (uint32_t *) ((char *) into + field->offset);
 
       *number = field->fallback;
       if (value == NULL)
         continue;
-      if (!json_is_integer (value) || json_integer_value (value) < (json_int_t)field->least
-          || json_integer_value (value) > (json_int_t)field->greatest)
+      if (!json_is_integer (value) || json_integer_value (value) < (json_int_t) field->least
+          || json_integer_value (value) > (json_int_t) field->greatest)
         fault (place, field->key, "must be a whole number from %u to %u", field->least,
                field->greatest);
       else
-        *number = (uint32_t)json_integer_value (value);
+        *number = (uint32_t) json_integer_value (value);
     }
 }
 
@@ -118,7 +118,7 @@
       fault (place, "", "must be an object");
       return false;
     }
-  json_object_foreach ((json_t *)json, key, value) if (!key_is_known (key, names, fields, count))
+  json_object_foreach ((json_t *) json, key, value) if (!key_is_known (key, names, fields, count))
       fault (place, key, "unknown key");
   return true;
 }
@@ -163,7 +163,7 @@
 static int
 compare_keys (const void *a, const void *b)
 {
-  return strcmp (*(const char *const *)a, *(const char *const *)b);
+  return strcmp (*(const char *const *) a, *(const char *const *) b);
 }
 
 static Place
@@ -183,7 +183,7 @@
       || json_integer_value (value) > UINT16_MAX)
     fault (place, "port", "must be a whole number from 1 to %d", UINT16_MAX);
   else
-    instance->port = (uint16_t)json_integer_value (value);
+    instance->port = (uint16_t) json_integer_value (value);
 }
 
 static bool
@@ -223,7 +223,7 @@
   const char *key;
   json_t *value;
 
-  json_object_foreach ((json_t *)json, key, value) g_ptr_array_add (keys, (char *)key);
+  json_object_foreach ((json_t *) json, key, value) g_ptr_array_add (keys, (char *) key);
   g_ptr_array_sort (keys, compare_keys);
   return keys;
 }
@@ -261,8 +261,8 @@
   const char *name = json_string_value (json_object_get (json, "priority"));
 
   for (int i = 0; name != NULL && i < PRIORITY_COUNT; i++)
-    if (strcmp (name, priority_name ((Priority)i)) == 0)
-      return (Priority)i;
+    if (strcmp (name, priority_name ((Priority) i)) == 0)
+      return (Priority) i;
   fault (place, "priority", "must be \"urgent\", \"normal\" or \"background\"");
   return PRIORITY_NORMAL;
 }
@@ -305,7 +305,7 @@
       return;
     }
   service->classes = g_new0 (ClassConfig, count);
-  json_object_foreach ((json_t *)json, key, value)
+  json_object_foreach ((json_t *) json, key, value)
   {
     Place below = place_below (place, "classes", key);
     ClassConfig *class_config = &service->classes[service->class_count++];
@@ -326,7 +326,7 @@
   if (class_config == NULL)
     fault (place, "default_class", "no class is called '%s'", name);
   else
-    service->default_class = (uint32_t)(class_config - service->classes);
+    service->default_class = (uint32_t) (class_config - service->classes);
   g_free (name);
 }
 
--- a/src/daemon/config-replica.c
+++ b/src/daemon/config-replica.c
@@ -27,7 +27,7 @@
 config_replica_free (ConfigReplica *replica)
 {
   config_document_unref (replica->document);
-  g_queue_clear_full (&replica->patches, (GDestroyNotify)config_part_free);
+  g_queue_clear_full (&replica->patches, (GDestroyNotify) config_part_free);
   g_free (replica);
 }
 
@@ -48,7 +48,7 @@
 {
   if (part->whole)
     {
-      g_queue_clear_full (&replica->patches, (GDestroyNotify)config_part_free);
+      g_queue_clear_full (&replica->patches, (GDestroyNotify) config_part_free);
       return;
     }
   g_queue_push_tail (&replica->patches, config_part_new (part->version, false, part->digest,
@@ -109,7 +109,7 @@
 config_replica_frames (const ConfigReplica *replica, uint64_t have)
 {
   GPtrArray *frames = g_ptr_array_new ();
-  const ConfigPart *oldest = g_queue_peek_head ((GQueue *)&replica->patches);
+  const ConfigPart *oldest = g_queue_peek_head ((GQueue *) &replica->patches);
 
   if (have >= config_replica_version (replica))
     return frames;
@@ -119,7 +119,7 @@
       return frames;
     }
   for (GList *l = replica->patches.head; l != NULL; l = l->next)
-    if (((ConfigPart *)l->data)->version > have)
+    if (((ConfigPart *) l->data)->version > have)
       g_ptr_array_add (frames, part_frame (l->data));
   return frames;
 }
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -85,12 +85,12 @@
   const void *data = g_bytes_get_data (bytes, &size);
 
   if (inet_pton (AF_INET, to->address, &address.sin_addr) == 1
-      && sendto (control->gossip_fd, data, size, MSG_DONTWAIT, (struct sockaddr *)&address,
+      && sendto (control->gossip_fd, data, size, MSG_DONTWAIT, (struct sockaddr *) &address,
                  sizeof address)
              > 0)
     {
       counter_add (counters, COUNTER_GOSSIP_SENT, 1);
-      counter_add (counters, COUNTER_GOSSIP_BYTES_SENT, (int64_t)size);
+      counter_add (counters, COUNTER_GOSSIP_BYTES_SENT, (int64_t) size);
     }
   g_bytes_unref (bytes);
 }
@@ -115,7 +115,7 @@
 
   while ((length = recv (control->gossip_fd, bytes, sizeof bytes, MSG_DONTWAIT)) > 0)
     {
-      if (!gossip_unpack (bytes, (size_t)length, &message))
+      if (!gossip_unpack (bytes, (size_t) length, &message))
         continue;
       membership_receive (control->membership, &message, clock_now_ms ());
       config_chain_heard (&control->chain, message.config_version);
@@ -217,7 +217,7 @@
   int link_port, gossip_port, leaving = 0;
 
   memset (host, 0, sizeof *host);
-  if (json_unpack ((json_t *)json, "{s:s, s:s, s:s, s:s, s:i, s:i, s?b}", "id", &id,
+  if (json_unpack ((json_t *) json, "{s:s, s:s, s:s, s:s, s:i, s:i, s?b}", "id", &id,
                    "failure_domain", &failure_domain, "region", &region, "address", &address,
                    "link_port", &link_port, "gossip_port", &gossip_port, "leaving", &leaving)
           != 0
@@ -227,8 +227,8 @@
   g_strlcpy (host->failure_domain, failure_domain, sizeof host->failure_domain);
   g_strlcpy (host->region, region, sizeof host->region);
   g_strlcpy (host->address, address, sizeof host->address);
-  host->link_port = (uint16_t)link_port;
-  host->gossip_port = (uint16_t)gossip_port;
+  host->link_port = (uint16_t) link_port;
+  host->gossip_port = (uint16_t) gossip_port;
   return true;
 }
 
@@ -247,7 +247,7 @@
 deliver_store_result (void *receiver, MailboxMessage *message)
 {
   Control *control = receiver;
-  StoreResult *result = (StoreResult *)message;
+  StoreResult *result = (StoreResult *) message;
 
   if (result->kind == STORE_RESULT_CONFIG)
     {
@@ -356,7 +356,7 @@
 static void
 deliver_frame (void *receiver, MailboxMessage *message)
 {
-  ControlFrame *control_frame = (ControlFrame *)message;
+  ControlFrame *control_frame = (ControlFrame *) message;
 
   take_frame (receiver, &control_frame->origin, control_frame->frame);
   g_free (control_frame);
@@ -426,7 +426,7 @@
   return json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:b}", "id", host->id, "failure_domain",
                     host->failure_domain, "region", host->region, "address", host->address,
                     "link_port", host->link_port, "gossip_port", host->gossip_port, "admin_port",
-                    (int)daemon_options (control->daemon)->admin_port, "leaving",
+                    (int) daemon_options (control->daemon)->admin_port, "leaving",
                     control->drain.phase != DRAIN_SERVING);
 }
 
@@ -494,12 +494,12 @@
       json_array_append_new (members, json_pack ("{s:s, s:s, s:s, s:I}", "id", update.host.id,
                                                  "failure_domain", update.host.failure_domain,
                                                  "state", membership_state_name (update.state),
-                                                 "incarnation", (json_int_t)update.incarnation));
+                                                 "incarnation", (json_int_t) update.incarnation));
     }
   json = json_pack ("{s:s, s:s, s:s, s:I, s:b, s:b, s:b, s:o}", "id", self (control)->id,
                     "failure_domain", self (control)->failure_domain, "region",
                     self (control)->region, "config_version",
-                    (json_int_t)config_replica_version (control->replica), "admitting",
+                    (json_int_t) config_replica_version (control->replica), "admitting",
                     daemon_admits (control->daemon), "polling", control->chain.polling, "leaving",
                     control->drain.phase != DRAIN_SERVING, "members", members);
   text = json_dumps (json, JSON_INDENT (2));
@@ -554,12 +554,12 @@
   const Host *host = self (control);
   const MembershipOptions membership = {
     .self = *host,
-    .incarnation = (uint64_t)(g_get_real_time () / 1000),
+    .incarnation = (uint64_t) (g_get_real_time () / 1000),
     .probe_interval_ms = PROBE_INTERVAL_MS,
     .probe_timeout_ms = PROBE_TIMEOUT_MS,
     .suspect_ms = SUSPECT_MS,
     .indirect_probes = INDIRECT_PROBES,
-    .seed = host->id_hash ^ (uint64_t)g_get_real_time (),
+    .seed = host->id_hash ^ (uint64_t) g_get_real_time (),
   };
   ConfigDocument *empty = config_document_empty ();
   const FleetConfig *fleet = config_document_fleet (empty);
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -61,8 +61,8 @@
   int fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
   if (inet_pton (AF_INET, daemon->options.self.address, &address.sin_addr) != 1
-      || bind (fd, (struct sockaddr *)&address, sizeof address) != 0
-      || getsockname (fd, (struct sockaddr *)&address, &length) != 0)
+      || bind (fd, (struct sockaddr *) &address, sizeof address) != 0
+      || getsockname (fd, (struct sockaddr *) &address, &length) != 0)
     {
       g_set_error (error, PERIDOTSTEP_ERROR, PERIDOTSTEP_ERROR_IO, "cannot open UDP %s port %u",
                    daemon->options.self.address, daemon->options.self.gossip_port);
@@ -267,13 +267,13 @@
 uint64_t
 daemon_config_version (const Daemon *daemon)
 {
-  return atomic_load_explicit (&((Daemon *)daemon)->config_version, memory_order_acquire);
+  return atomic_load_explicit (&((Daemon *) daemon)->config_version, memory_order_acquire);
 }
 
 uint64_t
 daemon_view_version (const Daemon *daemon)
 {
-  return atomic_load_explicit (&((Daemon *)daemon)->view_version, memory_order_acquire);
+  return atomic_load_explicit (&((Daemon *) daemon)->view_version, memory_order_acquire);
 }
 
 bool
@@ -334,7 +334,7 @@
 bool
 daemon_admits (const Daemon *daemon)
 {
-  return atomic_load_explicit (&((Daemon *)daemon)->admitting, memory_order_relaxed);
+  return atomic_load_explicit (&((Daemon *) daemon)->admitting, memory_order_relaxed);
 }
 
 void
@@ -346,23 +346,23 @@
 bool
 daemon_closing (const Daemon *daemon)
 {
-  return atomic_load_explicit (&((Daemon *)daemon)->closing, memory_order_relaxed);
+  return atomic_load_explicit (&((Daemon *) daemon)->closing, memory_order_relaxed);
 }
 
 bool
 daemon_leaving (const Daemon *daemon)
 {
-  return atomic_load_explicit (&((Daemon *)daemon)->leaving, memory_order_relaxed);
+  return atomic_load_explicit (&((Daemon *) daemon)->leaving, memory_order_relaxed);
 }
 
 void
 daemon_add_jobs (Daemon *daemon, int64_t delta)
 {
-  atomic_fetch_add_explicit (&daemon->jobs, (uint64_t)delta, memory_order_relaxed);
+  atomic_fetch_add_explicit (&daemon->jobs, (uint64_t) delta, memory_order_relaxed);
 }
 
 uint64_t
 daemon_jobs (const Daemon *daemon)
 {
-  return atomic_load_explicit (&((Daemon *)daemon)->jobs, memory_order_relaxed);
+  return atomic_load_explicit (&((Daemon *) daemon)->jobs, memory_order_relaxed);
 }
--- a/src/daemon/worker.c
+++ b/src/daemon/worker.c
@@ -58,7 +58,7 @@
 service_worker (Worker *worker, const char *service)
 {
   return daemon_worker (worker->daemon,
-                        (uint32_t)(host_hash (service) % daemon_worker_count (worker->daemon)));
+                        (uint32_t) (host_hash (service) % daemon_worker_count (worker->daemon)));
 }
 
 static void
@@ -78,7 +78,7 @@
 static void
 deliver_frame (void *receiver, MailboxMessage *message)
 {
-  FrameMessage *frame_message = (FrameMessage *)message;
+  FrameMessage *frame_message = (FrameMessage *) message;
 
   handle_here (receiver, frame_message->origin, frame_message->frame);
   g_free (frame_message);
@@ -87,7 +87,7 @@
 static void
 deliver_reply (void *receiver, MailboxMessage *message)
 {
-  FrameMessage *frame_message = (FrameMessage *)message;
+  FrameMessage *frame_message = (FrameMessage *) message;
   Worker *worker = receiver;
 
   if (frame_message->origin.link == 0)
@@ -204,7 +204,7 @@
 static void
 deliver_origin_lost (void *receiver, MailboxMessage *message)
 {
-  OriginLost *lost = (OriginLost *)message;
+  OriginLost *lost = (OriginLost *) message;
   Worker *worker = receiver;
 
   owner_table_origin_lost (worker->owners, lost->origin);
@@ -302,7 +302,7 @@
 void
 worker_start (Worker *worker)
 {
-  WorkerThread *thread = (WorkerThread *)worker;
+  WorkerThread *thread = (WorkerThread *) worker;
 
   thread->running = true;
   thread->started = true;
@@ -322,7 +322,7 @@
 void
 worker_join (Worker *worker)
 {
-  WorkerThread *thread = (WorkerThread *)worker;
+  WorkerThread *thread = (WorkerThread *) worker;
   MailboxMessage *message;
 
   if (!thread->started)
@@ -336,7 +336,7 @@
 void
 worker_free (Worker *worker)
 {
-  WorkerThread *thread = (WorkerThread *)worker;
+  WorkerThread *thread = (WorkerThread *) worker;
 
   pthread_cond_destroy (&thread->pause_ended);
   pthread_mutex_destroy (&thread->pause_lock);
@@ -358,7 +358,7 @@
 void
 worker_set_paused (Worker *worker, bool paused)
 {
-  WorkerThread *thread = (WorkerThread *)worker;
+  WorkerThread *thread = (WorkerThread *) worker;
   MailboxMessage *message;
 
   pthread_mutex_lock (&thread->pause_lock);
--- a/src/link/frame.c
+++ b/src/link/frame.c
@@ -108,7 +108,7 @@
 {
   size_t size = peridotstep__frame__get_packed_size (frame);
   uint8_t *bytes = g_malloc (size + PREFIX_BYTES);
-  uint32_t prefix = g_htonl ((uint32_t)size);
+  uint32_t prefix = g_htonl ((uint32_t) size);
 
   memcpy (bytes, &prefix, PREFIX_BYTES);
   peridotstep__frame__pack (frame, bytes + PREFIX_BYTES);
@@ -126,12 +126,12 @@
   size = g_ntohl (size);
   if (size > FRAME_LIMIT_BYTES)
     return FRAME_MALFORMED;
-  if (length < (size_t)size + PREFIX_BYTES)
+  if (length < (size_t) size + PREFIX_BYTES)
     return FRAME_INCOMPLETE;
   *frame = peridotstep__frame__unpack (NULL, size, input + PREFIX_BYTES);
   if (*frame == NULL)
     return FRAME_MALFORMED;
-  *used = (size_t)size + PREFIX_BYTES;
+  *used = (size_t) size + PREFIX_BYTES;
   return FRAME_WHOLE;
 }
 
@@ -185,8 +185,8 @@
   memset (host, 0, sizeof *host);
   if (message == NULL || message->id[0] == '\0')
     return false;
-  host->link_port = (uint16_t)message->link_port;
-  host->gossip_port = (uint16_t)message->gossip_port;
+  host->link_port = (uint16_t) message->link_port;
+  host->gossip_port = (uint16_t) message->gossip_port;
   host->id_hash = host_hash (message->id);
   return copy_name (host->id, message->id)
          && copy_name (host->failure_domain, message->failure_domain)
@@ -212,7 +212,7 @@
   if (message == NULL || message->state > MEMBER_LEFT)
     return false;
   update->incarnation = message->incarnation;
-  update->state = (MemberState)message->state;
+  update->state = (MemberState) message->state;
   return host_info_read (message->host, &update->host);
 }
 
@@ -253,14 +253,14 @@
   memset (message, 0, sizeof *message);
   if (packet->kind > GOSSIP_PING_REQUEST || packet->n_updates > MEMBERSHIP_UPDATES_MAX)
     return false;
-  message->kind = (GossipKind)packet->kind;
+  message->kind = (GossipKind) packet->kind;
   message->sequence = packet->sequence;
   message->config_version = packet->config_version;
   if (!frame_belief (packet->sender, &message->sender))
     return false;
   if (message->kind == GOSSIP_PING_REQUEST && !host_info_read (packet->target, &message->target))
     return false;
-  message->update_count = (uint32_t)packet->n_updates;
+  message->update_count = (uint32_t) packet->n_updates;
   for (size_t i = 0; i < packet->n_updates; i++)
     if (!frame_belief (packet->updates[i], &message->updates[i]))
       return false;
--- a/src/link/peer-link.c
+++ b/src/link/peer-link.c
@@ -49,9 +49,9 @@
   gsize size;
   const void *data = g_bytes_get_data (bytes, &size);
 
-  g_byte_array_append (stream_output (link->stream), data, (guint)size);
+  g_byte_array_append (stream_output (link->stream), data, (guint) size);
   counter_add (link->options.counters, COUNTER_LINK_FRAMES_SENT, 1);
-  counter_add (link->options.counters, COUNTER_LINK_BYTES_SENT, (int64_t)size);
+  counter_add (link->options.counters, COUNTER_LINK_BYTES_SENT, (int64_t) size);
   g_bytes_unref (bytes);
 }
 
@@ -73,8 +73,8 @@
 static struct timeval
 after_us (int64_t delay_us)
 {
-  return tevent_timeval_current_ofs ((uint32_t)(delay_us / 1000000),
-                                     (uint32_t)(delay_us % 1000000));
+  return tevent_timeval_current_ofs ((uint32_t) (delay_us / 1000000),
+                                     (uint32_t) (delay_us % 1000000));
 }
 
 static void
@@ -133,7 +133,7 @@
   if (pipe->bytes_per_s == 0)
     return;
   do
-    next_us = MAX (free_us, now_us) + (int64_t)(size * 1000000 / pipe->bytes_per_s);
+    next_us = MAX (free_us, now_us) + (int64_t) (size * 1000000 / pipe->bytes_per_s);
   while (!atomic_compare_exchange_weak (&pipe->free_us, &free_us, next_us));
 }
 
@@ -288,7 +288,7 @@
     }
   talloc_set_destructor (guard, NULL);
   talloc_free (guard);
-  stream_consume (link->stream, (guint)used_total);
+  stream_consume (link->stream, (guint) used_total);
 }
 
 static void
@@ -335,7 +335,7 @@
 schedule_heartbeat (PeerLink *link)
 {
   link->heartbeat_due_ms = clock_now_ms () + HEARTBEAT_MS;
-  tevent_add_timer (link->events, link, after_us ((int64_t)HEARTBEAT_MS * 1000), on_heartbeat,
+  tevent_add_timer (link->events, link, after_us ((int64_t) HEARTBEAT_MS * 1000), on_heartbeat,
                     link);
 }
 
@@ -354,7 +354,7 @@
   counter_add (link->options.counters, COUNTER_LINKS_OPEN, -1);
   g_queue_clear_full (&link->delayed, delayed_free);
   for (int i = 0; i < FRAME_LANE_COUNT; i++)
-    g_queue_clear_full (&link->lanes[i], (GDestroyNotify)g_bytes_unref);
+    g_queue_clear_full (&link->lanes[i], (GDestroyNotify) g_bytes_unref);
   return 0;
 }
 
--- a/src/load/load-options.c
+++ b/src/load/load-options.c
@@ -33,7 +33,7 @@
   if (port < 1 || port > 65535 || options->host_count == LOAD_HOSTS_MAX)
     return g_strdup ("hosts must be up to 64 of IP:PORT, with commas between");
   g_strlcpy (host->address, fields[0], sizeof host->address);
-  host->port = (uint16_t)port;
+  host->port = (uint16_t) port;
   options->host_count++;
   return NULL;
 }
@@ -53,7 +53,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
     if (strcmp (names[i], text) == 0)
       {
-        *kind = (LoadKind)i;
+        *kind = (LoadKind) i;
         return true;
       }
   return false;
@@ -92,8 +92,8 @@
         if (strcmp (entry->name, fields[0]) != 0)
           continue;
         entry->flood_rate_per_s = CLAMP (g_ascii_strtod (fields[1], NULL), 0, 100000);
-        entry->flood_from_ms = (int64_t)(g_ascii_strtod (fields[2], NULL) * 1000);
-        entry->flood_to_ms = (int64_t)(g_ascii_strtod (fields[3], NULL) * 1000);
+        entry->flood_from_ms = (int64_t) (g_ascii_strtod (fields[2], NULL) * 1000);
+        entry->flood_to_ms = (int64_t) (g_ascii_strtod (fields[3], NULL) * 1000);
         return NULL;
       }
   return g_strdup ("flood must be CLASS:RATE:FROM_S:TO_S for a class of the mix");
--- a/src/load/load-record.c
+++ b/src/load/load-record.c
@@ -27,6 +27,7 @@
   const LoadOptions *options;
   ClassRecord classes[LOAD_CLASSES_MAX];
   GHashTable *writes; /* id -> WriteFate */
+  GHashTable *errors; /* text -> count */
   uint64_t stale_reads;
   uint64_t missing;
   uint64_t twice;
@@ -42,6 +43,7 @@
 
   record->options = options;
   record->writes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  record->errors = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   record->examples = g_string_new ("");
   for (int i = 0; i < LOAD_CLASSES_MAX; i++)
     {
@@ -60,6 +62,7 @@
       g_array_free (record->classes[i].steps, true);
     }
   g_hash_table_destroy (record->writes);
+  g_hash_table_destroy (record->errors);
   g_string_free (record->examples, true);
   g_free (record);
 }
@@ -73,8 +76,8 @@
 static void
 note_success (ClassRecord *entry, int64_t latency_us, int64_t at_ms)
 {
-  int32_t latency = (int32_t)MIN (latency_us, INT32_MAX);
-  guint step = (guint)(at_ms / STEP_MS);
+  int32_t latency = (int32_t) MIN (latency_us, INT32_MAX);
+  guint step = (guint) (at_ms / STEP_MS);
 
   g_array_append_val (entry->latencies, latency);
   if (step >= entry->steps->len)
@@ -93,6 +96,15 @@
     note_success (&record->classes[index], latency_us, at_ms);
 }
 
+void
+load_record_error (LoadRecord *record, const char *sqlstate, const char *message)
+{
+  char *text = g_strdup_printf ("%s %s", sqlstate, message);
+  guint count = GPOINTER_TO_UINT (g_hash_table_lookup (record->errors, text));
+
+  g_hash_table_replace (record->errors, text, GUINT_TO_POINTER (count + 1));
+}
+
 void
 load_record_write (LoadRecord *record, const char *id, LoadOutcome outcome)
 {
@@ -127,12 +139,27 @@
     fate->found = count;
 }
 
+/* A class that was never answered again has its gap up to the end. */
+static void
+close_gaps (LoadRecord *record)
+{
+  for (uint32_t i = 0; i < record->options->class_count; i++)
+    {
+      ClassRecord *entry = &record->classes[i];
+
+      if (entry->sent > 0)
+        entry->longest_gap_ms
+            = MAX (entry->longest_gap_ms, record->options->duration_ms - entry->last_success_ms);
+    }
+}
+
 uint64_t
 load_record_close (LoadRecord *record)
 {
   GHashTableIter iter;
   void *key, *value;
 
+  close_gaps (record);
   g_hash_table_iter_init (&iter, record->writes);
   while (g_hash_table_iter_next (&iter, &key, &value))
     {
@@ -162,8 +189,8 @@
 static int
 compare_latency (const void *a, const void *b)
 {
-  int32_t x = *(const int32_t *)a;
-  int32_t y = *(const int32_t *)b;
+  int32_t x = *(const int32_t *) a;
+  int32_t y = *(const int32_t *) b;
 
   return (x > y) - (x < y);
 }
@@ -175,7 +202,7 @@
 
   if (latencies->len == 0)
     return 0;
-  at = (guint)(share * (latencies->len - 1) + 0.5);
+  at = (guint) (share * (latencies->len - 1) + 0.5);
   return g_array_index (latencies, int32_t, at) / 1000.0;
 }
 
@@ -188,6 +215,9 @@
 void
 load_record_print (LoadRecord *record, FILE *out)
 {
+  GHashTableIter iter;
+  void *key, *value;
+
   fprintf (out, "%-14s %8s %8s %8s %8s %8s %8s %9s %9s %9s %8s\n", "class", "sent", "answered",
            "not_run", "in_doubt", "ran_lost", "failed", "p50_ms", "p99_ms", "p999_ms", "gap_ms");
   for (uint32_t i = 0; i < record->options->class_count; i++)
@@ -209,6 +239,9 @@
            record->missing, record->twice, record->ran_after_all, record->stale_reads,
            g_hash_table_size (record->writes));
   fputs (record->examples->str, out);
+  g_hash_table_iter_init (&iter, record->errors);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    fprintf (out, "  error: %u x %s\n", GPOINTER_TO_UINT (value), (const char *) key);
 }
 
 static json_t *
@@ -221,13 +254,13 @@
   for (guint i = 0; i < entry->steps->len; i++)
     json_array_append_new (steps, json_integer (g_array_index (entry->steps, uint32_t, i)));
   json = json_pack ("{s:s, s:I, s:f, s:f, s:f, s:I, s:i, s:o}", "class", options->name, "sent",
-                    (json_int_t)entry->sent, "p50_ms", percentile_ms (entry->latencies, 0.5),
+                    (json_int_t) entry->sent, "p50_ms", percentile_ms (entry->latencies, 0.5),
                     "p99_ms", percentile_ms (entry->latencies, 0.99), "p999_ms",
                     percentile_ms (entry->latencies, 0.999), "longest_gap_ms",
-                    (json_int_t)entry->longest_gap_ms, "step_ms", STEP_MS, "answered_per_step",
+                    (json_int_t) entry->longest_gap_ms, "step_ms", STEP_MS, "answered_per_step",
                     steps);
   for (int i = 0; i < LOAD_OUTCOME_COUNT; i++)
-    json_object_set_new (json, outcome_names[i], json_integer ((json_int_t)entry->outcomes[i]));
+    json_object_set_new (json, outcome_names[i], json_integer ((json_int_t) entry->outcomes[i]));
   return json;
 }
 
@@ -238,9 +271,9 @@
 
   for (uint32_t i = 0; i < record->options->class_count; i++)
     json_array_append_new (classes, class_json (&record->options->classes[i], &record->classes[i]));
-  return json_pack ("{s:I, s:o, s:{s:I, s:I, s:I, s:I}}", "seed", (json_int_t)record->options->seed,
-                    "classes", classes, "breaches", "missing", (json_int_t)record->missing, "twice",
-                    (json_int_t)record->twice, "ran_after_not_run",
-                    (json_int_t)record->ran_after_all, "stale_reads",
-                    (json_int_t)record->stale_reads);
+  return json_pack ("{s:I, s:o, s:{s:I, s:I, s:I, s:I}}", "seed",
+                    (json_int_t) record->options->seed, "classes", classes, "breaches", "missing",
+                    (json_int_t) record->missing, "twice", (json_int_t) record->twice,
+                    "ran_after_not_run", (json_int_t) record->ran_after_all, "stale_reads",
+                    (json_int_t) record->stale_reads);
 }
--- a/src/load/load-record.h
+++ b/src/load/load-record.h
@@ -37,6 +37,9 @@
 void load_record_ended (LoadRecord *record, uint32_t index, LoadOutcome outcome, int64_t latency_us,
                         int64_t at_ms);
 
+/** load_record_error() - An error was seen, as "SQLSTATE message". */
+void load_record_error (LoadRecord *record, const char *sqlstate, const char *message);
+
 /** load_record_write() - Outcome of the write called @id. */
 void load_record_write (LoadRecord *record, const char *id, LoadOutcome outcome);
 
--- a/src/load/load-run.c
+++ b/src/load/load-run.c
@@ -79,7 +79,7 @@
 
   if (count == 0)
     return NULL;
-  return g_queue_pop_nth (&run->idle, (guint)g_rand_int_range (run->random, 0, (gint32)count));
+  return g_queue_pop_nth (&run->idle, (guint) g_rand_int_range (run->random, 0, (gint32) count));
 }
 
 static LoadWork
@@ -89,7 +89,7 @@
 
   g_snprintf (work.id, sizeof work.id, "%" G_GUINT64_FORMAT "-%" G_GUINT64_FORMAT,
               run->options->seed, ++run->next_id);
-  work.roam = g_rand_int_range (run->random, 0, 100) < (gint32)run->options->roam_percent;
+  work.roam = g_rand_int_range (run->random, 0, 100) < (gint32) run->options->roam_percent;
   work.roam_with_token = g_rand_boolean (run->random);
   return work;
 }
@@ -125,7 +125,7 @@
   // A class without work is looked at again when its flood may have begun.
   if (rate <= 0)
     return from_us + 100000;
-  return from_us + (int64_t)(-log (1.0 - g_rand_double (run->random)) / rate * 1e6);
+  return from_us + (int64_t) (-log (1.0 - g_rand_double (run->random)) / rate * 1e6);
 }
 
 static void
@@ -271,7 +271,7 @@
     return false;
   run.memory = talloc_new (NULL);
   run.events = tevent_context_init (run.memory);
-  run.random = g_rand_new_with_seed ((guint32)options->seed);
+  run.random = g_rand_new_with_seed ((guint32) options->seed);
   g_queue_init (&run.idle);
   g_queue_init (&run.backlog);
   run.started_us = clock_now_us ();
--- a/src/load/load-session.c
+++ b/src/load/load-session.c
@@ -189,6 +189,8 @@
 {
   LoadOutcome outcome = outcome_of_error (session);
 
+  load_record_error (session->options.record, pgwire_error_field (session->sink, 'C'),
+                     pgwire_error_field (session->sink, 'M'));
   switch (session->step)
     {
     case STEP_ROLLBACK:
--- a/src/main.c
+++ b/src/main.c
@@ -56,7 +56,7 @@
         continue;
       if (variable_is_known (*entry, length))
         continue;
-      fprintf (stderr, "peridotstep: unknown setting in the environment: %.*s\n", (int)length,
+      fprintf (stderr, "peridotstep: unknown setting in the environment: %.*s\n", (int) length,
                *entry);
       return false;
     }
--- a/src/pipeline/backend-pool.c
+++ b/src/pipeline/backend-pool.c
@@ -236,7 +236,7 @@
   if (g_queue_get_length (&pool->connections) < pool_limit (pool))
     return true;
   for (GList *l = pool->connections.head; l != NULL; l = l->next)
-    if (((PooledConnection *)l->data)->state == POOLED_IDLE)
+    if (((PooledConnection *) l->data)->state == POOLED_IDLE)
       {
         talloc_free (l->data);
         return true;
@@ -250,7 +250,7 @@
   if (reserve_is_reached (pool, urgent))
     return false;
   for (GList *l = pool->connections.head; l != NULL; l = l->next)
-    if (((PooledConnection *)l->data)->state != POOLED_USED)
+    if (((PooledConnection *) l->data)->state != POOLED_USED)
       return true;
   return g_queue_get_length (&pool->connections) < pool_limit (pool)
          && clock_now_ms () >= pool->connect_after_ms;
--- a/src/pipeline/caller-table.c
+++ b/src/pipeline/caller-table.c
@@ -30,7 +30,7 @@
 static uint32_t
 host_tag (const char *host_id)
 {
-  return (uint32_t)(host_hash (host_id) >> (64 - (32 - PID_HOST_SHIFT)));
+  return (uint32_t) (host_hash (host_id) >> (64 - (32 - PID_HOST_SHIFT)));
 }
 
 uint32_t
--- a/src/pipeline/caller.c
+++ b/src/pipeline/caller.c
@@ -125,15 +125,12 @@
 release_pin (Caller *caller)
 {
   Session *session = &caller->session;
-  Frame *frame;
 
   if (!session->pinned)
     return;
   session->pinned = false;
-  frame = frame_new (PERIDOTSTEP__FRAME__BODY_SESSION_END);
-  frame->session_end->session = session->id;
-  frame->session_end->service = strdup (session->service);
-  worker_send (caller->options.worker, &session->pinned_host, frame, FRAME_LANE_CONTROL);
+  request_end_transaction (caller->options.worker, &session->pinned_host, session->service,
+                           session->transaction_key, FRAME_LANE_BACKGROUND);
 }
 
 static void
@@ -166,6 +163,7 @@
   session->pinned = true;
   session->pinned_host = *outcome->host;
   session->pinned_instance = outcome->instance;
+  session->transaction_key = outcome->transaction_key;
   session->transaction = outcome->transaction_status == 'E' ? TRANSACTION_FAILED : TRANSACTION_OPEN;
 }
 
@@ -218,12 +216,12 @@
 on_request_data (void *user, const uint8_t *bytes, size_t length)
 {
   Caller *caller = user;
-  uint32_t credit = (uint32_t)length;
+  uint32_t credit = (uint32_t) length;
 
   if (caller->running.strip_parameters)
     skip_parameter_description (&bytes, &length);
   caller->running.answered = true;
-  g_byte_array_append (out (caller), bytes, (guint)length);
+  g_byte_array_append (out (caller), bytes, (guint) length);
   stream_flush (caller->stream);
   if (stream_pending (caller->stream) < OUTPUT_HIGH_BYTES)
     request_credit (caller->request, credit);
@@ -521,7 +519,7 @@
 static void
 handle_describe (Caller *caller, PgwireCursor *cursor)
 {
-  char kind = (char)pgwire_get_u8 (cursor);
+  char kind = (char) pgwire_get_u8 (cursor);
   const char *name = pgwire_get_string (cursor);
 
   if (cursor->failed || (kind != 'S' && kind != 'P'))
@@ -573,7 +571,7 @@
 static void
 handle_close (Caller *caller, PgwireCursor *cursor)
 {
-  char kind = (char)pgwire_get_u8 (cursor);
+  char kind = (char) pgwire_get_u8 (cursor);
   const char *name = pgwire_get_string (cursor);
 
   if (cursor->failed)
@@ -874,7 +872,7 @@
             return true;
           continue;
         }
-      copy = g_memdup2 (message.body, (gsize)message.length + 1);
+      copy = g_memdup2 (message.body, (gsize) message.length + 1);
       message.body = copy;
       stream_consume (caller->stream, message.size_bytes);
       caller->active_ms = clock_now_ms ();
--- a/src/pipeline/control-connection.c
+++ b/src/pipeline/control-connection.c
@@ -50,7 +50,7 @@
     .tag = query->tag,
   };
 
-  for (int i = 0; i < (int)G_N_ELEMENTS (answer.fields); i++)
+  for (int i = 0; i < (int) G_N_ELEMENTS (answer.fields); i++)
     answer.fields[i] = answered ? backend_connection_field (connection->backend, i) : "";
   connection->options.answer (connection->options.data, &answer);
 }
@@ -192,7 +192,7 @@
 control_connection_is_idle (const ControlConnection *connection)
 {
   return connection->ready && !connection->busy
-         && g_queue_is_empty ((GQueue *)&connection->queries);
+         && g_queue_is_empty ((GQueue *) &connection->queries);
 }
 
 void
--- a/src/pipeline/group-monitor.c
+++ b/src/pipeline/group-monitor.c
@@ -187,7 +187,7 @@
   status.heard_primary_ms = strtoll (answer->fields[4], NULL, 10);
   for (uint32_t i = 0; i < service->instance_count; i++)
     if (strcmp (service->instances[i].name, answer->fields[5]) == 0)
-      status.following = (int32_t)i;
+      status.following = (int32_t) i;
   return status;
 }
 
@@ -224,7 +224,7 @@
 
   failover_status (monitor->failover, probe->index, &status);
   commit_gate_report (monitor->gate, &report);
-  if ((int32_t)probe->index == failover_primary (monitor->failover))
+  if ((int32_t) probe->index == failover_primary (monitor->failover))
     {
       note_primary_position (monitor, &status, answer->began_us);
       release_samples (monitor, answer->began_us, status.received);
@@ -464,9 +464,10 @@
 }
 
 void
-group_monitor_hold (GroupMonitor *monitor, uint32_t instance, const GateTicket *ticket)
+group_monitor_hold (GroupMonitor *monitor, int32_t holder, const GateTicket *ticket)
 {
-  commit_gate_holder (monitor->gate, instance, ticket->position);
+  if (holder >= 0)
+    commit_gate_holder (monitor->gate, (uint32_t) holder, ticket->position);
   commit_gate_add (monitor->gate, ticket);
   poll_all (monitor);
   release_held (monitor);
--- a/src/pipeline/group-monitor.h
+++ b/src/pipeline/group-monitor.h
@@ -67,8 +67,11 @@
 /** group_monitor_confirm() - Polls soon, so that a read begun now can be confirmed. */
 void group_monitor_confirm (GroupMonitor *monitor);
 
-/** group_monitor_hold() - Holds an answer of @instance at @ticket->position. */
-void group_monitor_hold (GroupMonitor *monitor, uint32_t instance, const GateTicket *ticket);
+/**
+ * group_monitor_hold() - Holds an answer at @ticket->position. @holder is the instance that
+ * showed in its own answer to hold that position, or -1 if none did.
+ */
+void group_monitor_hold (GroupMonitor *monitor, int32_t holder, const GateTicket *ticket);
 
 /** group_monitor_applied() - A result showed that @instance has applied @position. */
 void group_monitor_applied (GroupMonitor *monitor, uint32_t instance, SessionToken position);
--- a/src/pipeline/group-owner.c
+++ b/src/pipeline/group-owner.c
@@ -51,7 +51,7 @@
   GroupMonitor *monitor = instance->group->monitor;
 
   return !group_monitor_settled (monitor)
-         && group_monitor_primary (monitor) == (int32_t)instance->index;
+         && group_monitor_primary (monitor) == (int32_t) instance->index;
 }
 
 static void
@@ -392,7 +392,7 @@
   GList *transactions = g_hash_table_get_values (group->transactions);
 
   for (GList *l = transactions; l != NULL; l = l->next)
-    if (same_origin (((OwnerTransaction *)l->data)->origin, origin))
+    if (same_origin (((OwnerTransaction *) l->data)->origin, origin))
       group_owner_drop_transaction (group, l->data);
   g_list_free (transactions);
   for (GList *l = jobs; l != NULL; l = l->next)
--- a/src/pipeline/local-statement.c
+++ b/src/pipeline/local-statement.c
@@ -115,14 +115,14 @@
   pgwire_put_u32 (out, 0);
   pgwire_put_u16 (out, 0);
   pgwire_put_u32 (out, 25);
-  pgwire_put_u16 (out, (uint16_t)-1);
-  pgwire_put_u32 (out, (uint32_t)-1);
+  pgwire_put_u16 (out, (uint16_t) -1);
+  pgwire_put_u32 (out, (uint32_t) -1);
   pgwire_put_u16 (out, 0);
   pgwire_end (out, mark);
   mark = pgwire_begin (out, 'D');
   pgwire_put_u16 (out, 1);
-  pgwire_put_u32 (out, (uint32_t)strlen (value));
-  pgwire_put_bytes (out, value, (uint32_t)strlen (value));
+  pgwire_put_u32 (out, (uint32_t) strlen (value));
+  pgwire_put_bytes (out, value, (uint32_t) strlen (value));
   pgwire_end (out, mark);
   pgwire_put_complete (out, "SHOW");
 }
--- a/src/pipeline/owner-job.c
+++ b/src/pipeline/owner-job.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/clock.h"
+#include "base/log.h"
 #include "base/verdict.h"
 #include "policy/request-fate.h"
 
@@ -16,6 +17,7 @@
 #define GATE_GRACE_MS 1000
 /* A monitor that has just been started is given time to hear of its instances. */
 #define MONITOR_START_MS 700
+#define SQLSTATE_READ_ONLY "25006"
 
 typedef enum
 {
@@ -52,11 +54,28 @@
   bool streaming;
   bool orphaned;
   bool failed;
+  char sqlstate[6];
   char status;
   SessionToken position;
   ResolvedOutcome outcome;
 };
 
+/* One line per step of a job, at the debug level only. */
+static void
+trace_job (const OwnerJob *job, const char *what, int value)
+{
+  if (!log_enabled (LOG_LEVEL_DEBUG))
+    return;
+  log_event (LOG_LEVEL_DEBUG, "job",
+             "host=%s request=%016" G_GINT64_MODIFIER "x service=%s instance=%u operation=%d "
+             "in_transaction=%d state=%d what=%s value=%d position=%" G_GUINT64_FORMAT
+             "/%" G_GUINT64_FORMAT,
+             daemon_options (job->group->worker->daemon)->self.id, job->execute->request,
+             job->group->service->name, job->instance->index, job->execute->operation,
+             job->execute->in_transaction, job->state, what, value, job->position.term,
+             job->position.position);
+}
+
 static int
 job_destroy (OwnerJob *job)
 {
@@ -85,16 +104,16 @@
 
   peridotstep__instance_news__init (news);
   news->known = status->answered_ms > 0;
-  news->primary = primary == (int32_t)job->instance->index;
+  news->primary = primary == (int32_t) job->instance->index;
   news->term = status->term;
   news->applied = frame_token_new (status->applied);
   news->age_ms = group_monitor_age_ms (monitor, status->applied);
   news->wait_us = admission_queue_expected_wait_us (
-      job->instance->queue, (Priority)MIN (job->execute->priority, PRIORITY_COUNT - 1));
+      job->instance->queue, (Priority) MIN (job->execute->priority, PRIORITY_COUNT - 1));
   if (primary >= 0)
     {
-      news->primary_hint = (uint32_t)primary + 1;
-      news->primary_hint_term = group_monitor_status (monitor, (uint32_t)primary)->term;
+      news->primary_hint = (uint32_t) primary + 1;
+      news->primary_hint_term = group_monitor_status (monitor, (uint32_t) primary)->term;
     }
   return news;
 }
@@ -140,6 +159,7 @@
 {
   Frame *frame = done_frame (job);
 
+  trace_job (job, "refused", refusal);
   frame->done->refusal = refusal;
   reply (job, frame);
   talloc_free (job);
@@ -150,7 +170,8 @@
 {
   Frame *frame = done_frame (job);
 
-  frame->done->failure = (uint32_t)failure + 1;
+  trace_job (job, "failed", failure);
+  frame->done->failure = (uint32_t) failure + 1;
   reply (job, frame);
   talloc_free (job);
 }
@@ -160,10 +181,11 @@
 {
   Frame *frame;
 
+  trace_job (job, "answered", job->failed);
   send_data (job);
   frame = done_frame (job);
   frame->done->failed = job->failed;
-  frame->done->transaction_status = (uint32_t)job->status;
+  frame->done->transaction_status = (uint32_t) job->status;
   frame->done->token = frame_token_new (job->position);
   frame->done->outcome = job->outcome;
   reply (job, frame);
@@ -176,7 +198,7 @@
 {
   GroupMonitor *monitor = job->group->monitor;
 
-  if (group_monitor_primary (monitor) != (int32_t)job->instance->index)
+  if (group_monitor_primary (monitor) != (int32_t) job->instance->index)
     return REFUSAL_NOT_PRIMARY;
   if (!group_monitor_answers (monitor, job->instance->index))
     return REFUSAL_BACKEND_DOWN;
@@ -209,7 +231,7 @@
 static bool
 is_on_primary (const OwnerJob *job)
 {
-  return group_monitor_primary (job->group->monitor) == (int32_t)job->instance->index;
+  return group_monitor_primary (job->group->monitor) == (int32_t) job->instance->index;
 }
 
 static RefusalKind
@@ -293,7 +315,7 @@
 {
   int64_t service_us = clock_now_us () - job->started_us;
 
-  if (job->started_us == 0)
+  if (job->started_us == 0 || job->cancelled_ms != 0)
     admission_queue_abort (job->instance->queue, job->item.priority);
   else
     admission_queue_finish (job->instance->queue, job->item.priority, service_us);
@@ -314,14 +336,14 @@
 {
   BackendParam *params;
 
-  *count = (uint32_t)MAX (execute->n_params, execute->n_param_types);
+  *count = (uint32_t) MAX (execute->n_params, execute->n_param_types);
   params = g_new0 (BackendParam, *count + 1);
   for (size_t i = 0; i < execute->n_params; i++)
     {
       const Peridotstep__Param *param = execute->params[i];
 
       params[i].format = param->format;
-      params[i].length = (uint32_t)param->value.len;
+      params[i].length = (uint32_t) param->value.len;
       if (!param->is_null)
         {
           char *value = g_malloc0 (param->value.len + 1);
@@ -340,7 +362,7 @@
 free_params (BackendParam *params, uint32_t count)
 {
   for (uint32_t i = 0; i < count; i++)
-    g_free ((void *)params[i].value);
+    g_free ((void *) params[i].value);
   g_free (params);
 }
 
@@ -380,6 +402,12 @@
   return backend_connection_run (backend_pool_connection (job->connection), &statement, job->sink);
 }
 
+static bool
+continues_transaction (const OwnerJob *job)
+{
+  return job->execute->in_transaction && job->execute->begin_sql[0] == '\0';
+}
+
 static bool
 starts_transaction (const OwnerJob *job)
 {
@@ -394,6 +422,7 @@
   bool sent;
 
   job->started_us = clock_now_us ();
+  trace_job (job, "started", 0);
   if (is_on_primary (job) && job->execute->operation != PERIDOTSTEP__OPERATION__ROLLBACK)
     group_monitor_confirm (job->group->monitor);
   sent = starts_transaction (job) ? send_begin (job) : send_statement (job);
@@ -417,17 +446,18 @@
 }
 
 static void
-hold_answer (OwnerJob *job)
+hold_answer (OwnerJob *job, int32_t holder)
 {
   GateTicket ticket = make_ticket (job, job->position);
   int64_t age_us = job->execute->read_only ? job->execute->max_age_ms * 1000 : 0;
 
   job->state = JOB_GATED;
+  trace_job (job, "gated", 0);
   ticket.confirm_after_us = MAX (job->arrived_us - age_us, 1);
   if (job->execute->operation == PERIDOTSTEP__OPERATION__COMMIT)
     ticket.confirm_after_us = 0;
   counter_add (job->group->worker->counters, COUNTER_COMMITS_GATED, 1);
-  group_monitor_hold (job->group->monitor, job->instance->index, &ticket);
+  group_monitor_hold (job->group->monitor, holder, &ticket);
 }
 
 static bool
@@ -470,19 +500,41 @@
   return is_on_primary (job) || runs_on_primary (job) || job->execute->in_transaction;
 }
 
+/* A write refused as read-only ran into the end of the instance's term as the primary. */
+static bool
+was_demoted (const OwnerJob *job)
+{
+  return job->failed && !job->execute->read_only && strcmp (job->sqlstate, SQLSTATE_READ_ONLY) == 0;
+}
+
+static void
+end_demoted (OwnerJob *job)
+{
+  OwnerTransaction *transaction = group_owner_transaction (job->group, job->execute->session);
+
+  if (transaction != NULL)
+    group_owner_drop_transaction (job->group, transaction);
+  finish_refused (job, !ends_transaction (job) && !continues_transaction (job)
+                           ? REFUSAL_NOT_PRIMARY
+                           : REFUSAL_ROLLED_BACK);
+}
+
 static void
 statement_ended (OwnerJob *job, const BackendEvent *event)
 {
   GroupOwner *group = job->group;
 
   job->failed = event->failed;
+  g_strlcpy (job->sqlstate, event->sqlstate, sizeof job->sqlstate);
   job->status = event->status;
   job->position = event->position;
   group_monitor_applied (group->monitor, job->instance->index, event->position);
   release_slot (job);
   settle_connection (job);
-  if (needs_gate (job))
-    hold_answer (job);
+  if (was_demoted (job))
+    end_demoted (job);
+  else if (needs_gate (job))
+    hold_answer (job, (int32_t) job->instance->index);
   else
     finish_answered (job);
   group_owner_pump (group);
@@ -494,7 +546,7 @@
   GroupOwner *group = job->group;
 
   g_byte_array_set_size (job->sink, 0);
-  if (event->failed || event->status != 'T')
+  if (event->failed || event->status != 'T' || job->cancelled_ms != 0)
     {
       release_slot (job);
       backend_pool_drop (job->connection);
@@ -668,6 +720,8 @@
   job->instance = transaction->instance;
   transaction->job = job;
   job->item.front = true;
+  // A source of its own, or it would wait behind the others of its caller.
+  job->item.source = job->execute->session;
   enqueue (job, clock_now_ms ());
 }
 
@@ -717,11 +771,11 @@
   job->fresh_until_ms = now_ms + MIN (group->service->replica_wait_ms, execute->deadline_ms / 2);
   job->sink = g_byte_array_new ();
   job->status = 'I';
-  job->item.priority = (Priority)MIN (execute->priority, PRIORITY_COUNT - 1);
+  job->item.priority = (Priority) MIN (execute->priority, PRIORITY_COUNT - 1);
   job->item.source = execute->source;
   job->item.deadline_ms = job->deadline_ms;
   job->item.data = job;
-  g_hash_table_insert (group->jobs, (void *)&execute->request, job);
+  g_hash_table_insert (group->jobs, (void *) &execute->request, job);
   daemon_add_jobs (group->worker->daemon, 1);
   talloc_set_destructor (job, job_destroy);
   group->used_ms = now_ms;
@@ -834,7 +888,7 @@
 owner_job_sampled (OwnerJob *job, SessionToken position)
 {
   job->position = position;
-  hold_answer (job);
+  hold_answer (job, -1);
 }
 
 void
@@ -851,7 +905,8 @@
   job->position = position;
   job->state = JOB_GATED;
   ticket = make_ticket (job, position);
-  group_monitor_hold (job->group->monitor, job->instance->index, &ticket);
+  // Whoever was the primary answered, which need not be the instance that was asked for.
+  group_monitor_hold (job->group->monitor, -1, &ticket);
 }
 
 const PooledUser *
--- a/src/pipeline/owner-table.c
+++ b/src/pipeline/owner-table.c
@@ -74,7 +74,7 @@
 decider_rank (OwnerTable *table, GroupOwner *group)
 {
   int32_t primary = group_monitor_primary (group->monitor);
-  uint32_t index = primary < 0 ? 0 : (uint32_t)primary;
+  uint32_t index = primary < 0 ? 0 : (uint32_t) primary;
 
   for (uint32_t place = 0; place < RANK_PLACES; place++)
     if (owns (table, group->service, index, place))
--- a/src/pipeline/prepared.c
+++ b/src/pipeline/prepared.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #define STATEMENTS_MAX 1000
-#define NULL_LENGTH ((uint32_t)-1)
+#define NULL_LENGTH ((uint32_t) -1)
 
 struct PreparedStore
 {
@@ -31,7 +31,7 @@
   Portal *portal = data;
 
   for (uint32_t i = 0; i < portal->param_count; i++)
-    g_free ((void *)portal->params[i].value);
+    g_free ((void *) portal->params[i].value);
   g_free (portal->params);
   statement_clear (&portal->statement);
   g_free (portal);
@@ -64,7 +64,7 @@
   PreparedStatement *statement = g_new0 (PreparedStatement, 1);
 
   statement->sql = g_strdup (sql);
-  statement->types = g_new0 (uint32_t, (gsize)count + 1);
+  statement->types = g_new0 (uint32_t, (gsize) count + 1);
   statement->type_count = count;
   for (uint16_t i = 0; i < count; i++)
     statement->types[i] = pgwire_get_u32 (cursor);
@@ -94,7 +94,7 @@
   uint16_t *formats;
 
   *count = pgwire_get_u16 (cursor);
-  formats = g_new0 (uint16_t, (gsize)*count + 1);
+  formats = g_new0 (uint16_t, (gsize) *count + 1);
   for (uint16_t i = 0; i < *count; i++)
     formats[i] = pgwire_get_u16 (cursor);
   return formats;
@@ -115,7 +115,7 @@
   uint16_t *formats = read_formats (cursor, &format_count);
   uint16_t count = pgwire_get_u16 (cursor);
 
-  portal->params = g_new0 (RequestParam, (gsize)count + 1);
+  portal->params = g_new0 (RequestParam, (gsize) count + 1);
   for (uint16_t i = 0; i < count && !cursor->failed; i++)
     {
       RequestParam *param = &portal->params[portal->param_count++];
@@ -129,8 +129,8 @@
       if (value == NULL)
         break;
       // One more byte ends text, which is what the client library reads up to.
-      param->value = g_malloc0 ((gsize)length + 1);
-      memcpy ((void *)param->value, value, length);
+      param->value = g_malloc0 ((gsize) length + 1);
+      memcpy ((void *) param->value, value, length);
       param->length = length;
     }
   g_free (formats);
@@ -168,7 +168,7 @@
   portal->statement.sql = g_strdup (statement->sql);
   portal->statement.type_count = statement->type_count;
   portal->statement.types
-      = g_memdup2 (statement->types, ((gsize)statement->type_count + 1) * sizeof (uint32_t));
+      = g_memdup2 (statement->types, ((gsize) statement->type_count + 1) * sizeof (uint32_t));
   g_hash_table_replace (store->portals, g_strdup (portal_name), portal);
   return NULL;
 }
--- a/src/pipeline/request.c
+++ b/src/pipeline/request.c
@@ -184,12 +184,43 @@
 {
   delay_ms = MAX (delay_ms, 0);
   TALLOC_FREE (request->timer);
-  request->timer = tevent_add_timer (
-      request_worker (request)->events, request,
-      tevent_timeval_current_ofs ((uint32_t)(delay_ms / 1000), (uint32_t)(delay_ms % 1000) * 1000),
-      handler, request);
+  request->timer
+      = tevent_add_timer (request_worker (request)->events, request,
+                          tevent_timeval_current_ofs ((uint32_t) (delay_ms / 1000),
+                                                      (uint32_t) (delay_ms % 1000) * 1000),
+                          handler, request);
 }
 
+static FrameLane
+request_lane (const Request *request)
+{
+  return worker_lane (request->frame->execute->priority);
+}
+
+void
+request_end_transaction (Worker *worker, const Host *host, const char *service, uint64_t key,
+                         FrameLane lane)
+{
+  Frame *frame = frame_new (PERIDOTSTEP__FRAME__BODY_SESSION_END);
+
+  frame->session_end->session = key;
+  frame->session_end->service = strdup (service);
+  worker_send (worker, host, frame, lane);
+}
+
+/* A transaction that this attempt may have opened is not left behind at the owner. */
+static void
+end_attempted_transaction (const Request *request)
+{
+  const Peridotstep__Execute *execute = request->frame->execute;
+
+  if (request->phase != PHASE_SENT || !execute->in_transaction || is_pinned (request))
+    return;
+  request_end_transaction (request_worker (request), &request->target, execute->service,
+                           execute->session, request_lane (request));
+}
+
+/* In the lane of the request itself, so that it can't overtake it. */
 static void
 send_cancel (const Request *request)
 {
@@ -200,7 +231,7 @@
   frame = frame_new (PERIDOTSTEP__FRAME__BODY_CANCEL);
   frame->cancel->request = request->id;
   frame->cancel->service = strdup (request->frame->execute->service);
-  worker_send (request_worker (request), &request->target, frame, FRAME_LANE_CONTROL);
+  worker_send (request_worker (request), &request->target, frame, request_lane (request));
 }
 
 static void
@@ -270,11 +301,13 @@
   new_transaction_id (request);
   execute->request = request->id;
   execute->instance = instance;
-  execute->deadline_ms = (uint32_t)MAX (request->deadline_ms - clock_now_ms (), 1);
+  execute->session = is_pinned (request) ? request_session (request)->transaction_key
+                                         : worker_next_id (request_worker (request));
+  execute->deadline_ms = (uint32_t) MAX (request->deadline_ms - clock_now_ms (), 1);
   execute->need->term = request_session (request)->token.term;
   execute->need->position = request_session (request)->token.position;
   copy = frame_clone (request->frame);
-  worker_send (request_worker (request), host, copy, worker_lane (execute->priority));
+  worker_send (request_worker (request), host, copy, request_lane (request));
 }
 
 static void
@@ -314,10 +347,10 @@
       return;
     }
   instance = choose_instance (request, route);
-  if (instance < 0 || !route_owner (route, (uint32_t)instance, 0, &host))
+  if (instance < 0 || !route_owner (route, (uint32_t) instance, 0, &host))
     park (request, route);
   else
-    send_to (request, &host, (uint32_t)instance);
+    send_to (request, &host, (uint32_t) instance);
 }
 
 void
@@ -371,7 +404,6 @@
   execute->priority = options->class_config->priority;
   execute->read_only = !options->class_config->write;
   execute->max_age_ms = options->class_config->max_age_ms;
-  execute->session = session->id;
   execute->source = session->source;
   execute->need = frame_token_new (session->token);
   execute->in_transaction = session->transaction != TRANSACTION_NONE;
@@ -445,6 +477,7 @@
   ServiceRoute *route = request_route (request);
 
   send_cancel (request);
+  end_attempted_transaction (request);
   if (route != NULL)
     route_forget (route, request);
   if (request->handle != NULL)
@@ -503,7 +536,7 @@
   instance = replica_choice_write (route_views (route), route_config (route)->instance_count,
                                    request->tried, now_ms);
   if (instance < 0
-      || !route_owner (route, (uint32_t)instance, request->resolve_attempts % 2, &host))
+      || !route_owner (route, (uint32_t) instance, request->resolve_attempts % 2, &host))
     {
       request->tried = 0;
       request->resolve_attempts++;
@@ -512,14 +545,14 @@
     }
   renew_id (request);
   request->target = host;
-  request->instance = (uint32_t)instance;
+  request->instance = (uint32_t) instance;
   request->resolve_attempts++;
   frame = frame_new (PERIDOTSTEP__FRAME__BODY_EXECUTE);
   frame->execute->request = request->id;
   frame->execute->service = strdup (request->frame->execute->service);
   frame->execute->operation = PERIDOTSTEP__OPERATION__RESOLVE;
   frame->execute->transaction_id = strdup (request->frame->execute->transaction_id);
-  frame->execute->instance = (uint32_t)instance;
+  frame->execute->instance = (uint32_t) instance;
   frame->execute->deadline_ms = RESOLVE_ATTEMPT_MS;
   set_timer (request, RESOLVE_ATTEMPT_MS, on_resolve_timer);
   worker_send (request_worker (request), &host, frame, FRAME_LANE_URGENT);
@@ -577,6 +610,8 @@
   if (log_enabled (LOG_LEVEL_DEBUG))
     log_event (LOG_LEVEL_DEBUG, "request_failed", "failure=%d kind=%d step=%d action=%s", failure,
                state.kind, state.step, fate_action_name (action));
+  if (failure != FAILURE_REFUSED)
+    end_attempted_transaction (request);
   if (action == FATE_RETRY && !may_retry (request, failure))
     action = state.kind == REQUEST_WRITE ? FATE_RESOLVE : FATE_NOT_RUN;
   switch (action)
@@ -603,7 +638,7 @@
   ServiceRoute *route = request_route (request);
   RequestState state;
 
-  if (done->refusal != REFUSAL_NONE || done->outcome == RESOLVED_UNKNOWN)
+  if (done->refusal != REFUSAL_NONE || done->failure != 0 || done->outcome == RESOLVED_UNKNOWN)
     {
       if (route != NULL && done->refusal == REFUSAL_NOT_PRIMARY)
         request->tried |= 1u << request->instance;
@@ -611,7 +646,7 @@
       return;
     }
   session_token_raise (&request_session (request)->token, frame_token (done->token));
-  if (request_fate_resolved ((ResolvedOutcome)done->outcome) == VERDICT_RAN)
+  if (request_fate_resolved ((ResolvedOutcome) done->outcome) == VERDICT_RAN)
     {
       if (request->options.kind == REQUEST_COMMIT)
         finish_refused (request, REFUSAL_NONE);
@@ -675,9 +710,10 @@
   RequestOutcome outcome = {
     .verdict = VERDICT_RAN,
     .failed = done->failed,
-    .transaction_status = done->transaction_status == 0 ? 'I' : (char)done->transaction_status,
+    .transaction_status = done->transaction_status == 0 ? 'I' : (char) done->transaction_status,
     .host = &target,
     .instance = request->instance,
+    .transaction_key = request->frame->execute->session,
   };
 
   session_token_raise (&session->token, frame_token (done->token));
@@ -708,7 +744,7 @@
   g_strlcpy (request->detail, done->detail, sizeof request->detail);
   if (done->failure != 0)
     {
-      fail (request, (FailureKind)MIN (done->failure - 1, FAILURE_KIND_COUNT - 1));
+      fail (request, (FailureKind) MIN (done->failure - 1, FAILURE_KIND_COUNT - 1));
       return;
     }
   if (done->refusal == REFUSAL_NONE)
@@ -717,7 +753,7 @@
       return;
     }
   if (route != NULL)
-    note_refusal (request, route, (RefusalKind)done->refusal);
+    note_refusal (request, route, (RefusalKind) done->refusal);
   fail (request, FAILURE_REFUSED);
 }
 
@@ -758,11 +794,11 @@
   route_avoid_host (table->worker, host_id, clock_now_ms () + AVOID_HOST_MS);
   g_hash_table_iter_init (&iter, table->by_id);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (strcmp (((Request *)value)->target.id, host_id) == 0)
-      g_ptr_array_add (lost, (void *)(uintptr_t)((Request *)value)->id);
+    if (strcmp (((Request *) value)->target.id, host_id) == 0)
+      g_ptr_array_add (lost, (void *) (uintptr_t) ((Request *) value)->id);
   for (guint i = 0; i < lost->len; i++)
     {
-      uint64_t id = (uintptr_t)lost->pdata[i];
+      uint64_t id = (uintptr_t) lost->pdata[i];
       Request *request = g_hash_table_lookup (table->by_id, &id);
 
       if (request == NULL)
--- a/src/pipeline/request.h
+++ b/src/pipeline/request.h
@@ -24,6 +24,7 @@
  * @transaction_status: 'I', 'T' or 'E' at the backend server.
  * @host: owner that answered; valid if @transaction_status is not 'I'.
  * @instance: instance that answered.
+ * @transaction_key: name of the transaction there.
  */
 typedef struct
 {
@@ -34,6 +35,7 @@
   char transaction_status;
   const Host *host;
   uint32_t instance;
+  uint64_t transaction_key;
 } RequestOutcome;
 
 /** struct RequestParam - One bound parameter; @value %NULL is SQL NULL. */
@@ -71,6 +73,10 @@
 /** request_start() - Starts a request; @done may be called before it returns. */
 void request_start (Worker *worker, const RequestOptions *options, Request **handle);
 
+/** request_end_transaction() - Tells @host to roll the transaction called @key back. */
+void request_end_transaction (Worker *worker, const Host *host, const char *service, uint64_t key,
+                              FrameLane lane);
+
 /** request_credit() - The caller took @bytes of the answer. */
 void request_credit (Request *request, uint32_t bytes);
 
--- a/src/pipeline/sampler.c
+++ b/src/pipeline/sampler.c
@@ -61,8 +61,8 @@
   if (outcome->refusal != REFUSAL_NONE)
     {
       requeue_served (sampler);
-      tevent_add_timer (sampler->worker->events, sampler,
-                        tevent_timeval_current_ofs (0, RETRY_US), on_retry, sampler);
+      tevent_add_timer (sampler->worker->events, sampler, tevent_timeval_current_ofs (0, RETRY_US),
+                        on_retry, sampler);
       return;
     }
   release_served (sampler);
--- a/src/pipeline/session.h
+++ b/src/pipeline/session.h
@@ -20,7 +20,7 @@
 
 /**
  * struct Session - One caller's session.
- * @id: names the transaction at the owner.
+ * @id: part of its transaction ids.
  * @service: service it is connected to.
  * @user: name the caller gave; part of the fairness key.
  * @source: fairness key.
@@ -30,6 +30,7 @@
  * @transaction: state of the transaction block.
  * @begin_sql: the BEGIN statement as the caller wrote it.
  * @has_run: something of the open transaction may have run.
+ * @transaction_key: names the open transaction at its owner; new for each attempt.
  * @pinned: the transaction is open at @pinned_host.
  * @pinned_host: owner that holds the open transaction.
  * @pinned_instance: instance on which it is open.
@@ -46,6 +47,7 @@
   TransactionState transaction;
   char *begin_sql;
   bool has_run;
+  uint64_t transaction_key;
   bool pinned;
   Host pinned_host;
   uint32_t pinned_instance;
--- a/src/policy/admission-queue.c
+++ b/src/policy/admission-queue.c
@@ -5,6 +5,7 @@
 /* Weight of a new sample in the averaged service time, as a divisor. */
 #define SERVICE_AVERAGE_WEIGHT 16
 #define SERVICE_INITIAL_US 2000
+#define OUTLIER_FACTOR 4
 /* Floor credit a priority can save up or owe, in slot time. */
 #define CREDIT_LIMIT_US 200000
 /* Newest-first starts when the oldest waiting item has used this share of its time. */
@@ -73,7 +74,7 @@
 {
   for (int i = 0; i < PRIORITY_COUNT; i++)
     {
-      g_queue_clear_full (&queue->lanes[i].sources, (GDestroyNotify)source_free);
+      g_queue_clear_full (&queue->lanes[i].sources, (GDestroyNotify) source_free);
       g_hash_table_destroy (queue->lanes[i].by_key);
     }
   g_free (queue);
@@ -99,8 +100,8 @@
   int64_t ahead_us = 0;
   uint32_t slots = lane_slots (queue, priority);
 
-  for (int i = 0; i <= (int)priority; i++)
-    ahead_us += (int64_t)queue->lanes[i].waiting * queue->lanes[i].service_us;
+  for (int i = 0; i <= (int) priority; i++)
+    ahead_us += (int64_t) queue->lanes[i].waiting * queue->lanes[i].service_us;
   if (queue->running >= slots)
     ahead_us += queue->lanes[priority].service_us;
   return ahead_us / slots;
@@ -115,8 +116,8 @@
 
   if (percent == 0)
     return INT64_MAX;
-  return (int64_t)lane->waiting * lane->service_us * 100
-         / ((int64_t)percent * queue->options.slots);
+  return (int64_t) lane->waiting * lane->service_us * 100
+         / ((int64_t) percent * queue->options.slots);
 }
 
 static bool
@@ -239,7 +240,7 @@
 {
   const Lane *lane = &queue->lanes[priority];
 
-  return lane->credit_us >= lane->service_us * (int64_t)(lane->running + 1);
+  return lane->credit_us >= lane->service_us * (int64_t) (lane->running + 1);
 }
 
 static bool
@@ -251,15 +252,15 @@
       return lane_may_start (queue, PRIORITY_URGENT);
     }
   for (int i = PRIORITY_NORMAL; i < PRIORITY_COUNT; i++)
-    if (lane_may_start (queue, (Priority)i) && lane_has_credit (queue, (Priority)i))
+    if (lane_may_start (queue, (Priority) i) && lane_has_credit (queue, (Priority) i))
       {
-        *priority = (Priority)i;
+        *priority = (Priority) i;
         return true;
       }
   for (int i = 0; i < PRIORITY_COUNT; i++)
-    if (lane_may_start (queue, (Priority)i))
+    if (lane_may_start (queue, (Priority) i))
       {
-        *priority = (Priority)i;
+        *priority = (Priority) i;
         return true;
       }
   return false;
@@ -288,12 +289,12 @@
 
       for (GList *l = lane->sources.head; l != NULL; l = l->next)
         {
-          AdmissionItem *item = g_queue_peek_head (&((Source *)l->data)->items);
+          AdmissionItem *item = g_queue_peek_head (&((Source *) l->data)->items);
 
           if (!item->front)
             continue;
           admission_queue_remove (queue, item);
-          admission_queue_start_direct (queue, (Priority)i);
+          admission_queue_start_direct (queue, (Priority) i);
           return item;
         }
     }
@@ -351,6 +352,8 @@
   queue->running--;
   lane->running--;
   lane->credit_us = MAX (lane->credit_us - service_us, -CREDIT_LIMIT_US);
+  // One statement that waited for a lock says little about the others.
+  service_us = MIN (service_us, lane->service_us * OUTLIER_FACTOR);
   if (queue->options.last_sample)
     lane->service_us = service_us;
   else
--- a/src/policy/admission-queue.h
+++ b/src/policy/admission-queue.h
@@ -44,7 +44,8 @@
 /**
  * struct AdmissionItem - One statement, embedded in the owner's job.
  * @priority: its rank.
- * @front: goes before all others of its rank; used for open transactions.
+ * @front: goes before all others of its rank; used for open transactions, each of which
+ *   must be a @source of its own.
  * @source: fairness key (entry host and caller).
  * @deadline_ms: absolute time after which it must not start.
  * @enqueued_ms: set by admission_queue_push().
--- a/src/policy/failover.c
+++ b/src/policy/failover.c
@@ -34,7 +34,7 @@
   Failover *failover = g_new0 (Failover, 1);
 
   failover->options = *options;
-  failover->random = g_rand_new_with_seed ((guint32)options->seed);
+  failover->random = g_rand_new_with_seed ((guint32) options->seed);
   g_queue_init (&failover->orders);
   for (uint32_t i = 0; i < GROUP_INSTANCES_MAX; i++)
     failover->follow_sent_ms[i] = -FOLLOW_INTERVAL_MS;
@@ -97,7 +97,7 @@
   for (uint32_t i = 0; i < failover->options.instance_count; i++)
     if (failover->status[i].role == ROLE_PRIMARY && failover->status[i].term == term
         && failover->status[i].answered_ms > 0)
-      return (int32_t)i;
+      return (int32_t) i;
   return -1;
 }
 
@@ -161,8 +161,8 @@
 back_off (Failover *failover, int64_t now_ms)
 {
   int64_t step_ms = failover->options.step_timeout_ms;
-  int64_t wait_ms
-      = g_rand_int_range (failover->random, (gint32)step_ms, (gint32)(step_ms * BACKOFF_STEPS) + 1);
+  int64_t wait_ms = g_rand_int_range (failover->random, (gint32) step_ms,
+                                      (gint32) (step_ms * BACKOFF_STEPS) + 1);
 
   enter (failover, FAILOVER_BACKOFF,
          now_ms + wait_ms + failover->rank * failover->options.rank_delay_ms);
@@ -183,7 +183,7 @@
     {
       const InstanceStatus *status = &failover->status[i];
 
-      if ((int32_t)i == primary || !failover_answers (failover, i, now_ms))
+      if ((int32_t) i == primary || !failover_answers (failover, i, now_ms))
         continue;
       if (status->term == term && status->role == ROLE_REPLICA && status->heard_primary_ms >= 0
           && status->heard_primary_ms < failover->options.suspect_after_ms)
@@ -193,6 +193,29 @@
   return count >= majority (failover);
 }
 
+/*
+ * A primary that its replicas have lost can't gather a majority, whoever else still reaches
+ * it. Replicas are asked, never the primary itself.
+ */
+static bool
+replicas_lost_primary (const Failover *failover, int32_t primary, int64_t now_ms)
+{
+  uint64_t term = failover->status[primary].term;
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < failover->options.instance_count; i++)
+    {
+      const InstanceStatus *status = &failover->status[i];
+
+      if ((int32_t) i == primary || !failover_answers (failover, i, now_ms) || status->term != term)
+        continue;
+      if (status->role == ROLE_REPLICA
+          && status->heard_primary_ms >= failover->options.suspect_after_ms)
+        count++;
+    }
+  return count >= majority (failover);
+}
+
 /* Without a primary of the greatest term another decider may be at work: it is given time. */
 static bool
 primary_lost (Failover *failover, int64_t now_ms)
@@ -203,6 +226,8 @@
   if (primary >= 0)
     {
       failover->headless_since_ms = 0;
+      if (replicas_lost_primary (failover, primary, now_ms))
+        return true;
       return now_ms - failover->status[primary].answered_ms
              >= failover->options.suspect_after_ms + rank_wait_ms;
     }
@@ -214,10 +239,16 @@
 static void
 start_advance (Failover *failover, int64_t now_ms)
 {
+  int32_t primary = failover_primary (failover);
+  bool lost = primary >= 0 && replicas_lost_primary (failover, primary, now_ms);
+
   failover->term = failover_term (failover) + 1;
   for (uint32_t i = 0; i < failover->options.instance_count; i++)
     {
       failover->advanced[i] = false;
+      // A primary cut off from the others must not win by what only it has.
+      if (lost && (int32_t) i == primary)
+        continue;
       if (failover_answers (failover, i, now_ms))
         push_order (failover, FAILOVER_ADVANCE_TERM, i);
     }
@@ -232,7 +263,7 @@
     {
       const InstanceStatus *status = &failover->status[i];
 
-      if ((int32_t)i == primary || !failover_answers (failover, i, now_ms))
+      if ((int32_t) i == primary || !failover_answers (failover, i, now_ms))
         continue;
       if (status->role == ROLE_REPLICA && status->following == primary
           && status->term == failover->status[primary].term)
@@ -241,7 +272,7 @@
         continue;
       failover->follow_sent_ms[i] = now_ms;
       failover->term = failover->status[primary].term;
-      failover->winner = (uint32_t)primary;
+      failover->winner = (uint32_t) primary;
       push_order (failover, FAILOVER_FOLLOW, i);
     }
 }
@@ -250,7 +281,7 @@
 someone_can_take_over (const Failover *failover, int32_t primary, int64_t now_ms)
 {
   for (uint32_t i = 0; i < failover->options.instance_count; i++)
-    if ((int32_t)i != primary && !failover->leaving[i] && failover_answers (failover, i, now_ms))
+    if ((int32_t) i != primary && !failover->leaving[i] && failover_answers (failover, i, now_ms))
       return true;
   return false;
 }
@@ -284,7 +315,7 @@
     {
       const InstanceStatus *status = &failover->status[i];
 
-      if ((int32_t)i == primary || failover->leaving[i] || !failover_answers (failover, i, now_ms))
+      if ((int32_t) i == primary || failover->leaving[i] || !failover_answers (failover, i, now_ms))
         continue;
       if (session_token_covers (status->received, leader->received)
           && status->answered_ms >= leader->answered_ms)
@@ -340,9 +371,9 @@
   int32_t winner = -1;
 
   for (uint32_t i = 0; i < failover->options.instance_count; i++)
-    if (failover->advanced[i] && (winner < 0 || better_candidate (failover, i, (uint32_t)winner)))
-      winner = (int32_t)i;
-  failover->winner = (uint32_t)winner;
+    if (failover->advanced[i] && (winner < 0 || better_candidate (failover, i, (uint32_t) winner)))
+      winner = (int32_t) i;
+  failover->winner = (uint32_t) winner;
   push_order (failover, FAILOVER_PROMOTE, failover->winner);
   enter (failover, FAILOVER_PROMOTING, now_ms + failover->options.step_timeout_ms);
 }
--- a/src/policy/membership.c
+++ b/src/policy/membership.c
@@ -71,7 +71,7 @@
   membership->members = g_ptr_array_new_with_free_func (g_free);
   membership->by_id = g_hash_table_new (g_str_hash, g_str_equal);
   membership->relayed = g_array_new (false, false, sizeof (RelayedProbe));
-  membership->random = g_rand_new_with_seed ((guint32)options->seed);
+  membership->random = g_rand_new_with_seed ((guint32) options->seed);
   g_queue_init (&membership->spreading);
   g_queue_init (&membership->outgoing);
   membership->version = 1;
@@ -99,7 +99,7 @@
 static uint32_t
 spread_count (const Membership *membership)
 {
-  return SPREAD_FACTOR * (uint32_t)g_bit_storage (membership->members->len + 1);
+  return SPREAD_FACTOR * (uint32_t) g_bit_storage (membership->members->len + 1);
 }
 
 static void
@@ -122,7 +122,7 @@
   g_ptr_array_add (membership->members, member);
   g_hash_table_insert (membership->by_id, member->belief.host.id, member);
   // A random place keeps the hosts from probing in step with each other.
-  at = (guint)g_rand_int_range (membership->random, 0, (gint32)membership->members->len);
+  at = (guint) g_rand_int_range (membership->random, 0, (gint32) membership->members->len);
   membership->members->pdata[membership->members->len - 1] = membership->members->pdata[at];
   membership->members->pdata[at] = member;
   return member;
@@ -331,7 +331,7 @@
 membership_random_peer (Membership *membership, Host *peer)
 {
   guint count = membership->members->len;
-  guint start = count == 0 ? 0 : (guint)g_rand_int_range (membership->random, 0, (gint32)count);
+  guint start = count == 0 ? 0 : (guint) g_rand_int_range (membership->random, 0, (gint32) count);
 
   for (guint i = 0; i < count; i++)
     {
--- a/src/policy/ownership.c
+++ b/src/policy/ownership.c
@@ -79,7 +79,7 @@
           if (picked >= 0 && !standing_before (standing, best))
             continue;
           best = standing;
-          picked = (int)i;
+          picked = (int) i;
         }
       if (picked < 0)
         return -1;
--- a/src/policy/replica-choice.c
+++ b/src/policy/replica-choice.c
@@ -15,7 +15,7 @@
 
   for (uint32_t i = 0; i < count; i++)
     if (views[i].primary && (best < 0 || views[i].term > views[best].term))
-      best = (int)i;
+      best = (int) i;
   if (best < 0)
     return -1;
   // A later term seen anywhere means that this one has been replaced.
@@ -69,7 +69,7 @@
 
   for (uint32_t i = 0; i < count; i++)
     {
-      bool is_primary = (int)i == primary;
+      bool is_primary = (int) i == primary;
       int64_t cost_us = read_cost_us (&views[i], is_primary);
 
       if (views[i].leaving || !may_ask (&views[i], i, tried, now_ms))
@@ -78,7 +78,7 @@
         continue;
       if (cost_us >= best_cost_us)
         continue;
-      best = (int)i;
+      best = (int) i;
       best_cost_us = cost_us;
     }
   return best;
@@ -90,7 +90,7 @@
   int primary = replica_choice_primary (views, count);
   int best = -1;
 
-  if (primary >= 0 && may_ask (&views[primary], (uint32_t)primary, tried, now_ms))
+  if (primary >= 0 && may_ask (&views[primary], (uint32_t) primary, tried, now_ms))
     return primary;
   // Any owner can say which instance is the primary.
   for (uint32_t i = 0; i < count; i++)
@@ -98,7 +98,7 @@
       if (!may_ask (&views[i], i, tried, now_ms))
         continue;
       if (best < 0 || views[i].distance < views[best].distance)
-        best = (int)i;
+        best = (int) i;
     }
   return best;
 }
--- a/src/policy/request-fate.h
+++ b/src/policy/request-fate.h
@@ -73,9 +73,9 @@
 /** enum ResolvedOutcome - Answer of the outcome look-up. */
 typedef enum
 {
-  RESOLVED_ABORTED,   /* it did not commit and never will */
-  RESOLVED_COMMITTED, /* it committed, and a majority holds it */
-  RESOLVED_UNKNOWN    /* nobody could say in time */
+  RESOLVED_UNKNOWN,  /* nobody could say; what a message without an outcome means */
+  RESOLVED_ABORTED,  /* it did not commit and never will */
+  RESOLVED_COMMITTED /* it committed, and a majority holds it */
 } ResolvedOutcome;
 
 /** request_fate_resolved() - The verdict once the outcome look-up ended. */
--- a/src/policy/session-token.c
+++ b/src/policy/session-token.c
@@ -42,7 +42,7 @@
 {
   char *end;
 
-  if (!isdigit ((unsigned char)**text))
+  if (!isdigit ((unsigned char) **text))
     return false;
   errno = 0;
   *number = strtoull (*text, &end, 10);
--- a/src/standin/backend-server.c
+++ b/src/standin/backend-server.c
@@ -2,6 +2,7 @@
 
 #include <unistd.h>
 
+#include "base/clock.h"
 #include "base/stream.h"
 #include "standin/backend-session.h"
 
@@ -133,8 +134,8 @@
   server->listen_fd = -1;
 }
 
-static void
-close_sessions (BackendServer *server)
+void
+backend_server_close_sessions (BackendServer *server)
 {
   while (!g_queue_is_empty (&server->sessions))
     on_closed (server, g_queue_peek_head (&server->sessions));
@@ -143,7 +144,7 @@
 static int
 server_destroy (BackendServer *server)
 {
-  close_sessions (server);
+  backend_server_close_sessions (server);
   stop_listening (server);
   return 0;
 }
@@ -177,7 +178,18 @@
 StandinStats
 backend_server_stats (const BackendServer *server)
 {
-  return server->stats;
+  StandinStats stats = server->stats;
+
+  for (GList *l = server->sessions.head; l != NULL; l = l->next)
+    {
+      int64_t idle_ms = backend_session_transaction_idle_ms (l->data, clock_now_ms ());
+
+      if (idle_ms < 0)
+        continue;
+      stats.transactions++;
+      stats.longest_transaction_idle_ms = MAX (stats.longest_transaction_idle_ms, idle_ms);
+    }
+  return stats;
 }
 
 void
@@ -190,7 +202,14 @@
       return;
     }
   stop_listening (server);
-  close_sessions (server);
+  backend_server_close_sessions (server);
+}
+
+void
+backend_server_roll_back (BackendServer *server)
+{
+  for (GList *l = server->sessions.head; l != NULL; l = l->next)
+    backend_session_roll_back (l->data);
 }
 
 void
--- a/src/standin/backend-server.h
+++ b/src/standin/backend-server.h
@@ -28,6 +28,12 @@
 /** backend_server_set_down() - Resets all connections and refuses new ones, or ends that. */
 void backend_server_set_down (BackendServer *server, bool down);
 
+/** backend_server_close_sessions() - Resets all connections. */
+void backend_server_close_sessions (BackendServer *server);
+
+/** backend_server_roll_back() - Rolls back all open transactions; their callers are told. */
+void backend_server_roll_back (BackendServer *server);
+
 /** backend_server_silence() - Makes the connections open now silent for good. */
 void backend_server_silence (BackendServer *server);
 
--- a/src/standin/backend-session.c
+++ b/src/standin/backend-session.c
@@ -63,6 +63,7 @@
   bool frozen;
   bool busy;
   bool skip_to_sync;
+  int64_t message_ms;
   bool read_only;
   bool read_only_at_start;
   char status;
@@ -164,15 +165,15 @@
   guint mark = pgwire_begin (output, 'T');
   int columns = sqlite3_column_count (statement);
 
-  pgwire_put_u16 (output, (uint16_t)columns);
+  pgwire_put_u16 (output, (uint16_t) columns);
   for (int i = 0; i < columns; i++)
     {
       pgwire_put_string (output, sqlite3_column_name (statement, i));
       pgwire_put_u32 (output, 0);
       pgwire_put_u16 (output, 0);
       pgwire_put_u32 (output, sql_column_type (statement, i, row));
-      pgwire_put_u16 (output, (uint16_t)-1);
-      pgwire_put_u32 (output, (uint32_t)-1);
+      pgwire_put_u16 (output, (uint16_t) -1);
+      pgwire_put_u32 (output, (uint32_t) -1);
       pgwire_put_u16 (output, 0);
     }
   pgwire_end (output, mark);
@@ -185,14 +186,14 @@
   guint mark = pgwire_begin (output, 'D');
   int columns = sqlite3_column_count (statement);
 
-  pgwire_put_u16 (output, (uint16_t)columns);
+  pgwire_put_u16 (output, (uint16_t) columns);
   for (int i = 0; i < columns; i++)
     {
       const unsigned char *text = sqlite3_column_text (statement, i);
       int length = sqlite3_column_bytes (statement, i);
 
-      pgwire_put_u32 (output, text == NULL ? (uint32_t)-1 : (uint32_t)length);
-      pgwire_put_bytes (output, text, text == NULL ? 0 : (uint32_t)length);
+      pgwire_put_u32 (output, text == NULL ? (uint32_t) -1 : (uint32_t) length);
+      pgwire_put_bytes (output, text, text == NULL ? 0 : (uint32_t) length);
     }
   pgwire_end (output, mark);
 }
@@ -281,7 +282,7 @@
   TALLOC_FREE (session->run_timer);
   session->run_timer = tevent_add_timer (
       session->events, session,
-      tevent_timeval_current_ofs ((uint32_t)(delay_us / 1000000), (uint32_t)(delay_us % 1000000)),
+      tevent_timeval_current_ofs ((uint32_t) (delay_us / 1000000), (uint32_t) (delay_us % 1000000)),
       handler, session);
 }
 
@@ -323,6 +324,20 @@
   return false;
 }
 
+/* A statement that waits for a lock does no work, so that the lock's holder finds a slot. */
+static void
+wait_for_lock (BackendSession *session)
+{
+  Run *run = &session->run;
+
+  if (run->lock_until_ms == 0)
+    run->lock_until_ms = clock_now_ms () + LOCK_LIMIT_MS;
+  if (!run->has_slot)
+    return;
+  run->has_slot = false;
+  session->options.host->slot_freed (session->options.host_data, session);
+}
+
 static void
 run_step (BackendSession *session)
 {
@@ -330,6 +345,11 @@
   char *message = NULL;
   const char *sqlstate = "XX000";
 
+  if (session->status == 'E')
+    {
+      fail_run (session, "25006", "this instance is not the primary");
+      return;
+    }
   if (!write_allowed (session))
     return;
   for (;;)
@@ -356,8 +376,7 @@
           finish_run (session, false);
           return;
         case SQL_LOCKED:
-          if (run->lock_until_ms == 0)
-            run->lock_until_ms = clock_now_ms () + LOCK_LIMIT_MS;
+          wait_for_lock (session);
           if (clock_now_ms () < run->lock_until_ms)
             run_later (session, LOCK_RETRY_US, on_run_timer);
           else
@@ -377,7 +396,7 @@
 {
   const char *call = strstr (sql, "pg_sleep(");
 
-  return call == NULL ? 0 : (int64_t)(g_ascii_strtod (call + strlen ("pg_sleep("), NULL) * 1e6);
+  return call == NULL ? 0 : (int64_t) (g_ascii_strtod (call + strlen ("pg_sleep("), NULL) * 1e6);
 }
 
 void
@@ -414,24 +433,24 @@
   GByteArray *output = out (session);
   guint mark = pgwire_begin (output, 'T');
 
-  pgwire_put_u16 (output, (uint16_t)count);
+  pgwire_put_u16 (output, (uint16_t) count);
   for (int i = 0; i < count; i++)
     {
       pgwire_put_string (output, names[i]);
       pgwire_put_u32 (output, 0);
       pgwire_put_u16 (output, 0);
       pgwire_put_u32 (output, 25);
-      pgwire_put_u16 (output, (uint16_t)-1);
-      pgwire_put_u32 (output, (uint32_t)-1);
+      pgwire_put_u16 (output, (uint16_t) -1);
+      pgwire_put_u32 (output, (uint32_t) -1);
       pgwire_put_u16 (output, 0);
     }
   pgwire_end (output, mark);
   mark = pgwire_begin (output, 'D');
-  pgwire_put_u16 (output, (uint16_t)count);
+  pgwire_put_u16 (output, (uint16_t) count);
   for (int i = 0; i < count; i++)
     {
-      pgwire_put_u32 (output, (uint32_t)strlen (values[i]));
-      pgwire_put_bytes (output, values[i], (uint32_t)strlen (values[i]));
+      pgwire_put_u32 (output, (uint32_t) strlen (values[i]));
+      pgwire_put_bytes (output, values[i], (uint32_t) strlen (values[i]));
     }
   pgwire_end (output, mark);
   pgwire_put_complete (output, "SELECT 1");
@@ -540,7 +559,7 @@
   put_boolean (session,
                primary >= 0
                    && group_log_follow (database_group_log (session->options.group),
-                                        session->options.instance, term, (uint32_t)primary));
+                                        session->options.instance, term, (uint32_t) primary));
 }
 
 static void
@@ -767,7 +786,7 @@
   g_snprintf (name, sizeof name, "$%d", number);
   at = sqlite3_bind_parameter_index (session->parsed, name);
   if (at > 0 && bytes != NULL)
-    sqlite3_bind_text (session->parsed, at, (const char *)bytes, (int)length, SQLITE_TRANSIENT);
+    sqlite3_bind_text (session->parsed, at, (const char *) bytes, (int) length, SQLITE_TRANSIENT);
   else if (at > 0)
     sqlite3_bind_null (session->parsed, at);
 }
@@ -796,7 +815,7 @@
   for (uint16_t i = 0; i < count && !cursor->failed; i++)
     {
       uint32_t length = pgwire_get_u32 (cursor);
-      const uint8_t *bytes = length == (uint32_t)-1 ? NULL : pgwire_get_bytes (cursor, length);
+      const uint8_t *bytes = length == (uint32_t) -1 ? NULL : pgwire_get_bytes (cursor, length);
 
       if (session->parsed != NULL)
         bind_parameter (session, i + 1, bytes, length);
@@ -811,7 +830,7 @@
   guint mark = pgwire_begin (output, 't');
   int count = session->parsed == NULL ? 0 : sqlite3_bind_parameter_count (session->parsed);
 
-  pgwire_put_u16 (output, (uint16_t)count);
+  pgwire_put_u16 (output, (uint16_t) count);
   for (int i = 0; i < count; i++)
     pgwire_put_u32 (output, 25);
   pgwire_end (output, mark);
@@ -966,7 +985,7 @@
   read_startup_parameters (session, &cursor);
   session->busy = true;
   run_later (session,
-             (int64_t)session->options.emulation->connect_delay_ms * 1000 + session->rtt_us,
+             (int64_t) session->options.emulation->connect_delay_ms * 1000 + session->rtt_us,
              on_connected);
 }
 
@@ -990,6 +1009,7 @@
   message.body = copy;
   stream_consume (session->stream, message.size_bytes);
   session->consumed_bytes += message.size_bytes;
+  session->message_ms = clock_now_ms ();
   if (message.type == 0)
     handle_startup (session, &message);
   else
@@ -1019,7 +1039,7 @@
   wait_us = MAX (next->due_us - clock_now_us (), 0);
   session->arrival_timer
       = tevent_add_timer (session->events, session,
-                          tevent_timeval_current_ofs (0, (uint32_t)wait_us), on_arrival, session);
+                          tevent_timeval_current_ofs (0, (uint32_t) wait_us), on_arrival, session);
 }
 
 static void
@@ -1128,3 +1148,19 @@
   if (!frozen)
     process_input (session);
 }
+
+int64_t
+backend_session_transaction_idle_ms (const BackendSession *session, int64_t now_ms)
+{
+  return session->status == 'I' ? -1 : now_ms - session->message_ms;
+}
+
+void
+backend_session_roll_back (BackendSession *session)
+{
+  if (session->status != 'T')
+    return;
+  sql_session_exec (session->sql, "ROLLBACK");
+  g_ptr_array_set_size (session->writes, 0);
+  session->status = 'E';
+}
--- a/src/standin/backend-session.h
+++ b/src/standin/backend-session.h
@@ -51,3 +51,9 @@
 
 /** backend_session_tick() - Answers a status poll whose wait is over. */
 void backend_session_tick (BackendSession *session, int64_t now_ms);
+
+/** backend_session_transaction_idle_ms() - Pause inside an open transaction; -1 if none is open. */
+int64_t backend_session_transaction_idle_ms (const BackendSession *session, int64_t now_ms);
+
+/** backend_session_roll_back() - Rolls back an open transaction; it is left failed. */
+void backend_session_roll_back (BackendSession *session);
--- a/src/standin/database-group.c
+++ b/src/standin/database-group.c
@@ -37,10 +37,21 @@
 {
   DatabaseGroup *group = data;
 
-  sql_database_clear (group->databases[instance]);
+  // Sessions hold the old database open, so they go first.
+  backend_server_close_sessions (group->servers[instance]);
+  sql_database_free (group->databases[instance]);
+  group->databases[instance] = sql_database_new ();
 }
 
-static const GroupLogEvents log_events = { apply_record, reset_instance };
+static void
+demote_instance (void *data, uint32_t instance)
+{
+  DatabaseGroup *group = data;
+
+  backend_server_roll_back (group->servers[instance]);
+}
+
+static const GroupLogEvents log_events = { apply_record, reset_instance, demote_instance };
 
 static void group_tick (struct tevent_context *events, struct tevent_timer *timer,
                         struct timeval now, void *data);
@@ -145,7 +156,7 @@
 {
   for (uint32_t i = 0; i < group->options.instance_count; i++)
     if (strcmp (group->options.instances[i].name, name) == 0)
-      return (int)i;
+      return (int) i;
   return -1;
 }
 
@@ -155,7 +166,7 @@
   for (int i = 0; i < STANDIN_FAULT_COUNT; i++)
     if (strcmp (fault_names[i], name) == 0)
       {
-        *fault = (StandinFault)i;
+        *fault = (StandinFault) i;
         return true;
       }
   return false;
@@ -194,7 +205,7 @@
       group_log_set_lag (group->log, instance, value);
       break;
     case STANDIN_FAULT_SLOW:
-      backend_server_set_service (server, value > 0 ? (uint32_t)value : group->options.service_us);
+      backend_server_set_service (server, value > 0 ? (uint32_t) value : group->options.service_us);
       break;
     case STANDIN_FAULT_COUNT:
       break;
--- a/src/standin/database-group.h
+++ b/src/standin/database-group.h
@@ -75,6 +75,8 @@
   uint64_t statements;
   uint32_t running;
   uint32_t most_running;
+  uint32_t transactions;
+  int64_t longest_transaction_idle_ms;
 } StandinStats;
 
 /** database_group_new() - Starts listening; %NULL when a port can't be had. */
--- a/src/standin/deployment.c
+++ b/src/standin/deployment.c
@@ -103,7 +103,7 @@
       const DeploymentClass *entry = &deployment->classes[i];
       json_t *json
           = json_pack ("{s:s, s:s, s:b, s:i}", "priority", entry->priority, "access", entry->access,
-                       "idempotent", entry->idempotent, "deadline_ms", (int)entry->deadline_ms);
+                       "idempotent", entry->idempotent, "deadline_ms", (int) entry->deadline_ms);
 
       if (entry->max_age_ms > 0)
         json_object_set_new (json, "max_age_ms", json_integer (entry->max_age_ms));
@@ -120,11 +120,12 @@
 
   for (uint32_t i = 0; i < DEPLOYMENT_INSTANCES; i++)
     {
-      const char name[] = { (char)('a' + i), '\0' };
+      const char name[] = { (char) ('a' + i), '\0' };
 
       json_object_set_new (
           instances, name,
-          json_pack ("{s:s, s:i, s:s}", "address", address, "port", (int)ports[i], "failure_domain",
+          json_pack ("{s:s, s:i, s:s}", "address", address, "port", (int) ports[i],
+                     "failure_domain",
                      deployment->domains[deployment_instance_domain (service, i)]));
     }
   return instances;
@@ -140,13 +141,13 @@
     {
       char *name = g_strdup_printf ("%s%u", deployment->service_prefix, i + 1);
 
-      json_object_set_new (services, name,
-                           json_pack ("{s:o, s:o, s:s, s:i, s:i, s:i, s:{s:i, s:i}}", "instances",
-                                      make_instances (deployment, address, i, ports[i]), "classes",
-                                      make_classes (deployment), "default_class",
-                                      deployment->default_class, "slots", (int)deployment->slots,
-                                      "connections", (int)deployment->connections, "reserved_slots",
-                                      1, "floors", "normal", 20, "background", 10));
+      json_object_set_new (
+          services, name,
+          json_pack ("{s:o, s:o, s:s, s:i, s:i, s:i, s:{s:i, s:i}}", "instances",
+                     make_instances (deployment, address, i, ports[i]), "classes",
+                     make_classes (deployment), "default_class", deployment->default_class, "slots",
+                     (int) deployment->slots, "connections", (int) deployment->connections,
+                     "reserved_slots", 1, "floors", "normal", 20, "background", 10));
       g_free (name);
     }
   return json_pack ("{s:s, s:o, s:o}", "title", deployment->name, "regions",
--- a/src/standin/group-log.c
+++ b/src/standin/group-log.c
@@ -48,7 +48,7 @@
 
   if (instance->records->len == 0)
     return none;
-  return ((LogRecord *)instance->records->pdata[instance->records->len - 1])->token;
+  return ((LogRecord *) instance->records->pdata[instance->records->len - 1])->token;
 }
 
 static SessionToken
@@ -58,7 +58,7 @@
 
   if (instance->applied == 0)
     return none;
-  return ((LogRecord *)instance->records->pdata[instance->applied - 1])->token;
+  return ((LogRecord *) instance->records->pdata[instance->applied - 1])->token;
 }
 
 static void
@@ -184,8 +184,10 @@
     return false;
   instance->term = term;
   instance->following = -1;
-  if (instance->role == ROLE_PRIMARY)
-    instance->role = ROLE_FENCED;
+  if (instance->role != ROLE_PRIMARY)
+    return true;
+  instance->role = ROLE_FENCED;
+  log->events->demoted (log->data, index);
   return true;
 }
 
@@ -254,7 +256,7 @@
       if (record->transaction_id != NULL)
         g_hash_table_remove (instance->ids, record->transaction_id);
     }
-  g_ptr_array_set_size (instance->records, (gint)common);
+  g_ptr_array_set_size (instance->records, (gint) common);
   if (instance->applied <= common)
     return;
   instance->applied = 0;
@@ -265,15 +267,19 @@
 group_log_follow (GroupLog *log, uint32_t index, uint64_t term, uint32_t primary)
 {
   LogInstance *instance = &log->instances[index];
+  bool was_primary;
 
   if (index == primary || term < instance->term)
     return false;
   if (instance->role == ROLE_PRIMARY && term == instance->term)
     return false;
+  was_primary = instance->role == ROLE_PRIMARY;
   instance->term = term;
   instance->role = ROLE_REPLICA;
-  instance->following = (int32_t)primary;
+  instance->following = (int32_t) primary;
   instance->aligned = false;
+  if (was_primary)
+    log->events->demoted (log->data, index);
   return true;
 }
 
--- a/src/standin/group-log.h
+++ b/src/standin/group-log.h
@@ -32,11 +32,17 @@
 
 typedef struct GroupLog GroupLog;
 
-/** struct GroupLogEvents - How records reach an instance's database. */
+/**
+ * struct GroupLogEvents - How records reach an instance's database.
+ * @apply: applies a record; false to try again later.
+ * @reset: the database starts over, empty; its connections are closed.
+ * @demoted: it is no longer the primary: open transactions are rolled back.
+ */
 typedef struct
 {
   bool (*apply) (void *data, uint32_t instance, const LogRecord *record);
   void (*reset) (void *data, uint32_t instance);
+  void (*demoted) (void *data, uint32_t instance);
 } GroupLogEvents;
 
 /** group_log_new() - Group of @count instances; instance 0 starts as the primary of term 1. */
--- a/src/standin/platform-store.c
+++ b/src/standin/platform-store.c
@@ -62,7 +62,7 @@
   for (int i = 0; i < STORE_FAULT_COUNT; i++)
     if (strcmp (store_fault_names[i], name) == 0)
       {
-        *fault = (StoreFault)i;
+        *fault = (StoreFault) i;
         return true;
       }
   return false;
@@ -107,14 +107,14 @@
   size_t index;
   json_t *condition;
 
-  json_array_foreach ((json_t *)conditions, index, condition)
+  json_array_foreach ((json_t *) conditions, index, condition)
   {
     const char *key = json_string_value (json_object_get (condition, "key"));
-    uint64_t version = (uint64_t)json_integer_value (json_object_get (condition, "version"));
+    uint64_t version = (uint64_t) json_integer_value (json_object_get (condition, "version"));
 
     if (key != NULL && row_version (store, key) != version)
       json_array_append_new (failed, json_pack ("{s:s, s:I}", "key", key, "version",
-                                                (json_int_t)row_version (store, key)));
+                                                (json_int_t) row_version (store, key)));
   }
   return failed;
 }
@@ -125,7 +125,7 @@
   size_t index;
   json_t *put;
 
-  json_array_foreach ((json_t *)puts, index, put)
+  json_array_foreach ((json_t *) puts, index, put)
   {
     const char *key = json_string_value (json_object_get (put, "key"));
     Row *row;
@@ -179,7 +179,7 @@
   if (row == NULL)
     return (Answer){ MHD_HTTP_NOT_FOUND, NULL, NULL };
   return (Answer){ MHD_HTTP_OK,
-                   json_pack ("{s:s, s:I, s:O}", "key", key, "version", (json_int_t)row->version,
+                   json_pack ("{s:s, s:I, s:O}", "key", key, "version", (json_int_t) row->version,
                               "value", row->value),
                    NULL };
 }
@@ -285,7 +285,7 @@
 
   if ((rest = path_below (url, "/v1/object/")) != NULL)
     return put_object (store, rest, body);
-  json = json_loadb ((const char *)body->data, body->len, 0, NULL);
+  json = json_loadb ((const char *) body->data, body->len, 0, NULL);
   if (json == NULL)
     return answer;
   if (strcmp (url, "/v1/transaction") == 0)
@@ -314,7 +314,7 @@
       gsize size;
       const void *data = g_bytes_get_data (answer->bytes, &size);
 
-      response = MHD_create_response_from_buffer (size, (void *)data, MHD_RESPMEM_MUST_COPY);
+      response = MHD_create_response_from_buffer (size, (void *) data, MHD_RESPMEM_MUST_COPY);
       g_bytes_unref (answer->bytes);
     }
   else
@@ -351,7 +351,7 @@
     {
       if (upload->body->len + *upload_size > BODY_LIMIT_BYTES)
         return MHD_NO;
-      g_byte_array_append (upload->body, (const uint8_t *)upload_data, (guint)*upload_size);
+      g_byte_array_append (upload->body, (const uint8_t *) upload_data, (guint) *upload_size);
       *upload_size = 0;
       return MHD_YES;
     }
@@ -360,7 +360,7 @@
       long long slow_ms = atomic_load (&store->faults[STORE_FAULT_SLOW]);
 
       if (slow_ms > 0)
-        g_usleep ((gulong)slow_ms * 1000);
+        g_usleep ((gulong) slow_ms * 1000);
       if (atomic_load (&store->faults[STORE_FAULT_DOWN]) > 0)
         return MHD_NO;
     }
@@ -400,9 +400,9 @@
   g_mutex_init (&store->lock);
   store->rows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, row_free);
   store->transactions
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)json_decref);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) json_decref);
   store->objects
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_bytes_unref);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) g_bytes_unref);
   store->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, listed_host_free);
   store->daemon = MHD_start_daemon (MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD,
                                     options->port, NULL, NULL, handle_request, store,
--- a/src/standin/sql-engine.c
+++ b/src/standin/sql-engine.c
@@ -94,14 +94,6 @@
   return false;
 }
 
-void
-sql_database_clear (SqlDatabase *database)
-{
-  sqlite3_db_config (database->keeper, SQLITE_DBCONFIG_RESET_DATABASE, 1, 0);
-  sqlite3_exec (database->keeper, "VACUUM", NULL, NULL, NULL);
-  sqlite3_db_config (database->keeper, SQLITE_DBCONFIG_RESET_DATABASE, 0, 0);
-}
-
 SqlSession *
 sql_session_new (SqlDatabase *database)
 {
--- a/src/standin/sql-engine.h
+++ b/src/standin/sql-engine.h
@@ -21,9 +21,6 @@
 /** sql_database_apply() - Runs a replicated transaction; false to try again later. */
 bool sql_database_apply (SqlDatabase *database, const GPtrArray *statements);
 
-/** sql_database_clear() - Drops all content. */
-void sql_database_clear (SqlDatabase *database);
-
 /** sql_session_new() - A connection's session. */
 SqlSession *sql_session_new (SqlDatabase *database);
 
--- a/src/standin/standin.c
+++ b/src/standin/standin.c
@@ -58,10 +58,10 @@
   if (group != NULL && g_strcmp0 (instance, "primary") == 0)
     for (uint32_t i = 0; i < DEPLOYMENT_INSTANCES; i++)
       if (database_group_status (group, i).role == ROLE_PRIMARY)
-        index = (int)i;
+        index = (int) i;
   if (index < 0 || !standin_fault_parse (kind, &fault))
     return NULL;
-  database_group_fault (group, (uint32_t)index, fault,
+  database_group_fault (group, (uint32_t) index, fault,
                         json_integer_value (json_object_get (request, "value")));
   return json_pack ("{s:i}", "instance", index);
 }
@@ -74,12 +74,14 @@
   const StandinStats stats = database_group_stats (group, instance);
   const InstanceStatus status = database_group_status (group, instance);
 
-  return json_pack ("{s:s, s:I, s:I, s:I, s:i, s:i, s:I, s:I, s:i}", "role", roles[status.role],
-                    "term", (json_int_t)status.term, "position",
-                    (json_int_t)status.received.position, "applied",
-                    (json_int_t)status.applied.position, "open", (int)stats.open, "most_open",
-                    (int)stats.most_open, "refused", (json_int_t)stats.refused, "statements",
-                    (json_int_t)stats.statements, "most_running", (int)stats.most_running);
+  return json_pack ("{s:s, s:I, s:I, s:I, s:i, s:i, s:I, s:I, s:i, s:i, s:i, s:I}", "role",
+                    roles[status.role], "term", (json_int_t) status.term, "position",
+                    (json_int_t) status.received.position, "applied",
+                    (json_int_t) status.applied.position, "open", (int) stats.open, "most_open",
+                    (int) stats.most_open, "refused", (json_int_t) stats.refused, "statements",
+                    (json_int_t) stats.statements, "most_running", (int) stats.most_running,
+                    "running", (int) stats.running, "transactions", (int) stats.transactions,
+                    "longest_transaction_idle_ms", (json_int_t) stats.longest_transaction_idle_ms);
 }
 
 static json_t *
@@ -102,7 +104,7 @@
 deliver_command (void *receiver, MailboxMessage *message)
 {
   Standin *standin = receiver;
-  Command *command = (Command *)message;
+  Command *command = (Command *) message;
 
   if (json_object_get (command->request, "fault") != NULL)
     command->answer = run_fault (standin, command->request);
@@ -164,7 +166,7 @@
     .service_us = options->service_us,
     .lag_ms = options->lag_ms,
     .delay = options->emulate_network ? deployment_delay_us : NULL,
-    .delay_data = (void *)deployment,
+    .delay_data = (void *) deployment,
   };
 
   for (uint32_t i = 0; i < DEPLOYMENT_INSTANCES; i++)
@@ -174,7 +176,7 @@
       instance->name = names[i];
       instance->address = options->address;
       if (options->database_port != 0)
-        instance->port = (uint16_t)(options->database_port + service * DEPLOYMENT_INSTANCES + i);
+        instance->port = (uint16_t) (options->database_port + service * DEPLOYMENT_INSTANCES + i);
       instance->failure_domain = deployment->domains[deployment_instance_domain (service, i)];
     }
   return database_group_new (standin->memory, standin->events, &group);
