--- a/src/standin/backend-server.c
+++ b/src/standin/backend-server.c
@@ -216,7 +216,7 @@
 backend_server_silence (BackendServer *server)
 {
   for (GList *l = server->sessions.head; l != NULL; l = l->next)
-    backend_session_set_frozen (l->data, true);
+    backend_session_silence (l->data);
 }
 
 void
--- a/src/standin/backend-session.c
+++ b/src/standin/backend-session.c
@@ -11,6 +11,8 @@
 #define STREAM_HIGH_BYTES (256 * 1024)
 #define LOCK_RETRY_US 1000
 #define LOCK_LIMIT_MS 5000
+/* Time after which the server's keepalive ends a session whose peer is out of reach. */
+#define KEEPALIVE_MS 2000
 #define TRANSACTION_ID_BYTES 64
 
 /* A statement being run. */
@@ -64,6 +66,7 @@
   bool busy;
   bool skip_to_sync;
   int64_t message_ms;
+  int64_t silent_since_ms;
   bool read_only;
   bool read_only_at_start;
   char status;
@@ -494,9 +497,21 @@
          || session_token_covers (session->wait.applied ? status.applied : status.received, wanted);
 }
 
+void
+backend_session_silence (BackendSession *session)
+{
+  session->silent_since_ms = clock_now_ms ();
+  backend_session_set_frozen (session, true);
+}
+
 void
 backend_session_tick (BackendSession *session, int64_t now_ms)
 {
+  if (session->silent_since_ms != 0 && now_ms - session->silent_since_ms >= KEEPALIVE_MS)
+    {
+      session->options.host->closed (session->options.host_data, session);
+      return;
+    }
   if (!session->wait.waiting || session->frozen || !status_wait_over (session, now_ms))
     return;
   session->wait.waiting = false;
--- a/src/standin/backend-session.h
+++ b/src/standin/backend-session.h
@@ -49,6 +49,12 @@
 /** backend_session_set_frozen() - Stops or resumes all processing. */
 void backend_session_set_frozen (BackendSession *session, bool frozen);
 
+/**
+ * backend_session_silence() - The network loses track of the connection: nothing passes any
+ * more. The server's own keepalive ends the session after a while.
+ */
+void backend_session_silence (BackendSession *session);
+
 /** backend_session_tick() - Answers a status poll whose wait is over. */
 void backend_session_tick (BackendSession *session, int64_t now_ms);
 
