--- a/Makefile
+++ b/Makefile
@@ -51,7 +51,8 @@
 
 lint: setup
 	clang-format --dry-run -Werror $(FORMATTED)
-	clang-tidy --quiet $(filter-out $(GEN),$(SRCS)) src/main.c -- $(CPPFLAGS_ALL) -std=gnu11
+	printf '%s\n' $(filter-out $(GEN),$(SRCS)) src/main.c | \
+	  xargs -P 6 -n 8 sh -c 'clang-tidy --quiet "$$@" -- $(CPPFLAGS_ALL) -std=gnu11 2>/dev/null' clang-tidy
 	tests/check-links
 
 format:
--- a/src/base/stream.c
+++ b/src/base/stream.c
@@ -195,7 +195,6 @@
   struct sockaddr_in *v4 = (struct sockaddr_in *) storage;
   struct sockaddr_in6 *v6 = (struct sockaddr_in6 *) storage;
 
-  memset (storage, 0, sizeof *storage);
   if (inet_pton (AF_INET, address, &v4->sin_addr) == 1)
     {
       v4->sin_family = AF_INET;
@@ -214,7 +213,7 @@
 int
 stream_listen (const char *address, uint16_t port, bool shared)
 {
-  struct sockaddr_storage storage;
+  struct sockaddr_storage storage = { 0 };
   socklen_t length = make_address (address, port, &storage);
   int on = 1;
   int fd;
@@ -236,14 +235,17 @@
 uint16_t
 stream_port (int fd)
 {
-  struct sockaddr_storage storage;
-  socklen_t length = sizeof storage;
-
-  if (getsockname (fd, (struct sockaddr *) &storage, &length) != 0)
+  union
+  {
+    struct sockaddr any;
+    struct sockaddr_in v4;
+    struct sockaddr_in6 v6;
+  } address = { 0 };
+  socklen_t length = sizeof address;
+
+  if (getsockname (fd, &address.any, &length) != 0)
     return 0;
-  if (storage.ss_family == AF_INET6)
-    return ntohs (((struct sockaddr_in6 *) &storage)->sin6_port);
-  return ntohs (((struct sockaddr_in *) &storage)->sin_port);
+  return ntohs (address.any.sa_family == AF_INET6 ? address.v6.sin6_port : address.v4.sin_port);
 }
 
 static void
@@ -260,7 +262,7 @@
 int
 stream_connect (const char *address, uint16_t port)
 {
-  struct sockaddr_storage storage;
+  struct sockaddr_storage storage = { 0 };
   socklen_t length = make_address (address, port, &storage);
   int fd;
 
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -480,12 +480,12 @@
 static void
 write_status (Control *control, int64_t now_ms)
 {
-  json_t *members = json_array ();
-  json_t *json;
+  json_t *members, *json;
   char *text;
 
   if (now_ms < control->status_next_ms)
     return;
+  members = json_array ();
   control->status_next_ms = now_ms + STATUS_INTERVAL_MS;
   for (uint32_t i = 0; i < membership_count (control->membership); i++)
     {
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -77,7 +77,8 @@
 static bool
 start_workers (Daemon *daemon, GError **error)
 {
-  int caller_fds[WORKERS_MAX], link_fds[WORKERS_MAX];
+  int caller_fds[WORKERS_MAX] = { 0 };
+  int link_fds[WORKERS_MAX] = { 0 };
 
   for (uint32_t i = 0; i < daemon->options.workers; i++)
     {
--- a/src/main.c
+++ b/src/main.c
@@ -4,16 +4,16 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "cli/command.h"
 
 #define VERSION "0.1.0"
 
-extern char **environ;
-
 static const Command *const commands[] = {
-  &command_serve,   &command_demo,   &command_standin, &command_apply, &command_show,
-  &command_history, &command_status, &command_fault,   &command_load,  &command_replay,
+  &command_serve, &command_demo,    &command_standin, &command_apply,
+  &command_show,  &command_history, &command_status,  &command_fault,
+  &command_load,  &command_replay,  &command_bench,
 };
 
 static void
--- a/src/pipeline/owner-table.c
+++ b/src/pipeline/owner-table.c
@@ -87,7 +87,7 @@
 {
   OwnerTable *table = data;
   GroupOwner *group = g_hash_table_lookup (table->by_name, service->name);
-  bool owned[GROUP_INSTANCES_MAX];
+  bool owned[GROUP_INSTANCES_MAX] = { false };
   bool any = false;
 
   if (!is_mine (table, service->name))
--- a/src/pipeline/request.c
+++ b/src/pipeline/request.c
@@ -160,6 +160,7 @@
   talloc_free (request);
   if (!abandoned)
     options.done (options.user, outcome);
+  outcome->detail = "";
 }
 
 static void
@@ -408,7 +409,7 @@
     }
   execute->n_param_types = options->type_count;
   execute->param_types = calloc (options->type_count + 1, sizeof (uint32_t));
-  if (options->type_count > 0)
+  if (options->types != NULL)
     memcpy (execute->param_types, options->types, options->type_count * sizeof (uint32_t));
 }
 
--- a/src/standin/group-log.c
+++ b/src/standin/group-log.c
@@ -92,6 +92,7 @@
 {
   GroupLog *log = g_new0 (GroupLog, 1);
 
+  g_assert (count > 0);
   log->count = count;
   log->events = events;
   log->data = data;
--- a/tests/whole.c
+++ b/tests/whole.c
@@ -305,7 +305,8 @@
 {
   while (length > 0)
     {
-      gsize part = MIN (length, (gsize) g_rand_int_range (random, 1, 64));
+      gsize drawn = (gsize) g_rand_int_range (random, 1, 64);
+      gsize part = MIN (length, drawn);
 
       if (send (fd, bytes, part, MSG_NOSIGNAL) <= 0)
         return;
