--- a/src/load/load-run.c
+++ b/src/load/load-run.c
@@ -15,21 +15,37 @@
 #define CHECK_ATTEMPTS 20
 #define RETRY_US 500000
 
+/* Sessions of the flood are apart, so that others never wait for one of them to be free. */
+typedef enum
+{
+  POOL_STEADY,
+  POOL_FLOOD,
+  POOL_COUNT
+} PoolKind;
+
+typedef struct Run Run;
+
 typedef struct
+{
+  Run *run;
+  GQueue idle;
+  GQueue backlog; /* LoadWork that found no idle session */
+  uint32_t sessions;
+} Pool;
+
+struct Run
 {
   const LoadOptions *options;
   LoadRecord *record;
   struct tevent_context *events;
   TALLOC_CTX *memory;
   GRand *random;
-  GQueue idle;
-  GQueue backlog; /* LoadWork that found no idle session */
-  uint32_t sessions;
+  Pool pools[POOL_COUNT];
   uint32_t running;
   uint64_t next_id;
   int64_t started_us;
   int64_t next_us[LOAD_CLASSES_MAX];
-} Run;
+};
 
 static void
 start_work (Run *run, LoadSession *session, const LoadWork *work)
@@ -41,52 +57,54 @@
 static void
 on_idle (void *data, LoadSession *session)
 {
-  Run *run = data;
-  LoadWork *work = g_queue_pop_head (&run->backlog);
+  Pool *pool = data;
+  LoadWork *work = g_queue_pop_head (&pool->backlog);
 
   if (work == NULL)
     {
-      g_queue_push_tail (&run->idle, session);
+      g_queue_push_tail (&pool->idle, session);
       return;
     }
-  start_work (run, session, work);
+  start_work (pool->run, session, work);
   g_free (work);
 }
 
 static void
 on_ended (void *data)
 {
-  Run *run = data;
+  Pool *pool = data;
 
-  run->running--;
+  pool->run->running--;
 }
 
 static void
-open_session (Run *run)
+open_session (Pool *pool)
 {
+  Run *run = pool->run;
   const LoadSessionOptions options = {
     .load = run->options,
     .record = run->record,
     .events = run->events,
-    .first_host = run->sessions % run->options->host_count,
+    .first_host = pool->sessions % run->options->host_count,
     .started_us = run->started_us,
     .idle = on_idle,
     .ended = on_ended,
-    .data = run,
+    .data = pool,
   };
 
-  run->sessions++;
+  pool->sessions++;
   load_session_new (run->memory, &options);
 }
 
 static LoadSession *
-take_idle (Run *run)
+take_idle (Pool *pool)
 {
-  guint count = g_queue_get_length (&run->idle);
+  guint count = g_queue_get_length (&pool->idle);
 
   if (count == 0)
     return NULL;
-  return g_queue_pop_nth (&run->idle, (guint) g_rand_int_range (run->random, 0, (gint32) count));
+  return g_queue_pop_nth (&pool->idle,
+                          (guint) g_rand_int_range (pool->run->random, 0, (gint32) count));
 }
 
 static LoadWork
@@ -105,7 +123,9 @@
 arrive (Run *run, uint32_t class_index, int64_t arrived_us)
 {
   LoadWork work = make_work (run, class_index, arrived_us);
-  LoadSession *session = take_idle (run);
+  bool floods = run->options->classes[class_index].flood_rate_per_s > 0;
+  Pool *pool = &run->pools[floods ? POOL_FLOOD : POOL_STEADY];
+  LoadSession *session = take_idle (pool);
 
   load_record_sent (run->record, class_index);
   if (session != NULL)
@@ -113,14 +133,14 @@
       start_work (run, session, &work);
       return;
     }
-  if (run->sessions < run->options->sessions_max)
-    open_session (run);
-  if (g_queue_get_length (&run->backlog) >= BACKLOG_MAX)
+  if (pool->sessions < run->options->sessions_max)
+    open_session (pool);
+  if (g_queue_get_length (&pool->backlog) >= BACKLOG_MAX)
     {
       load_record_ended (run->record, class_index, LOAD_NOT_RUN, 0, 0);
       return;
     }
-  g_queue_push_tail (&run->backlog, g_memdup2 (&work, sizeof work));
+  g_queue_push_tail (&pool->backlog, g_memdup2 (&work, sizeof work));
 }
 
 static int64_t
@@ -171,14 +191,24 @@
   tevent_add_timer (events, run->memory, tevent_timeval_current_ofs (0, 20000), on_idle_tick, run);
 }
 
+static bool
+has_work (const Run *run)
+{
+  if (run->running > 0)
+    return true;
+  for (int i = 0; i < POOL_COUNT; i++)
+    if (!g_queue_is_empty ((GQueue *) &run->pools[i].backlog))
+      return true;
+  return false;
+}
+
 static void
 loop (Run *run)
 {
   int64_t end_us = run->started_us + run->options->duration_ms * 1000;
   int64_t limit_us = end_us + FINISH_LIMIT_MS * 1000;
 
-  while (clock_now_us () < end_us
-         || ((run->running > 0 || !g_queue_is_empty (&run->backlog)) && clock_now_us () < limit_us))
+  while (clock_now_us () < end_us || (has_work (run) && clock_now_us () < limit_us))
     tevent_loop_once (run->events);
 }
 
@@ -279,16 +309,23 @@
   run.memory = talloc_new (NULL);
   run.events = tevent_context_init (run.memory);
   run.random = g_rand_new_with_seed ((guint32) options->seed);
-  g_queue_init (&run.idle);
-  g_queue_init (&run.backlog);
+  for (int i = 0; i < POOL_COUNT; i++)
+    {
+      run.pools[i].run = &run;
+      g_queue_init (&run.pools[i].idle);
+      g_queue_init (&run.pools[i].backlog);
+    }
   run.started_us = clock_now_us ();
   for (uint32_t i = 0; i < options->class_count; i++)
     run.next_us[i] = next_arrival_us (&run, i, run.started_us);
   on_tick (run.events, NULL, tevent_timeval_zero (), &run);
   on_idle_tick (run.events, NULL, tevent_timeval_zero (), &run);
   loop (&run);
-  g_queue_clear (&run.idle);
-  g_queue_clear_full (&run.backlog, g_free);
+  for (int i = 0; i < POOL_COUNT; i++)
+    {
+      g_queue_clear (&run.pools[i].idle);
+      g_queue_clear_full (&run.pools[i].backlog, g_free);
+    }
   g_rand_free (run.random);
   talloc_free (run.memory);
   return true;
