Floors hold in a flood of urgent work

Cause: lower work could start only while all running work, urgent included, left the reserve free; in an urgent flood the slots are always full, so a lane with credit from its floor never got one. Change: the reserve counts against lower work only; urgent work's own use of slots does not.

--- a/src/policy/admission-queue.c
+++ b/src/policy/admission-queue.c
@@ -229,10 +229,15 @@
     }
 }
 
+/* Lower work leaves the reserve alone; what urgent work has taken does not count against it. */
 static bool
 lane_may_start (const AdmissionQueue *queue, Priority priority)
 {
-  return queue->lanes[priority].waiting > 0 && queue->running < lane_slots (queue, priority);
+  uint32_t lower = queue->running - queue->lanes[PRIORITY_URGENT].running;
+
+  if (queue->lanes[priority].waiting == 0 || queue->running >= queue->options.slots)
+    return false;
+  return priority == PRIORITY_URGENT || lower < lane_slots (queue, priority);
 }
 
 static bool
