--- a/src/cli/config-commands.c
+++ b/src/cli/config-commands.c
@@ -103,21 +103,21 @@
   json_t *host;
 
   json_array_foreach (list, index, host)
-  {
-    if (json_is_true (json_object_get (host, "leaving")))
-      continue;
-    while (!host_has_version (host, version))
-      {
-        if (clock_now_ms () - began_ms > limit_ms)
-          {
-            fprintf (stderr, "peridotstep: %s does not have version %" G_GUINT64_FORMAT " yet\n",
-                     json_string_value (json_object_get (host, "id")), version);
-            json_decref (hosts);
-            return EXIT_FAILED;
-          }
-        g_usleep (WAIT_POLL_US);
-      }
-  }
+    {
+      if (json_is_true (json_object_get (host, "leaving")))
+        continue;
+      while (!host_has_version (host, version))
+        {
+          if (clock_now_ms () - began_ms > limit_ms)
+            {
+              fprintf (stderr, "peridotstep: %s does not have version %" G_GUINT64_FORMAT " yet\n",
+                       json_string_value (json_object_get (host, "id")), version);
+              json_decref (hosts);
+              return EXIT_FAILED;
+            }
+          g_usleep (WAIT_POLL_US);
+        }
+    }
   printf ("in force on %zu hosts after %" G_GINT64_FORMAT " ms\n", json_array_size (list),
           clock_now_ms () - began_ms);
   json_decref (hosts);
@@ -211,12 +211,12 @@
           json_string_value (json_object_get (record, "reason")),
           json_string_value (json_object_get (record, "id")),
           json_integer_value (json_object_get (record, "base")));
-  json_array_foreach (json_object_get (record, "paths"), index, path) if (index < PATHS_PRINTED)
+  json_array_foreach (json_object_get (record, "paths"), index, path)
+    if (index < PATHS_PRINTED)
       printf ("%s%s", index == 0 ? "" : ",", json_string_value (path));
   if (index > PATHS_PRINTED)
     printf (" and %zu more", index - PATHS_PRINTED);
-  printf ("
-");
+  printf ("\n");
 }
 
 /* Terms in which nobody recorded a promotion are passed over. */
--- a/src/cli/load.c
+++ b/src/cli/load.c
@@ -62,8 +62,8 @@
   size_t index;
   json_t *host;
 
-  json_array_foreach (json_object_get (hosts, "hosts"), index, host) sum
-      += json_integer_value (json_object_get (host, name));
+  json_array_foreach (json_object_get (hosts, "hosts"), index, host)
+    sum += json_integer_value (json_object_get (host, name));
   return sum;
 }
 
--- a/src/config/config-document.c
+++ b/src/config/config-document.c
@@ -134,18 +134,18 @@
       return;
     }
   json_array_foreach ((json_t *) domains, index, value)
-  {
-    const char *domain = json_string_value (value);
-
-    if (domain == NULL || domain[0] == '\0')
-      g_string_append_printf (faults, "/regions/%s/%zu: must be a name\n", name, index);
-    else if (g_hash_table_contains (document->regions, domain))
-      g_string_append_printf (faults, "/regions/%s/%zu: '%s' is in two regions\n", name, index,
-                              domain);
-    else
-      g_hash_table_insert (document->regions, (char *) g_intern_string (domain),
-                           (char *) g_intern_string (name));
-  }
+    {
+      const char *domain = json_string_value (value);
+
+      if (domain == NULL || domain[0] == '\0')
+        g_string_append_printf (faults, "/regions/%s/%zu: must be a name\n", name, index);
+      else if (g_hash_table_contains (document->regions, domain))
+        g_string_append_printf (faults, "/regions/%s/%zu: '%s' is in two regions\n", name, index,
+                                domain);
+      else
+        g_hash_table_insert (document->regions, (char *) g_intern_string (domain),
+                             (char *) g_intern_string (name));
+    }
 }
 
 static void
@@ -159,7 +159,8 @@
       g_string_append (faults, "/regions: must map each region to its failure domains\n");
       return;
     }
-  json_object_foreach ((json_t *) json, key, value) read_region (document, key, value, faults);
+  json_object_foreach ((json_t *) json, key, value)
+    read_region (document, key, value, faults);
 }
 
 static const FleetField *
@@ -202,11 +203,11 @@
     *(uint32_t *) ((char *) &document->fleet + fleet_fields[i].offset) = fleet_fields[i].fallback;
   read_regions (document, json_object_get (document->rest, "regions"), faults);
   json_object_foreach (document->rest, key, value)
-  {
-    if (strcmp (key, "regions") == 0 || strcmp (key, "title") == 0)
-      continue;
-    read_fleet_field (document, key, value, faults);
-  }
+    {
+      if (strcmp (key, "regions") == 0 || strcmp (key, "title") == 0)
+        continue;
+      read_fleet_field (document, key, value, faults);
+    }
 }
 
 static void
@@ -329,7 +330,8 @@
       g_string_append (faults, "/services: must be an object\n");
       return;
     }
-  json_object_foreach ((json_t *) patch, key, value) patch_service (document, key, value, faults);
+  json_object_foreach ((json_t *) patch, key, value)
+    patch_service (document, key, value, faults);
 }
 
 ConfigDocument *
--- a/src/config/config-store.c
+++ b/src/config/config-store.c
@@ -228,14 +228,13 @@
   size_t index;
   json_t *value;
 
-  json_array_foreach (
-      json_object_get (record, "paths"), index,
-      value) for (guint i = 0; i < paths->len;
-                  i++) if (merge_patch_paths_overlap (json_string_value (value), paths->pdata[i]))
-      g_string_append_printf (conflicts, "%s: changed in version %" JSON_INTEGER_FORMAT " by %s\n",
-                              json_string_value (value),
-                              json_integer_value (json_object_get (record, "version")),
-                              json_string_value (json_object_get (record, "author")));
+  json_array_foreach (json_object_get (record, "paths"), index, value)
+    for (guint i = 0; i < paths->len; i++)
+      if (merge_patch_paths_overlap (json_string_value (value), paths->pdata[i]))
+        g_string_append_printf (
+            conflicts, "%s: changed in version %" JSON_INTEGER_FORMAT " by %s\n",
+            json_string_value (value), json_integer_value (json_object_get (record, "version")),
+            json_string_value (json_object_get (record, "author")));
 }
 
 /* What the versions after the change's base touched, it must not touch. */
--- a/src/config/merge-patch.c
+++ b/src/config/merge-patch.c
@@ -14,12 +14,12 @@
 
   result = json_is_object (target) ? json_deep_copy (target) : json_object ();
   json_object_foreach ((json_t *) patch, key, value)
-  {
-    if (json_is_null (value))
-      json_object_del (result, key);
-    else
-      json_object_set_new (result, key, merge_patch_apply (json_object_get (result, key), value));
-  }
+    {
+      if (json_is_null (value))
+        json_object_del (result, key);
+      else
+        json_object_set_new (result, key, merge_patch_apply (json_object_get (result, key), value));
+    }
   return result;
 }
 
@@ -50,12 +50,12 @@
       return;
     }
   json_object_foreach ((json_t *) patch, key, value)
-  {
-    g_string_append_c (prefix, '/');
-    append_escaped (prefix, key);
-    collect_paths (value, prefix, paths);
-    g_string_truncate (prefix, length);
-  }
+    {
+      g_string_append_c (prefix, '/');
+      append_escaped (prefix, key);
+      collect_paths (value, prefix, paths);
+      g_string_truncate (prefix, length);
+    }
 }
 
 GPtrArray *
--- a/src/config/service-config.c
+++ b/src/config/service-config.c
@@ -118,7 +118,8 @@
       fault (place, "", "must be an object");
       return false;
     }
-  json_object_foreach ((json_t *) json, key, value) if (!key_is_known (key, names, fields, count))
+  json_object_foreach ((json_t *) json, key, value)
+    if (!key_is_known (key, names, fields, count))
       fault (place, key, "unknown key");
   return true;
 }
@@ -223,7 +224,8 @@
   const char *key;
   json_t *value;
 
-  json_object_foreach ((json_t *) json, key, value) g_ptr_array_add (keys, (char *) key);
+  json_object_foreach ((json_t *) json, key, value)
+    g_ptr_array_add (keys, (char *) key);
   g_ptr_array_sort (keys, compare_keys);
   return keys;
 }
@@ -306,15 +308,15 @@
     }
   service->classes = g_new0 (ClassConfig, count);
   json_object_foreach ((json_t *) json, key, value)
-  {
-    Place below = place_below (place, "classes", key);
-    ClassConfig *class_config = &service->classes[service->class_count++];
-
-    class_config->name = g_strdup (key);
-    check_name (&below, key);
-    read_class (&below, value, class_config);
-    g_free (below.path);
-  }
+    {
+      Place below = place_below (place, "classes", key);
+      ClassConfig *class_config = &service->classes[service->class_count++];
+
+      class_config->name = g_strdup (key);
+      check_name (&below, key);
+      read_class (&below, value, class_config);
+      g_free (below.path);
+    }
 }
 
 static void
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -239,7 +239,8 @@
   json_t *value;
   Host host;
 
-  json_array_foreach (json_object_get (hosts, "hosts"), index, value) if (read_host (value, &host))
+  json_array_foreach (json_object_get (hosts, "hosts"), index, value)
+    if (read_host (value, &host))
       membership_seed (control->membership, &host);
 }
 
--- a/src/load/load-session.h
+++ b/src/load/load-session.h
@@ -23,7 +23,8 @@
   bool roam_with_token; /* and take the session token along */
 } LoadWork;
 
-/** struct LoadSessionOptions - @user names the caller, the unit of fairness; @idle: it may be given work. @ended: its work has ended. */
+/** struct LoadSessionOptions - @user names the caller, the unit of fairness; @idle: it may be given
+ * work. @ended: its work has ended. */
 typedef struct
 {
   const LoadOptions *load;
--- a/src/standin/platform-store.c
+++ b/src/standin/platform-store.c
@@ -108,14 +108,14 @@
   json_t *condition;
 
   json_array_foreach ((json_t *) conditions, index, condition)
-  {
-    const char *key = json_string_value (json_object_get (condition, "key"));
-    uint64_t version = (uint64_t) json_integer_value (json_object_get (condition, "version"));
-
-    if (key != NULL && row_version (store, key) != version)
-      json_array_append_new (failed, json_pack ("{s:s, s:I}", "key", key, "version",
-                                                (json_int_t) row_version (store, key)));
-  }
+    {
+      const char *key = json_string_value (json_object_get (condition, "key"));
+      uint64_t version = (uint64_t) json_integer_value (json_object_get (condition, "version"));
+
+      if (key != NULL && row_version (store, key) != version)
+        json_array_append_new (failed, json_pack ("{s:s, s:I}", "key", key, "version",
+                                                  (json_int_t) row_version (store, key)));
+    }
   return failed;
 }
 
@@ -126,17 +126,17 @@
   json_t *put;
 
   json_array_foreach ((json_t *) puts, index, put)
-  {
-    const char *key = json_string_value (json_object_get (put, "key"));
-    Row *row;
-
-    if (key == NULL)
-      continue;
-    row = g_new0 (Row, 1);
-    row->version = row_version (store, key) + 1;
-    row->value = json_deep_copy (json_object_get (put, "value"));
-    g_hash_table_replace (store->rows, g_strdup (key), row);
-  }
+    {
+      const char *key = json_string_value (json_object_get (put, "key"));
+      Row *row;
+
+      if (key == NULL)
+        continue;
+      row = g_new0 (Row, 1);
+      row->version = row_version (store, key) + 1;
+      row->value = json_deep_copy (json_object_get (put, "value"));
+      g_hash_table_replace (store->rows, g_strdup (key), row);
+    }
 }
 
 static Answer
