--- a/src/adapter/pgwire.c
+++ b/src/adapter/pgwire.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* Type id of text in the system catalogue. */
+#define TYPE_TEXT 25
+
 static uint32_t
 load_u32 (const uint8_t *at)
 {
@@ -214,6 +217,41 @@
   pgwire_end (out, mark);
 }
 
+void
+pgwire_put_text_columns (GByteArray *out, const char *const *names, uint16_t count)
+{
+  guint mark = pgwire_begin (out, 'T');
+
+  pgwire_put_u16 (out, count);
+  for (uint16_t i = 0; i < count; i++)
+    {
+      pgwire_put_string (out, names[i]);
+      pgwire_put_u32 (out, 0);
+      pgwire_put_u16 (out, 0);
+      pgwire_put_u32 (out, TYPE_TEXT);
+      pgwire_put_u16 (out, (uint16_t) -1);
+      pgwire_put_u32 (out, (uint32_t) -1);
+      pgwire_put_u16 (out, 0);
+    }
+  pgwire_end (out, mark);
+}
+
+void
+pgwire_put_text_row (GByteArray *out, const char *const *values, uint16_t count)
+{
+  guint mark = pgwire_begin (out, 'D');
+
+  pgwire_put_u16 (out, count);
+  for (uint16_t i = 0; i < count; i++)
+    {
+      uint32_t length = values[i] == NULL ? 0 : (uint32_t) strlen (values[i]);
+
+      pgwire_put_u32 (out, values[i] == NULL ? (uint32_t) -1 : length);
+      pgwire_put_bytes (out, values[i], length);
+    }
+  pgwire_end (out, mark);
+}
+
 static const char *
 field_of_error (const PgwireMessage *message, char code)
 {
--- a/src/adapter/pgwire.h
+++ b/src/adapter/pgwire.h
@@ -116,6 +116,12 @@
 void pgwire_put_error (GByteArray *out, const char *severity, const char *sqlstate,
                        const char *message, const char *detail);
 
+/** pgwire_put_text_columns() - RowDescription of @count text columns. */
+void pgwire_put_text_columns (GByteArray *out, const char *const *names, uint16_t count);
+
+/** pgwire_put_text_row() - DataRow of @count text values; %NULL is SQL NULL. */
+void pgwire_put_text_row (GByteArray *out, const char *const *values, uint16_t count);
+
 /**
  * pgwire_error_field() - Field @code of the last ErrorResponse in @bytes, a run of whole
  * messages; "" if there is none. Valid until the bytes change.
--- a/src/config/config-document.c
+++ b/src/config/config-document.c
@@ -7,6 +7,7 @@
 
 #include "base/verdict.h"
 #include "config/merge-patch.h"
+#include "config/number-field.h"
 
 #define TEXT_FLAGS (JSON_COMPACT | JSON_SORT_KEYS)
 
@@ -28,16 +29,7 @@
   GHashTable *services; /* name -> ServiceEntry */
 };
 
-typedef struct
-{
-  const char *key;
-  size_t offset;
-  uint32_t least;
-  uint32_t greatest;
-  uint32_t fallback;
-} FleetField;
-
-static const FleetField fleet_fields[] = {
+static const NumberField fleet_fields[] = {
   { "pollers_per_failure_domain", offsetof (FleetConfig, pollers_per_failure_domain), 1, 100, 2 },
   { "poll_interval_ms", offsetof (FleetConfig, poll_interval_ms), 50, 60000, 400 },
   { "isolated_after_ms", offsetof (FleetConfig, isolated_after_ms), 1000, 3600000, 10000 },
@@ -118,7 +110,7 @@
 
   document->rest = json_object ();
   for (size_t i = 0; i < G_N_ELEMENTS (fleet_fields); i++)
-    *(uint32_t *) ((char *) &document->fleet + fleet_fields[i].offset) = fleet_fields[i].fallback;
+    number_field_reset (&fleet_fields[i], &document->fleet);
   return document;
 }
 
@@ -163,33 +155,19 @@
     read_region (document, key, value, faults);
 }
 
-static const FleetField *
-find_fleet_field (const char *key)
-{
-  for (size_t i = 0; i < G_N_ELEMENTS (fleet_fields); i++)
-    if (strcmp (fleet_fields[i].key, key) == 0)
-      return &fleet_fields[i];
-  return NULL;
-}
-
 static void
 read_fleet_field (ConfigDocument *document, const char *key, const json_t *value, GString *faults)
 {
-  const FleetField *field = find_fleet_field (key);
+  const NumberField *field = number_field_find (fleet_fields, G_N_ELEMENTS (fleet_fields), key);
 
   if (field == NULL)
     {
       g_string_append_printf (faults, "/%s: unknown key\n", key);
       return;
     }
-  if (!json_is_integer (value) || json_integer_value (value) < (json_int_t) field->least
-      || json_integer_value (value) > (json_int_t) field->greatest)
-    {
-      g_string_append_printf (faults, "/%s: must be a whole number from %u to %u\n", key,
-                              field->least, field->greatest);
-      return;
-    }
-  *(uint32_t *) ((char *) &document->fleet + field->offset) = (uint32_t) json_integer_value (value);
+  if (!number_field_read (field, value, &document->fleet))
+    g_string_append_printf (faults, "/%s: must be a whole number from %u to %u\n", key,
+                            field->least, field->greatest);
 }
 
 /* Reads every top-level key but the services. */
@@ -200,7 +178,7 @@
   json_t *value;
 
   for (size_t i = 0; i < G_N_ELEMENTS (fleet_fields); i++)
-    *(uint32_t *) ((char *) &document->fleet + fleet_fields[i].offset) = fleet_fields[i].fallback;
+    number_field_reset (&fleet_fields[i], &document->fleet);
   read_regions (document, json_object_get (document->rest, "regions"), faults);
   json_object_foreach (document->rest, key, value)
     {
--- /dev/null
+++ b/src/config/number-field.c
@@ -0,0 +1,36 @@
+#include "config/number-field.h"
+
+#include <string.h>
+
+const NumberField *
+number_field_find (const NumberField *fields, size_t count, const char *key)
+{
+  for (size_t i = 0; i < count; i++)
+    if (strcmp (fields[i].key, key) == 0)
+      return &fields[i];
+  return NULL;
+}
+
+static uint32_t *
+member (const NumberField *field, void *into)
+{
+  return (uint32_t *) ((char *) into + field->offset);
+}
+
+void
+number_field_reset (const NumberField *field, void *into)
+{
+  *member (field, into) = field->fallback;
+}
+
+bool
+number_field_read (const NumberField *field, const json_t *value, void *into)
+{
+  json_int_t number = json_integer_value (value);
+
+  if (!json_is_integer (value) || number < (json_int_t) field->least
+      || number > (json_int_t) field->greatest)
+    return false;
+  *member (field, into) = (uint32_t) number;
+  return true;
+}
--- a/src/config/service-config.c
+++ b/src/config/service-config.c
@@ -4,21 +4,12 @@
 #include <stddef.h>
 #include <string.h>
 
+#include "config/number-field.h"
 #include "policy/commit-gate.h"
 
 #define CLASSES_MAX 64
 #define NAME_CHARS_MAX 60
 
-/* A whole number in a JSON object, with its place in the parsed structure. */
-typedef struct
-{
-  const char *key;
-  size_t offset;
-  uint32_t least;
-  uint32_t greatest;
-  uint32_t fallback;
-} NumberField;
-
 #define SERVICE_FIELD(key, member, least, greatest, fallback)                                      \
   {                                                                                                \
     key, offsetof (ServiceConfig, member), least, greatest, fallback                               \
@@ -80,17 +71,11 @@
     {
       const NumberField *field = &fields[i];
       const json_t *value = json_object_get (json, field->key);
-      uint32_t *number = (uint32_t *) ((char *) into + field->offset);
 
-      *number = field->fallback;
-      if (value == NULL)
-        continue;
-      if (!json_is_integer (value) || json_integer_value (value) < (json_int_t) field->least
-          || json_integer_value (value) > (json_int_t) field->greatest)
+      number_field_reset (field, into);
+      if (value != NULL && !number_field_read (field, value, into))
         fault (place, field->key, "must be a whole number from %u to %u", field->least,
                field->greatest);
-      else
-        *number = (uint32_t) json_integer_value (value);
     }
 }
 
@@ -100,10 +85,7 @@
   for (; *names != NULL; names++)
     if (strcmp (*names, key) == 0)
       return true;
-  for (size_t i = 0; i < count; i++)
-    if (strcmp (fields[i].key, key) == 0)
-      return true;
-  return false;
+  return number_field_find (fields, count, key) != NULL;
 }
 
 static bool
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -13,6 +13,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/pause-gate.h"
 #include "daemon/config-replica.h"
 #include "daemon/link-table.h"
 #include "daemon/store-thread.h"
@@ -43,9 +44,7 @@
   pthread_t thread;
   bool running;
   bool started;
-  pthread_mutex_t pause_lock;
-  pthread_cond_t pause_ended;
-  bool paused;
+  PauseGate *pause;
   int gossip_fd;
   Membership *membership;
   uint64_t view_published;
@@ -593,12 +592,11 @@
       = { .url = daemon_options (daemon)->platform_url, .deliver = deliver_store_result };
 
   control->daemon = daemon;
-  pthread_mutex_init (&control->pause_lock, NULL);
-  pthread_cond_init (&control->pause_ended, NULL);
   pthread_mutex_init (&control->status_lock, NULL);
   control->status = g_strdup ("{}");
   control->events = tevent_context_init (control);
   control->mailbox = mailbox_new (control, control->events, control);
+  control->pause = pause_gate_new (control->mailbox);
   links.events = control->events;
   control->links = link_table_new (control, &links);
   control->gossip_fd = gossip_fd;
@@ -665,8 +663,7 @@
   close (control->gossip_fd);
   g_free (control->status);
   pthread_mutex_destroy (&control->status_lock);
-  pthread_cond_destroy (&control->pause_ended);
-  pthread_mutex_destroy (&control->pause_lock);
+  pause_gate_free (control->pause);
   talloc_free (control);
 }
 
@@ -697,27 +694,10 @@
   return atomic_load (&control->drained);
 }
 
-static void
-deliver_pause (void *receiver, MailboxMessage *message)
-{
-  Control *control = receiver;
-
-  g_free (message);
-  pthread_mutex_lock (&control->pause_lock);
-  while (control->paused)
-    pthread_cond_wait (&control->pause_ended, &control->pause_lock);
-  pthread_mutex_unlock (&control->pause_lock);
-}
-
 void
 control_set_paused (Control *control, bool paused)
 {
-  pthread_mutex_lock (&control->pause_lock);
-  control->paused = paused;
-  pthread_cond_broadcast (&control->pause_ended);
-  pthread_mutex_unlock (&control->pause_lock);
-  if (paused)
-    post_simple (control, deliver_pause);
+  pause_gate_set (control->pause, paused);
 }
 
 void
--- a/src/daemon/worker.c
+++ b/src/daemon/worker.c
@@ -8,6 +8,7 @@
 #include <urcu.h>
 
 #include "base/log.h"
+#include "base/pause-gate.h"
 #include "daemon/control.h"
 #include "daemon/link-table.h"
 #include "pipeline/caller-table.h"
@@ -22,9 +23,7 @@
   pthread_t thread;
   bool running; /* touched by its own thread only */
   bool started;
-  pthread_mutex_t pause_lock;
-  pthread_cond_t pause_ended;
-  bool paused;
+  PauseGate *pause;
 } WorkerThread;
 
 typedef struct
@@ -257,8 +256,6 @@
   Worker *worker = &thread->worker;
   LinkTableOptions links = { .frame = on_link_frame, .closed = on_link_closed, .data = worker };
 
-  pthread_mutex_init (&thread->pause_lock, NULL);
-  pthread_cond_init (&thread->pause_ended, NULL);
   worker->daemon = daemon;
   worker->counters = daemon_counters (daemon);
   worker->index = index;
@@ -266,6 +263,7 @@
     g_error ("no random numbers");
   worker->events = tevent_context_init (thread);
   worker->mailbox = mailbox_new (thread, worker->events, worker);
+  thread->pause = pause_gate_new (worker->mailbox);
   links.events = worker->events;
   links.counters = worker->counters;
   links.self = &daemon_options (daemon)->self;
@@ -338,36 +336,12 @@
 {
   WorkerThread *thread = (WorkerThread *) worker;
 
-  pthread_cond_destroy (&thread->pause_ended);
-  pthread_mutex_destroy (&thread->pause_lock);
+  pause_gate_free (thread->pause);
   talloc_free (thread);
 }
 
-static void
-deliver_pause (void *receiver, MailboxMessage *message)
-{
-  WorkerThread *thread = receiver;
-
-  g_free (message);
-  pthread_mutex_lock (&thread->pause_lock);
-  while (thread->paused)
-    pthread_cond_wait (&thread->pause_ended, &thread->pause_lock);
-  pthread_mutex_unlock (&thread->pause_lock);
-}
-
 void
 worker_set_paused (Worker *worker, bool paused)
 {
-  WorkerThread *thread = (WorkerThread *) worker;
-  MailboxMessage *message;
-
-  pthread_mutex_lock (&thread->pause_lock);
-  thread->paused = paused;
-  pthread_cond_broadcast (&thread->pause_ended);
-  pthread_mutex_unlock (&thread->pause_lock);
-  if (!paused)
-    return;
-  message = g_new0 (MailboxMessage, 1);
-  message->deliver = deliver_pause;
-  mailbox_post (worker->mailbox, message);
+  pause_gate_set (((WorkerThread *) worker)->pause, paused);
 }
--- a/src/pipeline/caller.c
+++ b/src/pipeline/caller.c
@@ -12,6 +12,7 @@
 #include "pipeline/local-statement.h"
 #include "pipeline/prepared.h"
 #include "pipeline/request.h"
+#include "pipeline/startup.h"
 
 /* Above this much unsent output no more of an answer is asked for. */
 #define OUTPUT_HIGH_BYTES (128 * 1024)
@@ -677,89 +678,12 @@
   end_connection (caller);
 }
 
-/* Reads "-c name=value" settings. Returns the first that is unknown or wrong, or %NULL. */
-static char *
-apply_options (Session *session, const ServiceConfig *service, const char *options)
-{
-  char **words = g_strsplit_set (options, " \t", -1);
-  char *wrong = NULL;
-
-  for (char **word = words; *word != NULL && wrong == NULL; word++)
-    {
-      char *setting = *word;
-      char *equals;
-
-      if (setting[0] == '\0' || strcmp (setting, "-c") == 0)
-        continue;
-      if (g_str_has_prefix (setting, "--") || g_str_has_prefix (setting, "-c"))
-        setting += 2;
-      equals = strchr (setting, '=');
-      if (equals == NULL)
-        {
-          wrong = g_strdup (setting);
-          break;
-        }
-      *equals = '\0';
-      if (!local_statement_setting (session, service, setting, equals + 1))
-        wrong = g_strdup (setting);
-    }
-  g_strfreev (words);
-  return wrong;
-}
-
-/* What the startup packet said. */
-typedef struct
-{
-  const char *user;
-  const char *database;
-  const char *options;
-  const char *class_name;
-  const char *token;
-} Startup;
-
-static bool
-read_startup (PgwireCursor *cursor, Startup *startup)
-{
-  *startup = (Startup){ "", "", "", NULL, NULL };
-  for (;;)
-    {
-      const char *name = pgwire_get_string (cursor);
-      const char *value;
-
-      if (name[0] == '\0')
-        return !cursor->failed;
-      value = pgwire_get_string (cursor);
-      if (strcmp (name, "user") == 0)
-        startup->user = value;
-      else if (strcmp (name, "database") == 0)
-        startup->database = value;
-      else if (strcmp (name, "options") == 0)
-        startup->options = value;
-      else if (strcmp (name, "peridotstep.class") == 0)
-        startup->class_name = value;
-      else if (strcmp (name, "peridotstep.session") == 0)
-        startup->token = value;
-    }
-}
-
-static char *
-apply_startup (Session *session, const ServiceConfig *service, const Startup *startup)
-{
-  if (startup->class_name != NULL
-      && !local_statement_setting (session, service, "peridotstep.class", startup->class_name))
-    return g_strdup ("peridotstep.class");
-  if (startup->token != NULL
-      && !local_statement_setting (session, service, "peridotstep.session", startup->token))
-    return g_strdup ("peridotstep.session");
-  return apply_options (session, service, startup->options);
-}
-
 static void
 open_session (Caller *caller, const Startup *startup)
 {
   Session *session = &caller->session;
   Worker *worker = caller->options.worker;
-  const char *name = startup->database[0] != '\0' ? startup->database : startup->user;
+  const char *name = startup_service (startup);
   ServiceConfig *service = daemon_service (worker->daemon, name);
   char *wrong;
 
@@ -771,7 +695,7 @@
   g_strlcpy (session->service, name, sizeof session->service);
   g_strlcpy (session->user, startup->user, sizeof session->user);
   session->source = host_hash (session->user) ^ daemon_options (worker->daemon)->self.id_hash;
-  wrong = apply_startup (session, service, startup);
+  wrong = startup_apply (startup, session, service);
   service_config_unref (service);
   if (wrong != NULL)
     {
@@ -823,7 +747,7 @@
       refuse_startup (caller, "57P03", "this host is leaving");
       return;
     }
-  if (!read_startup (&cursor, &startup))
+  if (!startup_read (&cursor, &startup))
     {
       end_malformed (caller, "malformed startup packet");
       return;
--- a/src/pipeline/local-statement.c
+++ b/src/pipeline/local-statement.c
@@ -106,24 +106,10 @@
 }
 
 static void
-put_text_row (GByteArray *out, const char *name, const char *value)
+put_setting (GByteArray *out, const char *name, const char *value)
 {
-  guint mark = pgwire_begin (out, 'T');
-
-  pgwire_put_u16 (out, 1);
-  pgwire_put_string (out, name);
-  pgwire_put_u32 (out, 0);
-  pgwire_put_u16 (out, 0);
-  pgwire_put_u32 (out, 25);
-  pgwire_put_u16 (out, (uint16_t) -1);
-  pgwire_put_u32 (out, (uint32_t) -1);
-  pgwire_put_u16 (out, 0);
-  pgwire_end (out, mark);
-  mark = pgwire_begin (out, 'D');
-  pgwire_put_u16 (out, 1);
-  pgwire_put_u32 (out, (uint32_t) strlen (value));
-  pgwire_put_bytes (out, value, (uint32_t) strlen (value));
-  pgwire_end (out, mark);
+  pgwire_put_text_columns (out, &name, 1);
+  pgwire_put_text_row (out, &value, 1);
   pgwire_put_complete (out, "SHOW");
 }
 
@@ -137,14 +123,14 @@
   if (strcmp (name, "peridotstep.session") == 0)
     {
       session_token_print (session->token, token);
-      put_text_row (out, name, token);
+      put_setting (out, name, token);
       return LOCAL_ANSWERED;
     }
   if (strcmp (name, "peridotstep.class") == 0)
     {
-      put_text_row (out, name,
-                    session->class_name[0] != '\0' ? session->class_name
-                                                   : service->classes[service->default_class].name);
+      put_setting (out, name,
+                   session->class_name[0] != '\0' ? session->class_name
+                                                  : service->classes[service->default_class].name);
       return LOCAL_ANSWERED;
     }
   return LOCAL_PASS;
--- a/src/pipeline/owner-job.c
+++ b/src/pipeline/owner-job.c
@@ -5,6 +5,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/verdict.h"
+#include "pipeline/job-statement.h"
 #include "policy/request-fate.h"
 
 /* An answer up to this size leaves whole; a larger one is streamed. */
@@ -323,75 +324,19 @@
     traced_queue_finish (job->instance->queue, job->item.priority, service_us);
 }
 
-/* Text with the transaction id in front, where the platform looks for it. */
-static char *
-tagged_sql (const OwnerJob *job)
-{
-  if (job->execute->transaction_id[0] == '\0')
-    return g_strdup (job->execute->sql);
-  return g_strdup_printf ("/*peridotstep_txid='%s'*/ %s", job->execute->transaction_id,
-                          job->execute->sql);
-}
-
-static BackendParam *
-make_params (const Peridotstep__Execute *execute, uint32_t *count)
-{
-  BackendParam *params;
-
-  *count = (uint32_t) MAX (execute->n_params, execute->n_param_types);
-  params = g_new0 (BackendParam, *count + 1);
-  for (size_t i = 0; i < execute->n_params; i++)
-    {
-      const Peridotstep__Param *param = execute->params[i];
-
-      params[i].format = param->format;
-      params[i].length = (uint32_t) param->value.len;
-      if (!param->is_null)
-        {
-          char *value = g_malloc0 (param->value.len + 1);
-
-          if (param->value.len > 0)
-            memcpy (value, param->value.data, param->value.len);
-          params[i].value = value;
-        }
-    }
-  for (size_t i = 0; i < execute->n_param_types; i++)
-    params[i].type = execute->param_types[i];
-  return params;
-}
-
-static void
-free_params (BackendParam *params, uint32_t count)
-{
-  for (uint32_t i = 0; i < count; i++)
-    g_free ((void *) params[i].value);
-  g_free (params);
-}
-
 static bool
 send_statement (OwnerJob *job)
 {
   BackendConnection *backend = backend_pool_connection (job->connection);
-  char *sql = tagged_sql (job);
-  uint32_t param_count;
-  BackendParam *params = make_params (job->execute, &param_count);
-  const BackendStatement statement = {
-    .sql = sql,
-    .extended = job->execute->extended && job->execute->operation == PERIDOTSTEP__OPERATION__RUN,
-    .describe = job->execute->describe,
-    .result_format = job->execute->result_format,
-    .param_count = param_count,
-    .params = params,
-  };
+  JobStatement *statement = job_statement_new (job->execute);
   bool sent;
 
   job->state = JOB_RUNNING;
   if (job->execute->operation == PERIDOTSTEP__OPERATION__DESCRIBE)
-    sent = backend_connection_describe (backend, &statement, job->sink);
+    sent = backend_connection_describe (backend, job_statement_get (statement), job->sink);
   else
-    sent = backend_connection_run (backend, &statement, job->sink);
-  free_params (params, param_count);
-  g_free (sql);
+    sent = backend_connection_run (backend, job_statement_get (statement), job->sink);
+  job_statement_free (statement);
   return sent;
 }
 
--- a/src/standin/backend-session.c
+++ b/src/standin/backend-session.c
@@ -7,6 +7,9 @@
 #include "adapter/pgwire.h"
 #include "base/clock.h"
 #include "base/sql-text.h"
+#include "standin/control-functions.h"
+#include "standin/delayed-input.h"
+#include "standin/sql-rows.h"
 
 #define STREAM_HIGH_BYTES (256 * 1024)
 #define LOCK_RETRY_US 1000
@@ -31,35 +34,14 @@
   int64_t lock_until_ms;
 } Run;
 
-typedef struct
-{
-  uint64_t min_term;
-  uint64_t min_position;
-  int64_t until_ms;
-  bool applied; /* waits for the position to be applied, not just received */
-  bool waiting;
-} StatusWait;
-
-/* Input that has crossed the emulated network by @due_us. */
-typedef struct
-{
-  int64_t due_us;
-  uint64_t upto_bytes;
-} Arrival;
-
 struct BackendSession
 {
   BackendSessionOptions options;
   struct tevent_context *events;
   Stream *stream;
   SqlSession *sql;
-  GQueue arrivals;
-  uint64_t received_bytes;
-  uint64_t consumed_bytes;
-  uint64_t allowed_bytes;
-  struct tevent_timer *arrival_timer;
+  DelayedInput *input;
   struct tevent_timer *run_timer;
-  int64_t rtt_us;
   uint32_t key;
   bool started;
   bool frozen;
@@ -74,6 +56,7 @@
   SessionToken reported;
   Run run;
   StatusWait wait;
+  bool waiting; /* for a status to be due */
   /* extended protocol: the unnamed statement and portal */
   char *parsed_sql;
   sqlite3_stmt *parsed;
@@ -161,46 +144,6 @@
   finish_run (session, true);
 }
 
-static void
-put_row_description (BackendSession *session, sqlite3_stmt *statement, bool row)
-{
-  GByteArray *output = out (session);
-  guint mark = pgwire_begin (output, 'T');
-  int columns = sqlite3_column_count (statement);
-
-  pgwire_put_u16 (output, (uint16_t) columns);
-  for (int i = 0; i < columns; i++)
-    {
-      pgwire_put_string (output, sqlite3_column_name (statement, i));
-      pgwire_put_u32 (output, 0);
-      pgwire_put_u16 (output, 0);
-      pgwire_put_u32 (output, sql_column_type (statement, i, row));
-      pgwire_put_u16 (output, (uint16_t) -1);
-      pgwire_put_u32 (output, (uint32_t) -1);
-      pgwire_put_u16 (output, 0);
-    }
-  pgwire_end (output, mark);
-}
-
-static void
-put_row (BackendSession *session, sqlite3_stmt *statement)
-{
-  GByteArray *output = out (session);
-  guint mark = pgwire_begin (output, 'D');
-  int columns = sqlite3_column_count (statement);
-
-  pgwire_put_u16 (output, (uint16_t) columns);
-  for (int i = 0; i < columns; i++)
-    {
-      const unsigned char *text = sqlite3_column_text (statement, i);
-      int length = sqlite3_column_bytes (statement, i);
-
-      pgwire_put_u32 (output, text == NULL ? (uint32_t) -1 : (uint32_t) length);
-      pgwire_put_bytes (output, text, text == NULL ? 0 : (uint32_t) length);
-    }
-  pgwire_end (output, mark);
-}
-
 static void
 describe_once (BackendSession *session, bool row)
 {
@@ -210,7 +153,7 @@
     return;
   run->described = true;
   if (sqlite3_column_count (run->statement) > 0)
-    put_row_description (session, run->statement, row);
+    sql_rows_put_columns (out (session), run->statement, row);
   else if (run->extended)
     pgwire_put_empty (out (session), 'n');
 }
@@ -364,7 +307,7 @@
         case SQL_ROW:
           describe_once (session, true);
           run->rows++;
-          put_row (session, run->statement);
+          sql_rows_put_row (out (session), run->statement);
           if (stream_pending (session->stream) < STREAM_HIGH_BYTES)
             continue;
           stream_flush (session->stream);
@@ -429,203 +372,58 @@
   session->options.host->slot_wanted (session->options.host_data, session);
 }
 
-static void
-put_single_row (BackendSession *session, const char *const *names, const char *const *values,
-                int count)
-{
-  GByteArray *output = out (session);
-  guint mark = pgwire_begin (output, 'T');
-
-  pgwire_put_u16 (output, (uint16_t) count);
-  for (int i = 0; i < count; i++)
-    {
-      pgwire_put_string (output, names[i]);
-      pgwire_put_u32 (output, 0);
-      pgwire_put_u16 (output, 0);
-      pgwire_put_u32 (output, 25);
-      pgwire_put_u16 (output, (uint16_t) -1);
-      pgwire_put_u32 (output, (uint32_t) -1);
-      pgwire_put_u16 (output, 0);
-    }
-  pgwire_end (output, mark);
-  mark = pgwire_begin (output, 'D');
-  pgwire_put_u16 (output, (uint16_t) count);
-  for (int i = 0; i < count; i++)
-    {
-      pgwire_put_u32 (output, (uint32_t) strlen (values[i]));
-      pgwire_put_bytes (output, values[i], (uint32_t) strlen (values[i]));
-    }
-  pgwire_end (output, mark);
-  pgwire_put_complete (output, "SELECT 1");
-}
-
-static void
-answer_status (BackendSession *session)
+static ControlTarget
+control_target (const BackendSession *session)
 {
-  static const char *const names[]
-      = { "role", "term", "received", "applied", "heard_primary_ms", "following" };
-  static const char *const roles[]
-      = { [ROLE_REPLICA] = "replica", [ROLE_PRIMARY] = "primary", [ROLE_FENCED] = "fenced" };
-  InstanceStatus status = own_status (session);
-  char term[24], heard[24], received[SESSION_TOKEN_TEXT_BYTES], applied[SESSION_TOKEN_TEXT_BYTES];
-  const char *following = "";
-  const char *values[6];
-
-  g_snprintf (term, sizeof term, "%" G_GUINT64_FORMAT, status.term);
-  g_snprintf (heard, sizeof heard, "%" G_GINT64_FORMAT, status.heard_primary_ms);
-  session_token_print (status.received, received);
-  session_token_print (status.applied, applied);
-  if (status.following >= 0)
-    following = session->options.emulation->instances[status.following].name;
-  values[0] = roles[status.role];
-  values[1] = term;
-  values[2] = received;
-  values[3] = applied;
-  values[4] = heard;
-  values[5] = following;
-  put_single_row (session, names, values, G_N_ELEMENTS (values));
-  put_ready (session);
-}
-
-static bool
-status_wait_over (const BackendSession *session, int64_t now_ms)
-{
-  InstanceStatus status = own_status (session);
-  SessionToken wanted = { session->wait.min_term, session->wait.min_position };
-
-  return now_ms >= session->wait.until_ms || status.term > session->wait.min_term
-         || session_token_covers (session->wait.applied ? status.applied : status.received, wanted);
-}
-
-void
-backend_session_silence (BackendSession *session)
-{
-  session->silent_since_ms = clock_now_ms ();
-  backend_session_set_frozen (session, true);
+  return (ControlTarget){ session->options.group, session->options.instance,
+                          session->options.emulation };
 }
 
 void
 backend_session_tick (BackendSession *session, int64_t now_ms)
 {
+  const ControlTarget target = control_target (session);
+
   if (session->silent_since_ms != 0 && now_ms - session->silent_since_ms >= KEEPALIVE_MS)
     {
       session->options.host->closed (session->options.host_data, session);
       return;
     }
-  if (!session->wait.waiting || session->frozen || !status_wait_over (session, now_ms))
+  if (!session->waiting || session->frozen
+      || !control_functions_status_due (&target, &session->wait, now_ms))
     return;
-  session->wait.waiting = false;
+  session->waiting = false;
   session->busy = false;
-  answer_status (session);
-  process_input (session);
-}
-
-static void
-control_status (BackendSession *session, const char *arguments)
-{
-  unsigned long long term = 0, position = 0;
-  long wait_ms = 0;
-  char what[16] = "";
-
-  if (sscanf (arguments, "%llu, %llu, %ld, '%15[a-z]'", &term, &position, &wait_ms, what) != 4)
-    wait_ms = 0;
-  session->wait = (StatusWait){ term, position, clock_now_ms () + wait_ms,
-                                strcmp (what, "applied") == 0, true };
-  session->busy = true;
-  backend_session_tick (session, clock_now_ms ());
-}
-
-static void
-put_boolean (BackendSession *session, bool value)
-{
-  static const char *const names[] = { "accepted" };
-  const char *values[] = { value ? "t" : "f" };
-
-  put_single_row (session, names, values, 1);
+  control_functions_put_status (&target, out (session));
   put_ready (session);
+  process_input (session);
 }
 
-static void
-control_advance (BackendSession *session, const char *arguments)
-{
-  put_boolean (session,
-               group_log_advance_term (database_group_log (session->options.group),
-                                       session->options.instance, strtoull (arguments, NULL, 10)));
-}
-
-static void
-control_promote (BackendSession *session, const char *arguments)
-{
-  put_boolean (session, group_log_promote (database_group_log (session->options.group),
-                                           session->options.instance,
-                                           strtoull (arguments, NULL, 10), clock_now_ms ()));
-}
-
-static void
-control_follow (BackendSession *session, const char *arguments)
+void
+backend_session_silence (BackendSession *session)
 {
-  char name[64] = "";
-  unsigned long long term = 0;
-  int primary;
-
-  if (sscanf (arguments, "%llu, '%63[^']'", &term, name) != 2)
-    name[0] = '\0';
-  primary = database_group_find (session->options.group, name);
-  put_boolean (session,
-               primary >= 0
-                   && group_log_follow (database_group_log (session->options.group),
-                                        session->options.instance, term, (uint32_t) primary));
+  session->silent_since_ms = clock_now_ms ();
+  backend_session_set_frozen (session, true);
 }
 
-static void
-control_resolve (BackendSession *session, const char *arguments)
+/* Control functions take no slot. Returns false for all other statements. */
+static bool
+handle_control (BackendSession *session, const char *body)
 {
-  static const char *const names[] = { "outcome", "position" };
-  char id[TRANSACTION_ID_BYTES] = "";
-  char text[SESSION_TOKEN_TEXT_BYTES];
-  const char *values[2];
-  SessionToken token;
-  bool committed;
+  const ControlTarget target = control_target (session);
+  int64_t now_ms = clock_now_ms ();
 
-  if (sscanf (arguments, "'%63[^']'", id) != 1
-      || !group_log_resolve (database_group_log (session->options.group), session->options.instance,
-                             id, clock_now_ms (), &committed, &token))
+  if (control_functions_read_status (body, now_ms, &session->wait))
     {
-      put_error (session, "25006", "this instance is not the primary");
-      put_ready (session);
-      return;
+      session->waiting = true;
+      session->busy = true;
+      backend_session_tick (session, now_ms);
+      return true;
     }
-  session_token_print (token, text);
-  values[0] = committed ? "committed" : "aborted";
-  values[1] = text;
-  put_single_row (session, names, values, 2);
+  if (!control_functions_run (&target, body, out (session)))
+    return false;
   put_ready (session);
-}
-
-typedef void (*ControlHandler) (BackendSession *session, const char *arguments);
-
-static bool
-handle_control (BackendSession *session, const char *body)
-{
-  static const struct
-  {
-    const char *prefix;
-    ControlHandler handler;
-  } controls[] = {
-    { "SELECT * FROM peridotstep_status(", control_status },
-    { "SELECT peridotstep_advance_term(", control_advance },
-    { "SELECT peridotstep_promote(", control_promote },
-    { "SELECT peridotstep_follow(", control_follow },
-    { "SELECT * FROM peridotstep_resolve(", control_resolve },
-  };
-
-  for (size_t i = 0; i < G_N_ELEMENTS (controls); i++)
-    if (g_str_has_prefix (body, controls[i].prefix))
-      {
-        controls[i].handler (session, body + strlen (controls[i].prefix));
-        return true;
-      }
-  return false;
+  return true;
 }
 
 static void
@@ -861,7 +659,7 @@
     }
   put_parameter_description (session);
   if (session->parsed != NULL && sqlite3_column_count (session->parsed) > 0)
-    put_row_description (session, session->parsed, false);
+    sql_rows_put_columns (out (session), session->parsed, false);
   else
     pgwire_put_empty (out (session), 'n');
 }
@@ -963,11 +761,12 @@
         session->read_only = session->read_only_at_start = true;
       if (strcmp (name, "application_name") == 0 && g_str_has_prefix (value, prefix)
           && emulation->delay != NULL)
-        session->rtt_us
-            = 2
-              * emulation->delay (value + strlen (prefix),
-                                  emulation->instances[session->options.instance].failure_domain,
-                                  emulation->delay_data);
+        delayed_input_set_delay (
+            session->input,
+            2
+                * emulation->delay (value + strlen (prefix),
+                                    emulation->instances[session->options.instance].failure_domain,
+                                    emulation->delay_data));
     }
 }
 
@@ -1000,7 +799,8 @@
   read_startup_parameters (session, &cursor);
   session->busy = true;
   run_later (session,
-             (int64_t) session->options.emulation->connect_delay_ms * 1000 + session->rtt_us,
+             (int64_t) session->options.emulation->connect_delay_ms * 1000
+                 + delayed_input_delay_us (session->input),
              on_connected);
 }
 
@@ -1009,7 +809,7 @@
 take_message (BackendSession *session)
 {
   const GByteArray *input = stream_input (session->stream);
-  uint64_t allowed = session->allowed_bytes - session->consumed_bytes;
+  uint64_t allowed = delayed_input_available (session->input);
   PgwireMessage message;
   PgwireRead read;
   uint8_t *copy;
@@ -1023,7 +823,7 @@
   copy = g_memdup2 (message.body, message.length);
   message.body = copy;
   stream_consume (session->stream, message.size_bytes);
-  session->consumed_bytes += message.size_bytes;
+  delayed_input_consume (session->input, message.size_bytes);
   session->message_ms = clock_now_ms ();
   if (message.type == 0)
     handle_startup (session, &message);
@@ -1040,59 +840,18 @@
     ;
 }
 
-static void on_arrival (struct tevent_context *events, struct tevent_timer *timer,
-                        struct timeval now, void *data);
-
 static void
-schedule_arrival (BackendSession *session)
+on_arrived (void *data)
 {
-  const Arrival *next = g_queue_peek_head (&session->arrivals);
-  int64_t wait_us;
-
-  if (next == NULL || session->arrival_timer != NULL)
-    return;
-  wait_us = MAX (next->due_us - clock_now_us (), 0);
-  session->arrival_timer
-      = tevent_add_timer (session->events, session,
-                          tevent_timeval_current_ofs (0, (uint32_t) wait_us), on_arrival, session);
-}
-
-static void
-on_arrival (struct tevent_context *events, struct tevent_timer *timer, struct timeval now,
-            void *data)
-{
-  BackendSession *session = data;
-  Arrival *arrival;
-
-  session->arrival_timer = NULL;
-  while ((arrival = g_queue_peek_head (&session->arrivals)) != NULL
-         && arrival->due_us <= clock_now_us ())
-    {
-      session->allowed_bytes = arrival->upto_bytes;
-      g_free (g_queue_pop_head (&session->arrivals));
-    }
-  schedule_arrival (session);
-  process_input (session);
+  process_input (data);
 }
 
 static void
 on_readable (void *data)
 {
   BackendSession *session = data;
-  Arrival *arrival;
 
-  session->received_bytes = session->consumed_bytes + stream_input (session->stream)->len;
-  if (session->rtt_us == 0)
-    {
-      session->allowed_bytes = session->received_bytes;
-      process_input (session);
-      return;
-    }
-  arrival = g_new (Arrival, 1);
-  arrival->due_us = clock_now_us () + session->rtt_us;
-  arrival->upto_bytes = session->received_bytes;
-  g_queue_push_tail (&session->arrivals, arrival);
-  schedule_arrival (session);
+  delayed_input_received (session->input, stream_input (session->stream)->len);
 }
 
 static void
@@ -1120,7 +879,6 @@
 {
   free_run (session);
   drop_parsed (session);
-  g_queue_clear_full (&session->arrivals, g_free);
   g_ptr_array_free (session->writes, true);
   TALLOC_FREE (session->stream);
   sql_session_free (session->sql);
@@ -1140,7 +898,7 @@
   session->writes = g_ptr_array_new_with_free_func (g_free);
   session->sql = sql_session_new (database_group_database (options->group, options->instance));
   session->stream = stream_new (session, events, options->fd, &stream_events, session);
-  g_queue_init (&session->arrivals);
+  session->input = delayed_input_new (session, events, on_arrived, session);
   talloc_set_destructor (session, session_destroy);
   return session;
 }
