--- a/src/pipeline/caller.c
+++ b/src/pipeline/caller.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/sql-text.h"
 #include "base/stream.h"
+#include "pipeline/caller-state.h"
 #include "pipeline/caller-table.h"
 #include "pipeline/classify.h"
 #include "pipeline/local-statement.h"
@@ -17,38 +18,10 @@
 /* Above this much unsent output no more of an answer is asked for. */
 #define OUTPUT_HIGH_BYTES (128 * 1024)
 
-/* What the caller is told apart from rows when a request ends. */
-typedef struct
-{
-  Peridotstep__Operation operation;
-  bool extended;
-  bool strip_parameters;
-  bool answered;
-} Running;
-
-struct Caller
-{
-  CallerOptions options;
-  Stream *stream;
-  Session session;
-  PreparedStore *prepared;
-  Request *request;
-  Running running;
-  bool started;
-  bool ending;
-  bool processing;
-  bool skip_to_sync;
-  bool describe_pending;
-  char describe_portal[NAME_BYTES];
-  SessionToken reported;
-  uint32_t owed_bytes;
-  int64_t active_ms;
-};
-
 static void process (Caller *caller);
 
-static GByteArray *
-out (Caller *caller)
+GByteArray *
+caller_out (Caller *caller)
 {
   return stream_output (caller->stream);
 }
@@ -60,7 +33,7 @@
   char *detail = more[0] == '\0' ? g_strdup (verdict_name (info->verdict))
                                  : g_strdup_printf ("%s: %s", verdict_name (info->verdict), more);
 
-  pgwire_put_error (out (caller), severity, info->sqlstate, info->message, detail);
+  pgwire_put_error (caller_out (caller), severity, info->sqlstate, info->message, detail);
   g_free (detail);
 }
 
@@ -74,11 +47,11 @@
   caller_table_closed (caller->options.table, caller);
 }
 
-static void
-end_malformed (Caller *caller, const char *message)
+void
+caller_end_malformed (Caller *caller, const char *message)
 {
   counter_add (caller->options.worker->counters, COUNTER_PROTOCOL_ERRORS, 1);
-  pgwire_put_error (out (caller), "FATAL", "08P01", message, "not run");
+  pgwire_put_error (caller_out (caller), "FATAL", "08P01", message, "not run");
   end_connection (caller);
 }
 
@@ -91,14 +64,14 @@
     return;
   caller->reported = caller->session.token;
   session_token_print (caller->session.token, text);
-  pgwire_put_parameter (out (caller), "peridotstep.session", text);
+  pgwire_put_parameter (caller_out (caller), "peridotstep.session", text);
 }
 
 static void
 put_ready (Caller *caller)
 {
   report_token (caller);
-  pgwire_put_ready (out (caller), session_status (&caller->session));
+  pgwire_put_ready (caller_out (caller), session_status (&caller->session));
   stream_flush (caller->stream);
 }
 
@@ -113,10 +86,10 @@
     caller->skip_to_sync = true;
 }
 
-static void
-refuse_statement (Caller *caller, bool extended, const char *sqlstate, const char *message)
+void
+caller_refuse_statement (Caller *caller, bool extended, const char *sqlstate, const char *message)
 {
-  pgwire_put_error (out (caller), "ERROR", sqlstate, message, "not run");
+  pgwire_put_error (caller_out (caller), "ERROR", sqlstate, message, "not run");
   if (caller->session.transaction != TRANSACTION_NONE)
     caller->session.transaction = TRANSACTION_FAILED;
   end_statement (caller, extended, true);
@@ -178,7 +151,7 @@
     }
   // The transaction ended, but its answer came by way of the outcome look-up.
   if (!caller->running.answered && caller->running.operation == PERIDOTSTEP__OPERATION__COMMIT)
-    pgwire_put_complete (out (caller), "COMMIT");
+    pgwire_put_complete (caller_out (caller), "COMMIT");
 }
 
 static void
@@ -222,7 +195,7 @@
   if (caller->running.strip_parameters)
     skip_parameter_description (&bytes, &length);
   caller->running.answered = true;
-  g_byte_array_append (out (caller), bytes, (guint) length);
+  g_byte_array_append (caller_out (caller), bytes, (guint) length);
   stream_flush (caller->stream);
   if (stream_pending (caller->stream) < OUTPUT_HIGH_BYTES)
     request_credit (caller->request, credit);
@@ -243,8 +216,9 @@
   return class_config->write ? REQUEST_WRITE : REQUEST_READ;
 }
 
-static void
-send_request (Caller *caller, const char *sql, RequestOptions *options, bool strip_parameters)
+void
+caller_send_request (Caller *caller, const char *sql, RequestOptions *options,
+                     bool strip_parameters)
 {
   Worker *worker = caller->options.worker;
   ServiceConfig *service = daemon_service (worker->daemon, caller->session.service);
@@ -252,14 +226,14 @@
 
   if (service == NULL)
     {
-      refuse_statement (caller, options->extended, "3D000", "the service was removed");
+      caller_refuse_statement (caller, options->extended, "3D000", "the service was removed");
       return;
     }
   class_config = classify_statement (service, &caller->session, sql);
   if (class_config == NULL)
     {
       service_config_unref (service);
-      refuse_statement (caller, options->extended, "22023", "no such class in this service");
+      caller_refuse_statement (caller, options->extended, "22023", "no such class in this service");
       return;
     }
   caller->running = (Running){ .operation = options->operation,
@@ -279,7 +253,7 @@
 static void
 answer_tag (Caller *caller, bool extended, const char *tag)
 {
-  pgwire_put_complete (out (caller), tag);
+  pgwire_put_complete (caller_out (caller), tag);
   end_statement (caller, extended, false);
 }
 
@@ -305,12 +279,12 @@
       return;
     }
   options.operation = commit ? PERIDOTSTEP__OPERATION__COMMIT : PERIDOTSTEP__OPERATION__ROLLBACK;
-  send_request (caller, commit ? "COMMIT" : "ROLLBACK", &options, false);
+  caller_send_request (caller, commit ? "COMMIT" : "ROLLBACK", &options, false);
 }
 
 /* Transaction verbs and what the entry host answers itself. Returns false for the rest. */
-static bool
-run_locally (Caller *caller, const char *sql, bool extended)
+bool
+caller_run_locally (Caller *caller, const char *sql, bool extended)
 {
   SqlVerb verb = sql_text_verb (sql);
   ServiceConfig *service;
@@ -319,7 +293,7 @@
   switch (verb)
     {
     case SQL_VERB_EMPTY:
-      pgwire_put_empty (out (caller), 'I');
+      pgwire_put_empty (caller_out (caller), 'I');
       end_statement (caller, extended, false);
       return true;
     case SQL_VERB_BEGIN:
@@ -335,7 +309,7 @@
   service = daemon_service (caller->options.worker->daemon, caller->session.service);
   if (service == NULL)
     return false;
-  result = local_statement (&caller->session, service, sql, out (caller));
+  result = local_statement (&caller->session, service, sql, caller_out (caller));
   service_config_unref (service);
   if (result == LOCAL_PASS)
     return false;
@@ -354,18 +328,18 @@
 }
 
 /* Refuses what can't run now. Returns true if it did. */
-static bool
-refuse_early (Caller *caller, const char *sql, bool extended)
+bool
+caller_refuse_early (Caller *caller, const char *sql, bool extended)
 {
   if (!sql_text_is_single (sql))
     {
-      refuse_statement (caller, extended, "0A000",
-                        "several statements in one query are not supported");
+      caller_refuse_statement (caller, extended, "0A000",
+                               "several statements in one query are not supported");
       return true;
     }
   if (caller->session.transaction == TRANSACTION_FAILED && !ends_transaction (sql))
     {
-      refuse_statement (
+      caller_refuse_statement (
           caller, extended, "25P02",
           "current transaction is aborted, commands ignored until end of transaction block");
       return true;
@@ -378,210 +352,9 @@
 {
   RequestOptions options = { .describe = true };
 
-  if (refuse_early (caller, sql, false) || run_locally (caller, sql, false))
-    return;
-  send_request (caller, sql, &options, false);
-}
-
-/* Whether another Execute follows in the same batch, as far as it has arrived. */
-static bool
-batch_continues (Caller *caller)
-{
-  const GByteArray *input = stream_input (caller->stream);
-  size_t at = 0;
-  PgwireMessage message;
-
-  while (pgwire_read_message (input->data + at, input->len - at, &message) == PGWIRE_MESSAGE)
-    {
-      if (message.type == 'E')
-        return true;
-      if (message.type == 'S')
-        return false;
-      at += message.size_bytes;
-    }
-  return false;
-}
-
-static void
-run_portal (Caller *caller, const Portal *portal, bool describe)
-{
-  RequestOptions options = {
-    .extended = true,
-    .describe = describe,
-    .param_count = portal->param_count,
-    .params = portal->params,
-    .type_count = portal->statement.type_count,
-    .types = portal->statement.types,
-    .result_format = portal->result_format,
-  };
-
-  if (refuse_early (caller, portal->statement.sql, true))
+  if (caller_refuse_early (caller, sql, false) || caller_run_locally (caller, sql, false))
     return;
-  if (portal->mixed_formats)
-    {
-      refuse_statement (caller, true, "0A000", "result formats must be all text or all binary");
-      return;
-    }
-  if (describe && sql_text_verb (portal->statement.sql) != SQL_VERB_OTHER
-      && sql_text_verb (portal->statement.sql) != SQL_VERB_SHOW)
-    pgwire_put_empty (out (caller), 'n');
-  if (run_locally (caller, portal->statement.sql, true))
-    return;
-  if (caller->session.transaction == TRANSACTION_NONE && batch_continues (caller))
-    {
-      refuse_statement (caller, true, "0A000",
-                        "several statements in one batch need a transaction block");
-      return;
-    }
-  send_request (caller, portal->statement.sql, &options, false);
-}
-
-static void
-handle_execute (Caller *caller, PgwireCursor *cursor)
-{
-  const char *name = pgwire_get_string (cursor);
-  uint32_t max_rows = pgwire_get_u32 (cursor);
-  const Portal *portal = prepared_store_portal (caller->prepared, name);
-  bool describe = caller->describe_pending;
-
-  caller->describe_pending = false;
-  if (cursor->failed)
-    end_malformed (caller, "malformed Execute message");
-  else if (portal == NULL)
-    refuse_statement (caller, true, "34000", "portal does not exist");
-  else if (max_rows != 0)
-    refuse_statement (caller, true, "0A000", "fetching a portal in parts is not supported");
-  else
-    run_portal (caller, portal, describe);
-}
-
-static bool
-is_described_locally (const char *sql)
-{
-  return sql_text_verb (sql) != SQL_VERB_OTHER && sql_text_verb (sql) != SQL_VERB_SHOW;
-}
-
-static void
-put_no_parameters (Caller *caller)
-{
-  guint mark = pgwire_begin (out (caller), 't');
-
-  pgwire_put_u16 (out (caller), 0);
-  pgwire_end (out (caller), mark);
-}
-
-static void
-describe_at_backend (Caller *caller, const PreparedStatement *statement, bool portal)
-{
-  RequestOptions options = {
-    .operation = PERIDOTSTEP__OPERATION__DESCRIBE,
-    .extended = true,
-    .type_count = statement->type_count,
-    .types = statement->types,
-  };
-
-  if (refuse_early (caller, statement->sql, true))
-    return;
-  send_request (caller, statement->sql, &options, portal);
-}
-
-static void
-describe_statement (Caller *caller, const char *name)
-{
-  const PreparedStatement *statement = prepared_store_statement (caller->prepared, name);
-
-  if (statement == NULL)
-    {
-      refuse_statement (caller, true, "26000", "prepared statement does not exist");
-      return;
-    }
-  if (!is_described_locally (statement->sql))
-    {
-      describe_at_backend (caller, statement, false);
-      return;
-    }
-  put_no_parameters (caller);
-  pgwire_put_empty (out (caller), 'n');
-}
-
-/* A portal is described along with its execution, which mostly follows at once. */
-static void
-describe_portal_later (Caller *caller, const char *name)
-{
-  if (prepared_store_portal (caller->prepared, name) == NULL)
-    {
-      refuse_statement (caller, true, "34000", "portal does not exist");
-      return;
-    }
-  caller->describe_pending = true;
-  g_strlcpy (caller->describe_portal, name, sizeof caller->describe_portal);
-}
-
-static void
-handle_describe (Caller *caller, PgwireCursor *cursor)
-{
-  char kind = (char) pgwire_get_u8 (cursor);
-  const char *name = pgwire_get_string (cursor);
-
-  if (cursor->failed || (kind != 'S' && kind != 'P'))
-    end_malformed (caller, "malformed Describe message");
-  else if (kind == 'S')
-    describe_statement (caller, name);
-  else
-    describe_portal_later (caller, name);
-}
-
-/* Returns true if a described portal's Execute does not follow, and starts the description. */
-static bool
-settle_pending_describe (Caller *caller, const PgwireMessage *next)
-{
-  PgwireCursor cursor = pgwire_cursor (next);
-  const Portal *portal;
-
-  if (!caller->describe_pending)
-    return false;
-  if (next->type == 'E' && strcmp (pgwire_get_string (&cursor), caller->describe_portal) == 0)
-    return false;
-  caller->describe_pending = false;
-  portal = prepared_store_portal (caller->prepared, caller->describe_portal);
-  if (portal == NULL || is_described_locally (portal->statement.sql))
-    {
-      pgwire_put_empty (out (caller), 'n');
-      return false;
-    }
-  describe_at_backend (caller, &portal->statement, true);
-  return true;
-}
-
-typedef const char *(*StoreMessage) (PreparedStore *store, PgwireCursor *cursor, bool *malformed);
-
-static void
-handle_store (Caller *caller, PgwireCursor *cursor, StoreMessage store, char complete)
-{
-  bool malformed = false;
-  const char *message = store (caller->prepared, cursor, &malformed);
-
-  if (malformed)
-    end_malformed (caller, message);
-  else if (message != NULL)
-    refuse_statement (caller, true, complete == '1' ? "42P05" : "26000", message);
-  else
-    pgwire_put_empty (out (caller), complete);
-}
-
-static void
-handle_close (Caller *caller, PgwireCursor *cursor)
-{
-  char kind = (char) pgwire_get_u8 (cursor);
-  const char *name = pgwire_get_string (cursor);
-
-  if (cursor->failed)
-    {
-      end_malformed (caller, "malformed Close message");
-      return;
-    }
-  prepared_store_close (caller->prepared, kind, name);
-  pgwire_put_empty (out (caller), '3');
+  caller_send_request (caller, sql, &options, false);
 }
 
 static void
@@ -590,7 +363,7 @@
   const char *sql = pgwire_get_string (cursor);
 
   if (cursor->failed)
-    end_malformed (caller, "malformed Query message");
+    caller_end_malformed (caller, "malformed Query message");
   else
     run_simple (caller, sql);
 }
@@ -602,26 +375,13 @@
 
   if (caller->skip_to_sync && message->type != 'S' && message->type != 'X')
     return;
+  if (caller_extended_message (caller, message))
+    return;
   switch (message->type)
     {
     case 'Q':
       handle_query (caller, &cursor);
       return;
-    case 'P':
-      handle_store (caller, &cursor, prepared_store_parse, '1');
-      return;
-    case 'B':
-      handle_store (caller, &cursor, prepared_store_bind, '2');
-      return;
-    case 'D':
-      handle_describe (caller, &cursor);
-      return;
-    case 'E':
-      handle_execute (caller, &cursor);
-      return;
-    case 'C':
-      handle_close (caller, &cursor);
-      return;
     case 'S':
       caller->skip_to_sync = false;
       put_ready (caller);
@@ -633,7 +393,7 @@
       end_connection (caller);
       return;
     case 'F':
-      refuse_statement (caller, false, "0A000", "function calls are not supported");
+      caller_refuse_statement (caller, false, "0A000", "function calls are not supported");
       return;
     case 'd':
     case 'c':
@@ -641,7 +401,7 @@
       // Left over from a refused COPY.
       return;
     default:
-      end_malformed (caller, "unknown message type");
+      caller_end_malformed (caller, "unknown message type");
     }
 }
 
@@ -658,23 +418,23 @@
     { "integer_datetimes", "on" },
     { "standard_conforming_strings", "on" },
   };
-  guint mark = pgwire_begin (out (caller), 'R');
+  guint mark = pgwire_begin (caller_out (caller), 'R');
 
-  pgwire_put_u32 (out (caller), 0);
-  pgwire_end (out (caller), mark);
+  pgwire_put_u32 (caller_out (caller), 0);
+  pgwire_end (caller_out (caller), mark);
   for (size_t i = 0; i < G_N_ELEMENTS (parameters); i++)
-    pgwire_put_parameter (out (caller), parameters[i][0], parameters[i][1]);
-  mark = pgwire_begin (out (caller), 'K');
-  pgwire_put_u32 (out (caller), caller->options.pid);
-  pgwire_put_u32 (out (caller), caller->options.key);
-  pgwire_end (out (caller), mark);
+    pgwire_put_parameter (caller_out (caller), parameters[i][0], parameters[i][1]);
+  mark = pgwire_begin (caller_out (caller), 'K');
+  pgwire_put_u32 (caller_out (caller), caller->options.pid);
+  pgwire_put_u32 (caller_out (caller), caller->options.key);
+  pgwire_end (caller_out (caller), mark);
   put_ready (caller);
 }
 
 static void
 refuse_startup (Caller *caller, const char *sqlstate, const char *message)
 {
-  pgwire_put_error (out (caller), "FATAL", sqlstate, message, "not run");
+  pgwire_put_error (caller_out (caller), "FATAL", sqlstate, message, "not run");
   end_connection (caller);
 }
 
@@ -721,7 +481,7 @@
     {
     case PGWIRE_SSL_REQUEST:
     case PGWIRE_GSS_REQUEST:
-      pgwire_put_u8 (out (caller), 'N');
+      pgwire_put_u8 (caller_out (caller), 'N');
       stream_flush (caller->stream);
       return;
     case PGWIRE_CANCEL_REQUEST:
@@ -749,7 +509,7 @@
     }
   if (!startup_read (&cursor, &startup))
     {
-      end_malformed (caller, "malformed startup packet");
+      caller_end_malformed (caller, "malformed startup packet");
       return;
     }
   open_session (caller, &startup);
@@ -787,10 +547,10 @@
         return false;
       if (read == PGWIRE_MALFORMED)
         {
-          end_malformed (caller, "malformed or oversized message");
+          caller_end_malformed (caller, "malformed or oversized message");
           return true;
         }
-      if (caller->started && settle_pending_describe (caller, &message))
+      if (caller->started && caller_extended_settle (caller, &message))
         {
           if (*freed)
             return true;
@@ -917,7 +677,7 @@
     return;
   if (caller->session.transaction != TRANSACTION_NONE || stream_input (caller->stream)->len > 0)
     return;
-  pgwire_put_error (out (caller), "FATAL", "57P01",
+  pgwire_put_error (caller_out (caller), "FATAL", "57P01",
                     "terminating connection due to administrator command", "not run");
   end_connection (caller);
 }
--- a/src/pipeline/request.c
+++ b/src/pipeline/request.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "pipeline/request-frame.h"
 #include "pipeline/route.h"
 #include "pipeline/traced-choice.h"
 
@@ -298,16 +299,6 @@
   return choose (request, route, request->read);
 }
 
-static void
-set_transaction_id (Request *request, const char *id)
-{
-  Peridotstep__Execute *execute = request->frame->execute;
-
-  if (execute->transaction_id != protobuf_c_empty_string)
-    free (execute->transaction_id);
-  execute->transaction_id = strdup (id);
-}
-
 static void
 new_transaction_id (Request *request)
 {
@@ -317,7 +308,7 @@
     return;
   g_snprintf (id, sizeof id, "%016" G_GINT64_MODIFIER "x-%016" G_GINT64_MODIFIER "x",
               request_session (request)->id, worker_next_id (request_worker (request)));
-  set_transaction_id (request, id);
+  request_frame_set_transaction_id (request->frame, id);
 }
 
 static void
@@ -396,56 +387,6 @@
   request_dispatch (request);
 }
 
-static void
-copy_params (Peridotstep__Execute *execute, const RequestOptions *options)
-{
-  execute->n_params = options->param_count;
-  execute->params = calloc (options->param_count + 1, sizeof (Peridotstep__Param *));
-  for (uint32_t i = 0; i < options->param_count; i++)
-    {
-      const RequestParam *param = &options->params[i];
-      Peridotstep__Param *message = malloc (sizeof *message);
-
-      peridotstep__param__init (message);
-      message->is_null = param->value == NULL;
-      message->format = param->format;
-      message->value.len = param->length;
-      message->value.data = malloc (param->length + 1);
-      if (param->length > 0)
-        memcpy (message->value.data, param->value, param->length);
-      execute->params[i] = message;
-    }
-  execute->n_param_types = options->type_count;
-  execute->param_types = calloc (options->type_count + 1, sizeof (uint32_t));
-  if (options->types != NULL)
-    memcpy (execute->param_types, options->types, options->type_count * sizeof (uint32_t));
-}
-
-static Frame *
-make_frame (const RequestOptions *options)
-{
-  const Session *session = options->session;
-  Frame *frame = frame_new (PERIDOTSTEP__FRAME__BODY_EXECUTE);
-  Peridotstep__Execute *execute = frame->execute;
-
-  execute->service = strdup (session->service);
-  execute->operation = options->operation;
-  execute->sql = strdup (options->sql);
-  execute->extended = options->extended;
-  execute->describe = options->describe;
-  execute->result_format = options->result_format;
-  execute->priority = options->class_config->priority;
-  execute->read_only = !options->class_config->write;
-  execute->max_age_ms = options->class_config->max_age_ms;
-  execute->source = session->source;
-  execute->need = frame_token_new (session->token);
-  execute->in_transaction = session->transaction != TRANSACTION_NONE;
-  if (session->transaction == TRANSACTION_BEGUN)
-    execute->begin_sql = strdup (session->begin_sql);
-  copy_params (execute, options);
-  return frame;
-}
-
 void
 request_start (Worker *worker, const RequestOptions *options, Request **handle)
 {
@@ -456,7 +397,7 @@
   request->class_config = *options->class_config;
   request->options.class_config = &request->class_config;
   request->read = !options->class_config->write;
-  request->frame = make_frame (options);
+  request->frame = request_frame_new (options);
   request->deadline_ms = clock_now_ms () + options->class_config->deadline_ms;
   request->handle = handle;
   *handle = request;
@@ -580,13 +521,8 @@
   request->target = host;
   request->instance = (uint32_t) instance;
   request->resolve_attempts++;
-  frame = frame_new (PERIDOTSTEP__FRAME__BODY_EXECUTE);
-  frame->execute->request = request->id;
-  frame->execute->service = strdup (request->frame->execute->service);
-  frame->execute->operation = PERIDOTSTEP__OPERATION__RESOLVE;
-  frame->execute->transaction_id = strdup (request->frame->execute->transaction_id);
-  frame->execute->instance = (uint32_t) instance;
-  frame->execute->deadline_ms = RESOLVE_ATTEMPT_MS;
+  frame
+      = request_frame_resolve (request->frame, request->id, request->instance, RESOLVE_ATTEMPT_MS);
   set_timer (request, RESOLVE_ATTEMPT_MS, on_resolve_timer);
   worker_send (request_worker (request), &host, frame, FRAME_LANE_URGENT);
 }
@@ -598,7 +534,7 @@
   if (failure == FAILURE_REFUSED && request->doubtful_attempts == 1)
     {
       request->doubtful_attempts = 0;
-      set_transaction_id (request, request->doubtful_id);
+      request_frame_set_transaction_id (request->frame, request->doubtful_id);
     }
   request->phase = PHASE_RESOLVING;
   request->resolve_until_ms = clock_now_ms () + RESOLVE_LIMIT_MS;
