Apply path in the fault matrix; keepalive on all streams

Cause: lost answers and outages of the store were tested at the system level only, not at each request of a change.

--- a/src/base/stream.c
+++ b/src/base/stream.c
@@ -14,6 +14,10 @@
 #define LISTEN_BACKLOG 1024
 /* Unacknowledged data closes the connection after this time. */
 #define TCP_USER_TIMEOUT_MS 5000
+/* An idle connection whose other end is gone is found out after this and some probes. */
+#define KEEPALIVE_IDLE_S 10
+#define KEEPALIVE_INTERVAL_S 3
+#define KEEPALIVE_PROBES 3
 
 struct Stream
 {
@@ -252,10 +256,16 @@
 set_options (int fd)
 {
   int on = 1;
+  int idle_s = KEEPALIVE_IDLE_S;
+  int interval_s = KEEPALIVE_INTERVAL_S;
+  int probes = KEEPALIVE_PROBES;
   unsigned int timeout_ms = TCP_USER_TIMEOUT_MS;
 
   setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
   setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval_s, sizeof interval_s);
+  setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof probes);
   setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
 }
 
--- a/src/standin/platform-store.c
+++ b/src/standin/platform-store.c
@@ -34,6 +34,10 @@
   GHashTable *objects;      /* name -> GBytes */
   GHashTable *hosts;        /* id -> ListedHost */
   atomic_llong faults[STORE_FAULT_COUNT];
+  atomic_llong countdown;    /* requests until the faults begin; falls below 0 after that */
+  atomic_llong strikes_left; /* requests that fail then */
+  atomic_int single_fault;
+  atomic_bool struck;
 };
 
 /* A request while its body arrives. */
@@ -74,6 +78,41 @@
   atomic_store (&store->faults[fault], value);
 }
 
+void
+platform_store_fault_at (PlatformStore *store, StoreFault fault, int64_t request, int64_t count)
+{
+  atomic_store (&store->struck, false);
+  atomic_store (&store->single_fault, (int) fault);
+  atomic_store (&store->strikes_left, count);
+  atomic_store (&store->countdown, request);
+}
+
+bool
+platform_store_fault_struck (PlatformStore *store)
+{
+  return atomic_load (&store->struck);
+}
+
+/* Counts a request; whether it is one of those that are to fail. */
+static bool
+count_request (PlatformStore *store)
+{
+  if (atomic_fetch_sub (&store->countdown, 1) > 0
+      || atomic_fetch_sub (&store->strikes_left, 1) <= 0)
+    return false;
+  atomic_store (&store->struck, true);
+  return true;
+}
+
+/* Whether a request that has just come in is to fail with @fault. */
+static bool
+fault_strikes (PlatformStore *store, StoreFault fault, bool is_single)
+{
+  if (atomic_load (&store->faults[fault]) > 0)
+    return true;
+  return is_single && atomic_load (&store->single_fault) == (int) fault;
+}
+
 static void
 row_free (void *data)
 {
@@ -338,6 +377,7 @@
   Upload *upload = *request;
   bool is_command = strcmp (url, "/v1/standin") == 0;
   bool is_write = strcmp (method, "GET") != 0;
+  bool is_single;
   Answer answer;
 
   if (upload == NULL)
@@ -355,19 +395,20 @@
       *upload_size = 0;
       return MHD_YES;
     }
+  is_single = !is_command && count_request (store);
   if (!is_command)
     {
       long long slow_ms = atomic_load (&store->faults[STORE_FAULT_SLOW]);
 
       if (slow_ms > 0)
         g_usleep ((gulong) slow_ms * 1000);
-      if (atomic_load (&store->faults[STORE_FAULT_DOWN]) > 0)
+      if (fault_strikes (store, STORE_FAULT_DOWN, is_single))
         return MHD_NO;
     }
   g_mutex_lock (&store->lock);
   answer = is_write ? answer_write (store, url, upload->body) : answer_get (store, url);
   g_mutex_unlock (&store->lock);
-  if (!is_command && is_write && atomic_load (&store->faults[STORE_FAULT_LOSE_ANSWERS]) > 0)
+  if (!is_command && is_write && fault_strikes (store, STORE_FAULT_LOSE_ANSWERS, is_single))
     {
       json_decref (answer.json);
       return MHD_NO;
--- a/tests/main.c
+++ b/tests/main.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "apply-matrix.h"
 #include "matrix.h"
 #include "mutation.h"
 #include "script.h"
@@ -125,6 +126,7 @@
   tcase_add_loop_test (scripts, test_script, 0, (int) script_paths->len);
   suite_add_tcase (suite, scripts);
   suite_add_tcase (suite, matrix_case ());
+  suite_add_tcase (suite, apply_matrix_case ());
   suite_add_tcase (suite, mutation_case ());
   suite_add_tcase (suite, whole_case ());
   runner = srunner_create (suite);
