What waits for an instance that is lost is sent elsewhere at once

Cause (from the new slow_request lines): statements queued at the owner of a dead primary stayed there up to their deadline of 5 s, since no connection could be had. Change: when an instance stops answering, or stops being the primary, its queue is swept: what can't run there is refused as not run, and the entry host tries again.

--- a/src/daemon/store-thread.c
+++ b/src/daemon/store-thread.c
@@ -2,6 +2,7 @@
 
 #include "adapter/platform-client.h"
 #include "base/log.h"
+#include "base/sanitizer.h"
 #include "config/config-store.h"
 
 #define TIMEOUT_MS 2000
@@ -164,6 +165,7 @@
     {
       Job *job = g_async_queue_timeout_pop (store->jobs, AUDIT_RETRY_US);
 
+      SANITIZER_ACQUIRE (job);
       if (job != NULL)
         running = run_job (store, job);
       // Polls come first; what is to be recorded waits for a quiet moment.
@@ -195,6 +197,7 @@
   job->have = have;
   job->text = g_strdup (text);
   job->json = json;
+  SANITIZER_RELEASE (job);
   g_async_queue_push (store->jobs, job);
 }
 
--- a/src/pipeline/group-owner.c
+++ b/src/pipeline/group-owner.c
@@ -104,6 +104,37 @@
   group->pumping = false;
 }
 
+/* What waits for an instance that can't run it now is told so, and finds another. */
+static void
+sweep_queue (InstanceOwner *instance)
+{
+  GPtrArray *jobs = g_ptr_array_new ();
+  AdmissionItem *item;
+  OwnerJob *job;
+
+  while ((job = g_queue_pop_head (&instance->waiting_connection)) != NULL)
+    g_ptr_array_add (jobs, job);
+  while ((item = traced_queue_drain (instance->queue)) != NULL)
+    g_ptr_array_add (jobs, item->data);
+  for (guint i = 0; i < jobs->len; i++)
+    owner_job_requeue (jobs->pdata[i]);
+  g_ptr_array_free (jobs, true);
+}
+
+static void
+note_role (InstanceOwner *instance)
+{
+  GroupMonitor *monitor = instance->group->monitor;
+  bool serving = group_monitor_answers (monitor, instance->index);
+  bool primary = group_monitor_primary (monitor) == (int32_t) instance->index;
+  bool lost = (instance->serving && !serving) || (instance->primary && !primary);
+
+  instance->serving = serving;
+  instance->primary = primary;
+  if (lost)
+    sweep_queue (instance);
+}
+
 static bool
 is_busy (const GroupOwner *group)
 {
@@ -122,7 +153,10 @@
 
   group_monitor_set_busy (group->monitor, is_busy (group));
   for (uint32_t i = 0; i < group->service->instance_count; i++)
-    recheck_waiting (&group->instances[i]);
+    {
+      note_role (&group->instances[i]);
+      recheck_waiting (&group->instances[i]);
+    }
   group_owner_pump (group);
 }
 
--- a/src/pipeline/group-owner.h
+++ b/src/pipeline/group-owner.h
@@ -17,12 +17,15 @@
 typedef struct OwnerJob OwnerJob;
 typedef struct OwnerTransaction OwnerTransaction;
 
-/** struct InstanceOwner - Queue and connections of one instance. */
+/** struct InstanceOwner - Queue and connections of one instance. @serving: answers, as it last did.
+ */
 struct InstanceOwner
 {
   GroupOwner *group;
   uint32_t index;
   bool owned;
+  bool serving;
+  bool primary;
   TracedQueue *queue;
   BackendPool *pool;
   GQueue waiting_fresh;      /* OwnerJob, until the replica is recent enough */
--- a/src/pipeline/owner-job.c
+++ b/src/pipeline/owner-job.c
@@ -614,6 +614,19 @@
     g_queue_push_tail (&job->instance->waiting_connection, job);
 }
 
+void
+owner_job_requeue (OwnerJob *job)
+{
+  RefusalKind refusal = start_refusal (job);
+
+  if (job->state == JOB_WAITING_CONNECTION)
+    release_slot (job);
+  if (refusal == REFUSAL_NONE)
+    enqueue (job, clock_now_ms ());
+  else
+    finish_refused (job, refusal);
+}
+
 void
 owner_job_expire (OwnerJob *job)
 {
--- a/src/pipeline/owner-job.h
+++ b/src/pipeline/owner-job.h
@@ -17,6 +17,9 @@
 /** owner_job_take_connection() - A connection may be had for a job that has a slot. */
 bool owner_job_take_connection (OwnerJob *job);
 
+/** owner_job_requeue() - Taken out of the queue: back into it, or refused if it can't run here. */
+void owner_job_requeue (OwnerJob *job);
+
 /** owner_job_expire() - Its deadline passed in the queue. */
 void owner_job_expire (OwnerJob *job);
 
--- a/src/pipeline/request.c
+++ b/src/pipeline/request.c
@@ -18,6 +18,8 @@
 #define DOWN_REFUSAL_MS 200
 #define BEHIND_REFUSAL_MS 5
 #define DETAIL_BYTES 160
+/* Requests that take longer are worth a debug line. */
+#define SLOW_MS 1000
 #define TRANSACTION_ID_BYTES 40
 /* A host whose link was lost is passed over for this time, or until membership knows more. */
 #define AVOID_HOST_MS 1000
@@ -37,6 +39,8 @@
   Frame *frame;
   ClassConfig class_config;
   bool read;
+  int64_t started_ms;
+  int64_t attempt_ms;
   int64_t deadline_ms;
   Phase phase;
   bool answering;
@@ -147,6 +151,24 @@
   counter_add (request_worker (request)->counters, counters[outcome->verdict], 1);
 }
 
+/* What a slow request went through, at the debug level only. */
+static void
+trace_slow (const Request *request, const RequestOutcome *outcome)
+{
+  int64_t took_ms = clock_now_ms () - request->started_ms;
+
+  if (took_ms < SLOW_MS || !log_enabled (LOG_LEVEL_DEBUG))
+    return;
+  log_event (LOG_LEVEL_DEBUG, "slow_request",
+             "service=%s class=%s kind=%d took_ms=%" G_GINT64_FORMAT
+             " attempts=%u look_ups=%u last_refusal=%s refusal=%s last_host=%s last_instance=%u "
+             "last_attempt_ms=%" G_GINT64_FORMAT,
+             request->frame->execute->service, request->class_config.name, request->options.kind,
+             took_ms, request->attempts, request->resolve_attempts,
+             refusal_info (request->last_refusal)->name, refusal_info (outcome->refusal)->name,
+             request->target.id, request->instance, clock_now_ms () - request->attempt_ms);
+}
+
 static void
 finish (Request *request, RequestOutcome *outcome)
 {
@@ -155,6 +177,7 @@
   char detail[DETAIL_BYTES];
 
   count_outcome (request, outcome);
+  trace_slow (request, outcome);
   g_strlcpy (detail, request->detail, sizeof detail);
   outcome->detail = detail;
   if (request->handle != NULL)
@@ -321,6 +344,7 @@
   request->instance = instance;
   request->phase = PHASE_SENT;
   request->attempts++;
+  request->attempt_ms = clock_now_ms ();
   renew_id (request);
   new_transaction_id (request);
   execute->request = request->id;
@@ -398,7 +422,8 @@
   request->options.class_config = &request->class_config;
   request->read = !options->class_config->write;
   request->frame = request_frame_new (options);
-  request->deadline_ms = clock_now_ms () + options->class_config->deadline_ms;
+  request->started_ms = clock_now_ms ();
+  request->deadline_ms = request->started_ms + options->class_config->deadline_ms;
   request->handle = handle;
   *handle = request;
   talloc_set_destructor (request, request_destroy);
--- a/src/pipeline/traced-queue.c
+++ b/src/pipeline/traced-queue.c
@@ -109,6 +109,16 @@
   trace_line (queue->trace, "queue %" PRIu64 " remove %" PRIu64, queue->id, item->name);
 }
 
+AdmissionItem *
+traced_queue_drain (TracedQueue *queue)
+{
+  AdmissionItem *item = admission_queue_drain (queue->policy);
+
+  if (item != NULL)
+    trace_line (queue->trace, "queue %" PRIu64 " remove %" PRIu64, queue->id, item->name);
+  return item;
+}
+
 void
 traced_queue_finish (TracedQueue *queue, Priority priority, int64_t service_us)
 {
--- a/src/pipeline/traced-queue.h
+++ b/src/pipeline/traced-queue.h
@@ -36,6 +36,9 @@
 /** traced_queue_remove() - As admission_queue_remove(). */
 void traced_queue_remove (TracedQueue *queue, AdmissionItem *item);
 
+/** traced_queue_drain() - As admission_queue_drain(). */
+AdmissionItem *traced_queue_drain (TracedQueue *queue);
+
 /** traced_queue_finish() - As admission_queue_finish(). */
 void traced_queue_finish (TracedQueue *queue, Priority priority, int64_t service_us);
 
