Owners report how long the oldest has waited

Cause: the wait that entry hosts are told came from service times and queue length alone; behind a backlog of writes that wait for locks it said milliseconds while reads waited seconds. Change: at least what the oldest waiting statement of the priority has waited.

--- a/src/pipeline/owner-job.c
+++ b/src/pipeline/owner-job.c
@@ -109,7 +109,7 @@
   news->term = status->term;
   news->applied = frame_token_new (status->applied);
   news->age_ms = group_monitor_age_ms (monitor, status->applied);
-  news->wait_us = admission_queue_expected_wait_us (
+  news->wait_us = admission_queue_reported_wait_us (
       traced_queue_policy (job->instance->queue),
       (Priority) MIN (job->execute->priority, PRIORITY_COUNT - 1));
   if (primary >= 0)
--- a/src/policy/admission-queue.c
+++ b/src/policy/admission-queue.c
@@ -94,6 +94,29 @@
   return queue->options.slots - queue->options.reserved_slots;
 }
 
+/* How long the oldest waiting item of a lane has waited: the next one will not wait less. */
+static int64_t
+oldest_wait_us (const AdmissionQueue *queue, Priority priority)
+{
+  int64_t oldest_ms = queue->credited_ms;
+
+  for (GList *l = queue->lanes[priority].sources.head; l != NULL; l = l->next)
+    {
+      const AdmissionItem *item = g_queue_peek_head (&((Source *) l->data)->items);
+
+      oldest_ms = MIN (oldest_ms, item->enqueued_ms);
+    }
+  return (queue->credited_ms - oldest_ms) * 1000;
+}
+
+int64_t
+admission_queue_reported_wait_us (const AdmissionQueue *queue, Priority priority)
+{
+  int64_t estimate_us = admission_queue_expected_wait_us (queue, priority);
+
+  return MAX (estimate_us, oldest_wait_us (queue, priority));
+}
+
 int64_t
 admission_queue_expected_wait_us (const AdmissionQueue *queue, Priority priority)
 {
--- a/src/policy/admission-queue.h
+++ b/src/policy/admission-queue.h
@@ -110,6 +110,12 @@
 /** admission_queue_expected_wait_us() - Wait that a new item of @priority can expect. */
 int64_t admission_queue_expected_wait_us (const AdmissionQueue *queue, Priority priority);
 
+/**
+ * admission_queue_reported_wait_us() - Wait as others are told it: at least what the oldest
+ * waiting item of @priority has waited already.
+ */
+int64_t admission_queue_reported_wait_us (const AdmissionQueue *queue, Priority priority);
+
 /** admission_queue_waiting() - Waiting items of @priority. */
 uint32_t admission_queue_waiting (const AdmissionQueue *queue, Priority priority);
 
