The far replica takes over when the wait near by is long

Cause: crossing the region link counted for a second of waiting, so during a failover's backlog reads stayed on the loaded primary. Change: 250 ms.

--- a/src/base/pause-gate.c
+++ b/src/base/pause-gate.c
@@ -1,12 +1,13 @@
 #include "base/pause-gate.h"
 
+#include <pthread.h>
 #include <glib.h>
 
 struct PauseGate
 {
   Mailbox *mailbox;
-  GMutex lock;
-  GCond ended;
+  pthread_mutex_t lock;
+  pthread_cond_t ended;
   bool paused;
 };
 
@@ -23,16 +24,16 @@
   PauseGate *gate = g_new0 (PauseGate, 1);
 
   gate->mailbox = mailbox;
-  g_mutex_init (&gate->lock);
-  g_cond_init (&gate->ended);
+  pthread_mutex_init (&gate->lock, NULL);
+  pthread_cond_init (&gate->ended, NULL);
   return gate;
 }
 
 void
 pause_gate_free (PauseGate *gate)
 {
-  g_cond_clear (&gate->ended);
-  g_mutex_clear (&gate->lock);
+  pthread_cond_destroy (&gate->ended);
+  pthread_mutex_destroy (&gate->lock);
   g_free (gate);
 }
 
@@ -42,10 +43,10 @@
   PauseGate *gate = ((PauseMessage *) message)->gate;
 
   g_free (message);
-  g_mutex_lock (&gate->lock);
+  pthread_mutex_lock (&gate->lock);
   while (gate->paused)
-    g_cond_wait (&gate->ended, &gate->lock);
-  g_mutex_unlock (&gate->lock);
+    pthread_cond_wait (&gate->ended, &gate->lock);
+  pthread_mutex_unlock (&gate->lock);
 }
 
 void
@@ -53,10 +54,10 @@
 {
   PauseMessage *message;
 
-  g_mutex_lock (&gate->lock);
+  pthread_mutex_lock (&gate->lock);
   gate->paused = paused;
-  g_cond_broadcast (&gate->ended);
-  g_mutex_unlock (&gate->lock);
+  pthread_cond_broadcast (&gate->ended);
+  pthread_mutex_unlock (&gate->lock);
   if (!paused)
     return;
   message = g_new0 (PauseMessage, 1);
--- a/src/base/trace.c
+++ b/src/base/trace.c
@@ -1,5 +1,6 @@
 #include "base/trace.h"
 
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 
@@ -8,7 +9,7 @@
 struct Trace
 {
   FILE *file;
-  GMutex lock;
+  pthread_mutex_t lock;
 };
 
 Trace *
@@ -21,7 +22,7 @@
     return NULL;
   trace = g_new0 (Trace, 1);
   trace->file = file;
-  g_mutex_init (&trace->lock);
+  pthread_mutex_init (&trace->lock, NULL);
   return trace;
 }
 
@@ -31,7 +32,7 @@
   if (trace == NULL)
     return;
   fclose (trace->file);
-  g_mutex_clear (&trace->lock);
+  pthread_mutex_destroy (&trace->lock);
   g_free (trace);
 }
 
@@ -43,9 +44,9 @@
   if (trace == NULL)
     return;
   va_start (args, format);
-  g_mutex_lock (&trace->lock);
+  pthread_mutex_lock (&trace->lock);
   vfprintf (trace->file, format, args);
   fputc ('\n', trace->file);
-  g_mutex_unlock (&trace->lock);
+  pthread_mutex_unlock (&trace->lock);
   va_end (args);
 }
--- a/src/cli/demo.c
+++ b/src/cli/demo.c
@@ -2,6 +2,7 @@
  * DOC: demo: a whole deployment in one process: entry hosts, database stand-ins, platform
  * stand-in, emulated network.
  */
+#include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -43,7 +44,7 @@
   DaemonOptions options[HOSTS];
   NetworkEmulation network;
   RegionPipe pipes[PIPES];
-  GMutex lock;
+  pthread_mutex_t lock;
 } Demo;
 
 static RegionPipe *
@@ -171,14 +172,14 @@
   const char *id = json_string_value (json_object_get (request, "host"));
   json_t *answer = NULL;
 
-  g_mutex_lock (&demo->lock);
+  pthread_mutex_lock (&demo->lock);
   if (json_is_true (json_object_get (request, "hosts")))
     answer = host_list (demo);
   for (int i = 0; fault != NULL && id != NULL && i < HOSTS; i++)
     if (strcmp (demo->options[i].self.id, id) == 0
         && run_host_fault (demo, i, fault, json_integer_value (json_object_get (request, "value"))))
       answer = json_pack ("{s:s}", "host", id);
-  g_mutex_unlock (&demo->lock);
+  pthread_mutex_unlock (&demo->lock);
   return answer;
 }
 
@@ -271,11 +272,11 @@
 {
   bool ended = false;
 
-  g_mutex_lock (&demo->lock);
+  pthread_mutex_lock (&demo->lock);
   for (int i = 0; i < HOSTS; i++)
     if (demo->hosts[i] != NULL)
       daemon_drain (demo->hosts[i]);
-  g_mutex_unlock (&demo->lock);
+  pthread_mutex_unlock (&demo->lock);
   while (!ended && !shutdown_wait (POLL_MS))
     {
       ended = true;
@@ -292,7 +293,7 @@
     stop_host (demo, i);
   if (demo->standin != NULL)
     standin_stop (demo->standin);
-  g_mutex_clear (&demo->lock);
+  pthread_mutex_destroy (&demo->lock);
 }
 
 static int
@@ -309,7 +310,7 @@
     }
   log_set_level ((LogLevel) settings_number (settings, "log-level"));
   shutdown_block_signals ();
-  g_mutex_init (&demo.lock);
+  pthread_mutex_init (&demo.lock, NULL);
   demo.network = (NetworkEmulation){ host_delay_us, find_pipe, &demo };
   for (int i = 0; i < PIPES; i++)
     demo.pipes[i].bytes_per_s = demo.deployment->region_bytes_per_s;
--- a/src/policy/replica-choice.c
+++ b/src/policy/replica-choice.c
@@ -3,7 +3,7 @@
 /* Older knowledge of a replica's position no longer speaks against asking it. */
 #define VIEW_VALID_MS 50
 /* Cost of crossing the region link, in expected wait. */
-#define REMOTE_COST_US 1000000
+#define REMOTE_COST_US 250000
 #define OTHER_DOMAIN_COST_US 2000
 /* The primary is left to the work that only it can do. */
 #define PRIMARY_READ_COST_US 20000
--- a/src/standin/platform-store.c
+++ b/src/standin/platform-store.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <string.h>
 
@@ -28,7 +29,7 @@
 {
   PlatformStoreOptions options;
   struct MHD_Daemon *daemon;
-  GMutex lock;
+  pthread_mutex_t lock;
   GHashTable *rows;
   GHashTable *transactions; /* id -> json answer */
   GHashTable *objects;      /* name -> GBytes */
@@ -334,9 +335,9 @@
   else if (strcmp (url, "/v1/standin") == 0)
     {
       // Commands may wait for another thread, which must not find the store locked.
-      g_mutex_unlock (&store->lock);
+      pthread_mutex_unlock (&store->lock);
       answer = run_command (store, json);
-      g_mutex_lock (&store->lock);
+      pthread_mutex_lock (&store->lock);
     }
   json_decref (json);
   return answer;
@@ -405,9 +406,9 @@
       if (fault_strikes (store, STORE_FAULT_DOWN, is_single))
         return MHD_NO;
     }
-  g_mutex_lock (&store->lock);
+  pthread_mutex_lock (&store->lock);
   answer = is_write ? answer_write (store, url, upload->body) : answer_get (store, url);
-  g_mutex_unlock (&store->lock);
+  pthread_mutex_unlock (&store->lock);
   if (!is_command && is_write && fault_strikes (store, STORE_FAULT_LOSE_ANSWERS, is_single))
     {
       json_decref (answer.json);
@@ -438,7 +439,7 @@
                                  .sin_addr = { htonl (INADDR_LOOPBACK) } };
 
   store->options = *options;
-  g_mutex_init (&store->lock);
+  pthread_mutex_init (&store->lock, NULL);
   store->rows = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, row_free);
   store->transactions
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, (GDestroyNotify) json_decref);
@@ -464,7 +465,7 @@
   g_hash_table_destroy (store->transactions);
   g_hash_table_destroy (store->objects);
   g_hash_table_destroy (store->hosts);
-  g_mutex_clear (&store->lock);
+  pthread_mutex_destroy (&store->lock);
   g_free (store);
 }
 
--- a/src/standin/standin.c
+++ b/src/standin/standin.c
@@ -30,8 +30,8 @@
   MailboxMessage head;
   const json_t *request;
   json_t *answer;
-  GMutex lock;
-  GCond done;
+  pthread_mutex_t lock;
+  pthread_cond_t done;
   bool is_done;
 } Command;
 
@@ -110,10 +110,10 @@
     command->answer = run_fault (standin, command->request);
   else
     command->answer = run_stats (standin);
-  g_mutex_lock (&command->lock);
+  pthread_mutex_lock (&command->lock);
   command->is_done = true;
-  g_cond_signal (&command->done);
-  g_mutex_unlock (&command->lock);
+  pthread_cond_signal (&command->done);
+  pthread_mutex_unlock (&command->lock);
 }
 
 static json_t *
@@ -128,15 +128,15 @@
   if (answer != NULL)
     return answer;
   command.head.deliver = deliver_command;
-  g_mutex_init (&command.lock);
-  g_cond_init (&command.done);
+  pthread_mutex_init (&command.lock, NULL);
+  pthread_cond_init (&command.done, NULL);
   mailbox_post (standin->mailbox, &command.head);
-  g_mutex_lock (&command.lock);
+  pthread_mutex_lock (&command.lock);
   while (!command.is_done)
-    g_cond_wait (&command.done, &command.lock);
-  g_mutex_unlock (&command.lock);
-  g_cond_clear (&command.done);
-  g_mutex_clear (&command.lock);
+    pthread_cond_wait (&command.done, &command.lock);
+  pthread_mutex_unlock (&command.lock);
+  pthread_cond_destroy (&command.done);
+  pthread_mutex_destroy (&command.lock);
   return command.answer;
 }
 
