--- a/src/cli/bench.c
+++ b/src/cli/bench.c
@@ -247,13 +247,16 @@
 
   for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
     {
+      double before = heap_bytes ();
       json_t *json = bench_config (sizes[i]);
+      double tree = heap_bytes () - before;
       json_t *patch = json_pack ("{s:{s:{s:i}}}", "services", "service-00003", "slots", 6);
       double heap = heap_bytes ();
       double began = cpu_us ();
       ConfigDocument *document = config_document_new (1, json, NULL);
       double parsed = cpu_us ();
 
+      print_figure ("config_json_tree", sizes[i], "bytes", tree);
       print_figure ("config_parse", sizes[i], "us", parsed - began);
       print_figure ("config_state", sizes[i], "bytes", heap_bytes () - heap);
       began = cpu_us ();
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -26,9 +26,13 @@
 #define PROBE_TIMEOUT_MS 100
 #define SUSPECT_MS 1200
 #define INDIRECT_PROBES 2
+/* A full exchange of members is sent at most this often, and more rarely in a large fleet. */
 #define EXCHANGE_INTERVAL_MS 10000
+#define EXCHANGE_MS_PER_MEMBER 200
 #define EXCHANGE_FIRST_MS 200
 #define HOSTS_INTERVAL_MS 3000
+/* How often a daemon shows itself to the platform's list. */
+#define SHOW_INTERVAL_MS 60000
 #define STATUS_INTERVAL_MS 500
 #define PULL_RETRY_MS 200
 #define ANNOUNCE_MS 1500
@@ -56,6 +60,7 @@
   atomic_bool drained;
   int64_t exchange_next_ms;
   int64_t hosts_next_ms;
+  int64_t show_next_ms;
   int64_t status_next_ms;
   pthread_mutex_t status_lock;
   char *status;
@@ -435,6 +440,8 @@
 {
   Host peer;
 
+  if (membership_take_returned (control->membership, &peer))
+    link_table_send (control->links, &peer, exchange_frame (control, true), FRAME_LANE_CONTROL);
   if (now_ms < control->exchange_next_ms)
     return;
   if (!membership_random_peer (control->membership, &peer))
@@ -442,7 +449,10 @@
       control->exchange_next_ms = now_ms + EXCHANGE_FIRST_MS;
       return;
     }
-  control->exchange_next_ms = now_ms + EXCHANGE_INTERVAL_MS;
+  control->exchange_next_ms
+      = now_ms
+        + MAX (EXCHANGE_INTERVAL_MS,
+               (int64_t) membership_count (control->membership) * EXCHANGE_MS_PER_MEMBER);
   link_table_send (control->links, &peer, exchange_frame (control, true), FRAME_LANE_CONTROL);
 }
 
@@ -450,11 +460,17 @@
 run_hosts (Control *control, int64_t now_ms)
 {
   bool alone = membership_count (control->membership) == 1;
+  bool show = alone || now_ms >= control->show_next_ms;
 
-  if (now_ms < control->hosts_next_ms)
+  if (now_ms < control->hosts_next_ms && now_ms < control->show_next_ms)
     return;
   control->hosts_next_ms = now_ms + (alone ? EXCHANGE_FIRST_MS : HOSTS_INTERVAL_MS);
-  store_thread_hosts (control->store, self (control)->id, self_json (control));
+  if (show)
+    control->show_next_ms = now_ms + SHOW_INTERVAL_MS;
+  // In a large fleet only the pollers read the list.
+  if (show || alone || control->chain.polling)
+    store_thread_hosts (control->store, self (control)->id, show ? self_json (control) : NULL,
+                        alone || control->chain.polling);
 }
 
 static void
@@ -679,7 +695,7 @@
   drain_begin (&control->drain, clock_now_ms ());
   membership_leave (control->membership);
   flush_gossip (control);
-  control->hosts_next_ms = 0;
+  control->show_next_ms = 0;
 }
 
 void
--- a/src/daemon/store-thread.c
+++ b/src/daemon/store-thread.c
@@ -18,6 +18,7 @@
   JOB_STOP
 } JobKind;
 
+/* @have is the version held for a poll; for hosts it says whether to read the list. */
 typedef struct
 {
   JobKind kind;
@@ -93,10 +94,14 @@
 static void
 run_hosts (StoreThread *store, const Job *job)
 {
-  StoreResult *result = g_new0 (StoreResult, 1);
+  StoreResult *result;
 
+  if (job->json != NULL)
+    platform_client_put_host (store->client, job->text, job->json, NULL);
+  if (job->have == 0)
+    return;
+  result = g_new0 (StoreResult, 1);
   result->kind = STORE_RESULT_HOSTS;
-  platform_client_put_host (store->client, job->text, job->json, NULL);
   result->hosts = platform_client_get_hosts (store->client, NULL);
   result->answered = result->hosts != NULL;
   post (store, result);
@@ -219,9 +224,9 @@
 }
 
 void
-store_thread_hosts (StoreThread *store, const char *id, json_t *self)
+store_thread_hosts (StoreThread *store, const char *id, json_t *self, bool read)
 {
-  push_job (store, JOB_HOSTS, 0, id, self);
+  push_job (store, JOB_HOSTS, read ? 1 : 0, id, self);
 }
 
 void
--- a/src/daemon/store-thread.h
+++ b/src/daemon/store-thread.h
@@ -57,8 +57,9 @@
 /** store_thread_poll() - Asks for versions after @have. */
 void store_thread_poll (StoreThread *store, uint64_t have);
 
-/** store_thread_hosts() - Shows @self to the host list and asks for it; takes over @self. */
-void store_thread_hosts (StoreThread *store, const char *id, json_t *self);
+/** store_thread_hosts() - Shows @self, which it takes over, if not %NULL; reads the list if asked.
+ */
+void store_thread_hosts (StoreThread *store, const char *id, json_t *self, bool read);
 
 /** store_thread_audit() - Records an event for the audit trail, again until it is stored. */
 void store_thread_audit (StoreThread *store, const char *key, json_t *value);
--- a/src/pipeline/group-monitor.c
+++ b/src/pipeline/group-monitor.c
@@ -10,7 +10,7 @@
 #include "policy/freshness.h"
 
 #define TICK_MS 25
-#define POLL_IDLE_MS 250
+#define POLL_IDLE_MS 500
 #define POLL_LEAST_MS 50
 /* A waiting poll is kept short, since the next one confirms reads that came after it. */
 #define POLL_WAIT_MS 20
--- a/src/policy/membership.c
+++ b/src/policy/membership.c
@@ -56,6 +56,8 @@
   int64_t probe_sent_ms;
   bool probe_acked;
   bool indirect_sent;
+  bool has_returned;
+  Host returned;
 };
 
 Membership *
@@ -477,13 +479,19 @@
 void
 membership_receive (Membership *membership, const GossipMessage *message, int64_t now_ms)
 {
-  Member *sender;
+  Member *sender = g_hash_table_lookup (membership->by_id, message->sender.host.id);
+  bool was_dead = sender != NULL && sender->belief.state == MEMBER_DEAD;
   Outgoing *ack;
 
   membership_apply (membership, &message->sender, now_ms);
   for (uint32_t i = 0; i < message->update_count; i++)
     membership_apply (membership, &message->updates[i], now_ms);
   sender = g_hash_table_lookup (membership->by_id, message->sender.host.id);
+  if (was_dead && state_is_live (sender->belief.state))
+    {
+      membership->has_returned = true;
+      membership->returned = sender->belief.host;
+    }
   if (sender != NULL)
     sender->config_version = MAX (sender->config_version, message->config_version);
 
@@ -572,6 +580,16 @@
   return false;
 }
 
+bool
+membership_take_returned (Membership *membership, Host *peer)
+{
+  if (!membership->has_returned)
+    return false;
+  membership->has_returned = false;
+  *peer = membership->returned;
+  return true;
+}
+
 bool
 membership_reaches_most (const Membership *membership)
 {
--- a/src/policy/membership.h
+++ b/src/policy/membership.h
@@ -133,6 +133,12 @@
 /** membership_random_peer() - Any live host but this one; false when alone. */
 bool membership_random_peer (Membership *membership, Host *peer);
 
+/**
+ * membership_take_returned() - A host believed dead that has just answered, once each: the
+ * end of a partition, after which beliefs should be exchanged in full. False if there is none.
+ */
+bool membership_take_returned (Membership *membership, Host *peer);
+
 /** membership_reaches_most() - Whether most hosts once alive still are; true when alone. */
 bool membership_reaches_most (const Membership *membership);
 
--- a/tests/script-membership.c
+++ b/tests/script-membership.c
@@ -158,6 +158,15 @@
     g_string_append_printf (out, "%s\n",
                             membership_state_name (membership_find (
                                 state->hosts[script_number (words, 2)], host_of (index).id)));
+  else if (strcmp (verb, "returned") == 0)
+    {
+      guint count = 0;
+      Host peer;
+
+      for (guint i = 0; i < state->count; i++)
+        count += membership_take_returned (state->hosts[i], &peer) ? 1 : 0;
+      g_string_append_printf (out, "%s\n", count > 0 ? "some" : "none");
+    }
   else if (strcmp (verb, "reaches-most") == 0)
     g_string_append_printf (out, "%s\n",
                             membership_reaches_most (state->hosts[index]) ? "yes" : "no");
