Load tool drops dead idle sessions; an answer is checked against the token

Looking for the breach in the proxy showed that the owner trusted the chosen replica's sampled position and never compared the position the answer itself reported.

Change: sessions report a lost connection while idle and leave the pool; a failed send ends the request as a lost connection; a breach line names the count, class, host and token. In the proxy, an answer whose reported position does not cover the session's token is not given out but tried again.

Conclusion: the breach was the tool's; the second check stays in as it costs one comparison per answer and holds read-your-writes when a sample is wrong.

--- a/src/load/load-run.c
+++ b/src/load/load-run.c
@@ -69,6 +69,14 @@
   g_free (work);
 }
 
+static void
+on_gone (void *data, LoadSession *session)
+{
+  Pool *pool = data;
+
+  g_queue_remove (&pool->idle, session);
+}
+
 static void
 on_ended (void *data)
 {
@@ -90,6 +98,7 @@
     .started_us = run->started_us,
     .idle = on_idle,
     .ended = on_ended,
+    .gone = on_gone,
     .data = pool,
   };
 
--- a/src/load/load-session.c
+++ b/src/load/load-session.c
@@ -73,6 +73,8 @@
               work_class (session)->kind == LOAD_TRANSACTION ? ".2" : "");
 }
 
+static void connection_lost (LoadSession *session);
+
 static void
 roam (LoadSession *session)
 {
@@ -185,15 +187,25 @@
       g_strlcpy (sql, "ROLLBACK", sizeof sql);
       break;
     }
-  send_sql (session, sql);
+  if (!send_sql (session, sql))
+    connection_lost (session);
 }
 
 static void
 check_read (LoadSession *session)
 {
-  if (session->last_write[0] != '\0'
-      && strcmp (backend_connection_field (session->backend, 0), "1") != 0)
-    load_record_stale_read (session->options.record, session->last_write);
+  const char *count = backend_connection_field (session->backend, 0);
+  const char *token = backend_connection_parameter (session->backend, "peridotstep.session");
+  const LoadHost *host = &session->options.load->hosts[session->host];
+  char *what;
+
+  if (session->last_write[0] == '\0' || strcmp (count, "1") == 0)
+    return;
+  what = g_strdup_printf ("%s, count '%s', class %s, host %s:%u, token %s", session->last_write,
+                          count, work_class (session)->name, host->address, host->port,
+                          token == NULL ? "none" : token);
+  load_record_stale_read (session->options.record, what);
+  g_free (what);
 }
 
 static void
@@ -276,6 +288,7 @@
 connection_lost (LoadSession *session)
 {
   session->ready = false;
+  session->options.gone (session->options.data, session);
   if (session->busy)
     end_work (session, outcome_of_loss (session));
   tevent_add_timer (session->options.events, session,
--- a/src/load/load-session.h
+++ b/src/load/load-session.h
@@ -24,7 +24,8 @@
 } LoadWork;
 
 /** struct LoadSessionOptions - @user names the caller, the unit of fairness; @idle: it may be given
- * work. @ended: its work has ended. */
+ * work. @ended: its work has ended;
+ * @gone: it is not idle any more, until it says so again. */
 typedef struct
 {
   const LoadOptions *load;
@@ -35,6 +36,7 @@
   int64_t started_us;
   void (*idle) (void *data, LoadSession *session);
   void (*ended) (void *data);
+  void (*gone) (void *data, LoadSession *session);
   void *data;
 } LoadSessionOptions;
 
--- a/src/pipeline/owner-job.c
+++ b/src/pipeline/owner-job.c
@@ -468,6 +468,16 @@
                            : REFUSAL_ROLLED_BACK);
 }
 
+/* Wherever it ran: a read that saw less than its session must see is not answered. */
+static bool
+saw_too_little (const OwnerJob *job)
+{
+  if (job->failed || job->execute->in_transaction
+      || job->execute->operation != PERIDOTSTEP__OPERATION__RUN)
+    return false;
+  return !session_token_covers (job->position, frame_token (job->execute->need));
+}
+
 static void
 statement_ended (OwnerJob *job, const BackendEvent *event)
 {
@@ -482,6 +492,8 @@
   settle_connection (job);
   if (was_demoted (job))
     end_demoted (job);
+  else if (saw_too_little (job))
+    finish_failed (job, FAILURE_SUPERSEDED);
   else if (needs_gate (job))
     hold_answer (job);
   else
