--- a/Makefile
+++ b/Makefile
@@ -8,15 +8,15 @@
 SAN ?=
 OPT ?= -O2 -g
 WARN = -Wall -Wextra -Werror -Wno-unused-parameter -Wmissing-prototypes -Wshadow
-CPPFLAGS_ALL = -D_GNU_SOURCE -DURCU_INLINE_SMALL_FUNCTIONS -Isrc $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
+CPPFLAGS_ALL = -D_GNU_SOURCE -DURCU_INLINE_SMALL_FUNCTIONS -Isrc -I. $(shell pkg-config --cflags $(PKGS) 2>/dev/null)
 CFLAGS_ALL = -std=gnu11 $(OPT) $(WARN) $(SAN) -pthread
 LIBS = $(shell pkg-config --libs $(PKGS) 2>/dev/null) -lurcu-common -pthread -lm
-SRCS = $(sort $(wildcard src/*/*.c))
+SRCS = $(sort $(wildcard src/*/*.c platform/*.c))
 GEN = src/link/peer.pb-c.c
 TESTS = $(sort $(wildcard tests/*.c))
 OBJS = $(SRCS:%.c=$(BUILD)/%.o)
 TEST_OBJS = $(TESTS:%.c=$(BUILD)/%.o)
-FORMATTED = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.c src/*/*.c src/*/*.h tests/*.c tests/*.h))
+FORMATTED = $(filter-out %.pb-c.c %.pb-c.h,$(wildcard src/*.c src/*/*.c src/*/*.h platform/*.c platform/*.h tests/*.c tests/*.h))
 
 .PHONY: all run check lint asan-check tsan-check bench report setup format proto clean
 all: setup
--- a/src/base/log.c
+++ b/src/base/log.c
@@ -1,5 +1,6 @@
 #include "base/log.h"
 
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdatomic.h>
 #include <stdio.h>
@@ -8,6 +9,8 @@
 #define LINE_BYTES 1024
 
 static atomic_int max_level = LOG_LEVEL_INFO;
+static atomic_int log_fd = STDERR_FILENO;
+static _Atomic uint64_t dropped;
 
 void
 log_set_level (LogLevel level)
@@ -44,6 +47,22 @@
     if (line[i] == '\n' || line[i] == '\r')
       line[i] = ' ';
   line[used++] = '\n';
-  if (write (STDERR_FILENO, line, (size_t) used) < 0)
-    return;
+  if (write (atomic_load_explicit (&log_fd, memory_order_relaxed), line, (size_t) used) < 0)
+    atomic_fetch_add_explicit (&dropped, 1, memory_order_relaxed);
+}
+
+void
+log_use_stdout (void)
+{
+  const int flags = fcntl (STDOUT_FILENO, F_GETFL);
+
+  if (flags >= 0)
+    fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
+  atomic_store_explicit (&log_fd, STDOUT_FILENO, memory_order_relaxed);
+}
+
+uint64_t
+log_dropped (void)
+{
+  return atomic_load_explicit (&dropped, memory_order_relaxed);
 }
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -4,6 +4,8 @@
  */
 #pragma once
 
+#include <stdint.h>
+
 /** enum LogLevel - Syslog severities in use. */
 typedef enum
 {
@@ -23,3 +25,9 @@
 /** log_event() - Writes one line; @format holds the key=value pairs after event=@event. */
 void log_event (LogLevel level, const char *event, const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
+
+/** log_use_stdout() - Lines go to standard output; what a full pipe does not take is dropped. */
+void log_use_stdout (void);
+
+/** log_dropped() - Lines dropped so far. */
+uint64_t log_dropped (void);
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -21,6 +21,7 @@
 } Command;
 
 extern const Command command_serve;
+extern const Command command_pool;
 extern const Command command_demo;
 extern const Command command_standin;
 extern const Command command_apply;
--- /dev/null
+++ b/src/cli/pool.c
@@ -0,0 +1,256 @@
+/**
+ * DOC: pool: one daemon of a fleet on the users' platform.
+ */
+#include <errno.h>
+#include <signal.h>
+#include <string.h>
+#include <sys/signalfd.h>
+#include <unistd.h>
+
+#include <jansson.h>
+#include <tevent.h>
+
+#include "adapter/http-client.h"
+#include "base/log.h"
+#include "base/timer-queue.h"
+#include "base/verdict.h"
+#include "cli/command.h"
+#include "platform/line-codec.h"
+#include "platform/platform-api.h"
+#include "platform/platform-format.h"
+#include "pool/discovery.h"
+#include "pool/pool-server.h"
+#include "pool/status-http.h"
+
+static const SettingInfo pool_settings[] = {
+  { "host", SETTING_TEXT, NULL, 0, 0, "unique name of this host" },
+  { "failure-domain", SETTING_TEXT, NULL, 0, 0, "failure domain it stands in" },
+  { "region", SETTING_TEXT, NULL, 0, 0, "region of that failure domain" },
+  { "domains", SETTING_TEXT, "{}", 0, 0, "JSON table of all failure domains and their regions" },
+  { "listen", SETTING_TEXT, NULL, 0, 0, "IP:PORT for callers" },
+  { "status-listen", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the readiness and metrics pages" },
+  { "peer-port", SETTING_NUMBER, "7440", 0, 65535, "UDP port for the other hosts" },
+  { "store", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the platform's store" },
+  { "promoter", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the platform's promote call" },
+  { "drain-limit", SETTING_NUMBER, "6", 1, 3600, "seconds that a graceful shutdown may take" },
+  { "pool-log-level", SETTING_NUMBER, "6", 3, 7, "syslog severity up to which lines are written" },
+  { "node-file", SETTING_TEXT, "", 0, 0, "settings file that the platform writes; not read" },
+  { NULL, SETTING_FLAG, NULL, 0, 0, NULL },
+};
+
+/* Kept free of the time that the platform gives a shutdown. */
+#define DRAIN_RESERVE_MS 400
+#define SIGNAL_POLL_MS 100
+
+typedef struct
+{
+  struct tevent_context *events;
+  TimerQueue *timers;
+  Counters counters;
+  HttpClient *http;
+  Directory *directory;
+  Discovery *discovery;
+  PoolServer *server;
+  StatusHttp *status;
+  int signal_fd;
+  int64_t drain_limit_ms;
+  Timer drain_timer;
+  bool ended;
+} PoolDaemon;
+
+static void
+on_catalog (void *data, Catalog *catalog)
+{
+  PoolDaemon *daemon = data;
+
+  pool_server_set_catalog (daemon->server, catalog);
+}
+
+static void
+on_instances (void *data, const GArray *infos)
+{
+  PoolDaemon *daemon = data;
+
+  pool_server_set_instances (daemon->server, infos);
+}
+
+static void
+on_lookup (void *data)
+{
+  PoolDaemon *daemon = data;
+
+  discovery_look (daemon->discovery);
+}
+
+static bool
+is_ready (void *data)
+{
+  const PoolDaemon *daemon = data;
+
+  return pool_server_is_ready (daemon->server);
+}
+
+static void
+print_metrics (void *data, GString *out)
+{
+  PoolDaemon *daemon = data;
+
+  counters_print (&daemon->counters, out);
+}
+
+static void
+on_drain_timer (void *data)
+{
+  PoolDaemon *daemon = data;
+
+  if (pool_server_is_drained (daemon->server))
+    daemon->ended = true;
+  else
+    timer_set (daemon->timers, &daemon->drain_timer, SIGNAL_POLL_MS);
+}
+
+static void
+on_signal (struct tevent_context *events, struct tevent_fd *fde, uint16_t flags, void *data)
+{
+  PoolDaemon *daemon = data;
+  struct signalfd_siginfo info;
+
+  if (read (daemon->signal_fd, &info, sizeof info) != sizeof info)
+    return;
+  if (info.ssi_signo == SIGHUP)
+    {
+      log_event (LOG_LEVEL_NOTICE, "reloaded", "changed=none");
+      return;
+    }
+  pool_server_drain (daemon->server, daemon->drain_limit_ms - DRAIN_RESERVE_MS);
+  timer_set (daemon->timers, &daemon->drain_timer, SIGNAL_POLL_MS);
+}
+
+static void
+watch_signals (PoolDaemon *daemon)
+{
+  sigset_t set;
+
+  sigemptyset (&set);
+  sigaddset (&set, SIGINT);
+  sigaddset (&set, SIGTERM);
+  sigaddset (&set, SIGHUP);
+  pthread_sigmask (SIG_BLOCK, &set, NULL);
+  daemon->signal_fd = signalfd (-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+  tevent_add_fd (daemon->events, daemon, daemon->signal_fd, TEVENT_FD_READ, on_signal, daemon);
+}
+
+static GHashTable *
+read_domains (const char *text)
+{
+  GHashTable *domains = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  json_t *table = json_loads (text, 0, NULL);
+  const char *domain;
+  json_t *region;
+
+  json_object_foreach (table, domain, region)
+    if (json_is_string (region))
+      g_hash_table_insert (domains, g_strdup (domain), g_strdup (json_string_value (region)));
+  json_decref (table);
+  return domains;
+}
+
+static bool
+start_server (PoolDaemon *daemon, const Settings *settings, GHashTable *domains, GError **error)
+{
+  char address[CATALOG_NAME_BYTES];
+  char status_address[CATALOG_NAME_BYTES];
+  PoolServerOptions options = {
+    .host = settings_text (settings, "host"),
+    .failure_domain = settings_text (settings, "failure-domain"),
+    .region = settings_text (settings, "region"),
+    .address = address,
+    .domain_region = domains,
+    .codec = &platform_line_codec,
+    .counters = &daemon->counters,
+    .timers = daemon->timers,
+    .lookup = on_lookup,
+    .data = daemon,
+  };
+  StatusHttpOptions status = {
+    .address = status_address,
+    .ready_path = PLATFORM_READY_PATH,
+    .ready = is_ready,
+    .metrics = print_metrics,
+    .data = daemon,
+  };
+
+  if (!platform_format_address (settings_text (settings, "listen"), address, &options.port)
+      || !platform_format_address (settings_text (settings, "status-listen"), status_address,
+                                   &status.port))
+    {
+      g_set_error (error, PERIDOTSTEP_ERROR, PERIDOTSTEP_ERROR_SETTING,
+                   "listen and status-listen must be IP:PORT");
+      return false;
+    }
+  daemon->server = pool_server_new (daemon, daemon->events, &options, error);
+  if (daemon->server == NULL)
+    return false;
+  daemon->status = status_http_new (daemon, daemon->events, daemon->timers, &status, error);
+  return daemon->status != NULL;
+}
+
+static void
+start_discovery (PoolDaemon *daemon, const Settings *settings)
+{
+  const PlatformApiOptions api = {
+    .http = daemon->http,
+    .store = settings_text (settings, "store"),
+    .promoter = settings_text (settings, "promoter"),
+  };
+  DiscoveryOptions options = {
+    .timers = daemon->timers,
+    .catalog = on_catalog,
+    .instances = on_instances,
+    .data = daemon,
+  };
+
+  daemon->directory = platform_api_new (daemon, &api);
+  options.directory = daemon->directory;
+  daemon->discovery = discovery_new (daemon, &options);
+}
+
+static int
+run_pool (const Settings *settings)
+{
+  PoolDaemon *daemon = talloc_zero (NULL, PoolDaemon);
+  GHashTable *domains = read_domains (settings_text (settings, "domains"));
+  GError *error = NULL;
+
+  log_set_level ((LogLevel) settings_number (settings, "pool-log-level"));
+  log_use_stdout ();
+  daemon->events = tevent_context_init (daemon);
+  daemon->timers = timer_queue_new (daemon, daemon->events);
+  daemon->http = http_client_new (daemon, daemon->events, daemon->timers);
+  daemon->drain_limit_ms = settings_number (settings, "drain-limit") * 1000;
+  daemon->drain_timer.fired = on_drain_timer;
+  daemon->drain_timer.data = daemon;
+  watch_signals (daemon);
+  if (!start_server (daemon, settings, domains, &error))
+    {
+      log_event (LOG_LEVEL_ERROR, "start_failed", "reason=\"%s\"", error->message);
+      g_error_free (error);
+      return EXIT_FAILED;
+    }
+  start_discovery (daemon, settings);
+  log_event (LOG_LEVEL_NOTICE, "started", "host=%s failure_domain=%s listen=%s store=%s",
+             settings_text (settings, "host"), settings_text (settings, "failure-domain"),
+             settings_text (settings, "listen"), settings_text (settings, "store"));
+  while (!daemon->ended)
+    if (tevent_loop_once (daemon->events) != 0)
+      {
+        log_event (LOG_LEVEL_ERROR, "loop_failed", "errno=%d", errno);
+        return EXIT_FAILED;
+      }
+  log_event (LOG_LEVEL_NOTICE, "stopped", "host=%s", settings_text (settings, "host"));
+  TALLOC_FREE (daemon->server);
+  return EXIT_DONE;
+}
+
+const Command command_pool
+    = { "pool", "run one daemon of a fleet on the users' platform", pool_settings, run_pool };
--- /dev/null
+++ b/src/policy/placement.c
@@ -0,0 +1,76 @@
+#include "policy/placement.h"
+
+#include <stdbool.h>
+
+/* Work that writes need the primary for weighs this much against a read there. */
+#define PRIMARY_PENALTY_MS 25
+/* A zone away costs a hop and some money. */
+#define DOMAIN_PENALTY_MS 4
+/* The link between regions is narrow and paid for by volume. */
+#define REGION_PENALTY_MS 90
+/* A refusal means another round trip, at least. */
+#define BEHIND_PENALTY_MS 60
+#define REFUSED_PENALTY_MS 400
+/* Replicas usually have a commit after this time. */
+#define USUAL_LAG_MS 250
+
+static bool
+is_probably_behind (const PlacementView *view, const PlacementNeed *need)
+{
+  return !view->primary && need->after_age_ms < USUAL_LAG_MS
+         && session_token_compare (view->seen, need->after) < 0;
+}
+
+static int64_t
+distance_cost (Distance distance)
+{
+  switch (distance)
+    {
+    case DISTANCE_DOMAIN:
+      return 0;
+    case DISTANCE_REGION:
+      return DOMAIN_PENALTY_MS;
+    case DISTANCE_REMOTE:
+      return REGION_PENALTY_MS;
+    }
+  return REGION_PENALTY_MS;
+}
+
+static int64_t
+cost_ms (const PlacementView *view, const PlacementNeed *need, int64_t now_ms)
+{
+  int64_t cost = view->latency_ms + view->wait_ms + distance_cost (view->distance);
+
+  if (view->primary)
+    cost += PRIMARY_PENALTY_MS;
+  if (is_probably_behind (view, need))
+    cost += BEHIND_PENALTY_MS;
+  if (now_ms < view->behind_until_ms
+      && session_token_compare (view->seen, need->after) < 0)
+    cost += REFUSED_PENALTY_MS;
+  if (now_ms < view->refused_until_ms)
+    cost += REFUSED_PENALTY_MS;
+  return cost;
+}
+
+int
+placement_read (const PlacementView *views, uint32_t count, const PlacementNeed *need,
+                uint32_t tried, int64_t now_ms)
+{
+  int best = -1;
+  int64_t best_cost = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      int64_t cost;
+
+      if (!views[i].usable || (tried & (1u << i)) != 0)
+        continue;
+      cost = cost_ms (&views[i], need, now_ms);
+      if (best >= 0 && cost >= best_cost)
+        continue;
+      best = (int) i;
+      best_cost = cost;
+    }
+  return best;
+}
--- /dev/null
+++ b/src/pool/catalog.h
@@ -0,0 +1,107 @@
+/**
+ * DOC: What a daemon knows of the deployment: databases and the services behind them, and the
+ * instances that stand for these services.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "policy/admission-queue.h"
+
+/** Longest name kept, with its terminator, in bytes. */
+#define CATALOG_NAME_BYTES 64
+
+/** enum Consistency - What the reads of a database must see. */
+typedef enum
+{
+  CONSISTENCY_PRIMARY, /* every acknowledged commit */
+  CONSISTENCY_BOUNDED, /* every commit acknowledged longer ago than the bound */
+  CONSISTENCY_SESSION  /* that, and every commit of the same session */
+} Consistency;
+
+/**
+ * struct Database - A name that callers open: it selects a service and a class.
+ * @staleness_ms: bound on the age of data that reads accept.
+ * @statement_ms: time limit of one statement.
+ * @operation_ms: time in which a whole operation is expected to end.
+ * @attempts: times that a statement which did not run may be tried, in all.
+ */
+typedef struct
+{
+  char *name;
+  char *service;
+  Consistency consistency;
+  int64_t staleness_ms;
+  int64_t statement_ms;
+  int64_t operation_ms;
+  uint32_t attempts;
+  Priority priority;
+} Database;
+
+/**
+ * struct ServiceEntry - A service of the configuration.
+ * @connection_limit: connections that one instance takes from all hosts together.
+ * @synchronous: replicas that must have received a commit before it is acknowledged.
+ */
+typedef struct
+{
+  char *name;
+  uint32_t connection_limit;
+  uint32_t synchronous;
+} ServiceEntry;
+
+/**
+ * struct Catalog - One version of the configuration; immutable and reference counted.
+ * @databases: name to &struct Database. @services: name to &struct ServiceEntry.
+ * @idle_transaction_ms: a transaction idle for longer may be ended; 0 for no limit.
+ */
+typedef struct
+{
+  uint32_t references;
+  uint64_t version;
+  GHashTable *databases;
+  GHashTable *services;
+  int64_t idle_transaction_ms;
+} Catalog;
+
+/** catalog_new() - Empty, with one reference. */
+Catalog *catalog_new (uint64_t version);
+
+/** catalog_ref() - Takes a reference. */
+Catalog *catalog_ref (Catalog *catalog);
+
+/** catalog_unref() - Drops a reference. */
+void catalog_unref (Catalog *catalog);
+
+/** catalog_add_database() - Adds a database, whose text is copied. */
+void catalog_add_database (Catalog *catalog, const Database *database);
+
+/** catalog_add_service() - Adds a service, whose text is copied. */
+void catalog_add_service (Catalog *catalog, const ServiceEntry *service);
+
+/** catalog_database() - Database called @name, or %NULL. */
+const Database *catalog_database (const Catalog *catalog, const char *name);
+
+/**
+ * struct InstanceInfo - An instance as it announces itself.
+ * @started_ms: when it started; a greater one under the same @id is a new life, which knows
+ *   nothing of the one before.
+ * @slots: statements that it runs at once.
+ * @leaving: takes no new work.
+ * @primary: it believes to lead its group.
+ */
+typedef struct
+{
+  char id[CATALOG_NAME_BYTES];
+  char service[CATALOG_NAME_BYTES];
+  char address[CATALOG_NAME_BYTES];
+  uint16_t port;
+  char failure_domain[CATALOG_NAME_BYTES];
+  int64_t started_ms;
+  uint32_t slots;
+  bool leaving;
+  bool primary;
+} InstanceInfo;
--- /dev/null
+++ b/src/pool/codec.h
@@ -0,0 +1,123 @@
+/**
+ * DOC: The text protocol that callers and backend servers speak, as the pool sees it. An
+ * adapter supplies the implementation.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "policy/session-token.h"
+#include "pool/answer.h"
+#include "pool/statement.h"
+
+/** enum CallerMessageKind - What a caller sent. */
+typedef enum
+{
+  CALLER_MESSAGE_NONE, /* not whole yet */
+  CALLER_MESSAGE_OPEN, /* open a session on a database */
+  CALLER_MESSAGE_STATEMENT,
+  CALLER_MESSAGE_END,
+  CALLER_MESSAGE_MALFORMED,
+  CALLER_MESSAGE_TOO_LARGE
+} CallerMessageKind;
+
+/** struct CallerMessage - Tagged by @kind; the statement is the reader's to free. */
+typedef struct
+{
+  CallerMessageKind kind;
+  char *database;
+  Statement statement;
+} CallerMessage;
+
+/** enum ReplyKind - What a backend server sent. */
+typedef enum
+{
+  REPLY_NONE,
+  REPLY_ROW,
+  REPLY_COMPLETE,
+  REPLY_ERROR,
+  REPLY_READY,
+  REPLY_MALFORMED
+} ReplyKind;
+
+/**
+ * struct Reply - Tagged by @kind.
+ * @text: row, receipt or error text; owned by the reply, see reply_done().
+ * @code: of an error.
+ * @state: of READY: 'I' idle, 'T' in a transaction, 'E' in a failed one.
+ * @position: of READY: place in the instance's log; zero when not told.
+ */
+typedef struct
+{
+  ReplyKind kind;
+  char *text;
+  AnswerCode code;
+  char state;
+  SessionToken position;
+} Reply;
+
+/** enum OrderKind - Orders to an instance about its part in the group. */
+typedef enum
+{
+  ORDER_STATUS,    /* report, change nothing */
+  ORDER_PAUSE,     /* a replica receives nothing until resumed or promoted */
+  ORDER_RESUME,    /* a paused replica receives again */
+  ORDER_STEP_DOWN, /* a primary of a lower term becomes a replica */
+  ORDER_COUNT
+} OrderKind;
+
+/**
+ * struct InstanceReport - What an instance says of itself.
+ * @primary: it leads its group in @term.
+ * @received: end of its log.
+ * @held_term: term of the order by which it is paused; 0 for none.
+ * @lag_ms: how far it believes to be behind.
+ * @busy: slots in use. @connections: open connections.
+ */
+typedef struct
+{
+  bool primary;
+  uint64_t term;
+  SessionToken received;
+  uint64_t held_term;
+  int64_t lag_ms;
+  uint32_t busy;
+  uint32_t connections;
+} InstanceReport;
+
+/**
+ * struct Codec - The protocol. Readers take the bytes of an input buffer and return how many
+ * were used; writers append to @out. @after is a position that the instance must hold for
+ * the statement to run, or %NULL.
+ */
+typedef struct
+{
+  size_t (*read_caller) (const uint8_t *bytes, size_t length, CallerMessage *message);
+  size_t (*read_reply) (const uint8_t *bytes, size_t length, Reply *reply);
+  bool (*read_report) (const char *row, InstanceReport *report);
+  void (*write_row) (GByteArray *out, const char *row);
+  void (*write_complete) (GByteArray *out, const char *receipt);
+  void (*write_error) (GByteArray *out, AnswerCode code, const char *text);
+  void (*write_ready) (GByteArray *out, char state, SessionToken position);
+  void (*write_open) (GByteArray *out, const char *service, const char *instance);
+  void (*write_statement) (GByteArray *out, const char *id, const SessionToken *after,
+                           const char *text);
+  void (*write_execute) (GByteArray *out, const char *id, const SessionToken *after,
+                         const char *name, const char *argument);
+  void (*write_set_value) (GByteArray *out, const char *name, const char *value);
+  void (*write_prepare) (GByteArray *out, const char *name, bool read_only, const char *shape);
+  void (*write_reset) (GByteArray *out);
+  void (*write_order) (GByteArray *out, OrderKind order, uint64_t term);
+} Codec;
+
+/** reply_done() - Frees the text of a reply. */
+static inline void
+reply_done (Reply *reply)
+{
+  g_free (reply->text);
+  reply->text = NULL;
+}
--- /dev/null
+++ b/src/pool/discovery.c
@@ -0,0 +1,156 @@
+#include "pool/discovery.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+
+/* A long poll ends by itself after this time: a connection that went silent is found out soon
+ * enough for a new configuration to be in force within its limit. */
+#define WATCH_WAIT_MS 4000
+/* The list of instances is read this often; instances leave seconds after they said so. */
+#define INSTANCES_INTERVAL_MS 2000
+/* Readings asked for out of turn are this far apart. */
+#define INSTANCES_SPACING_MS 300
+/* Time for a call, with connecting. */
+#define CALL_LIMIT_MS 1500
+/* First and longest pause after a failed call. */
+#define RETRY_MS 200
+#define RETRY_LIMIT_MS 1000
+
+struct Discovery
+{
+  DiscoveryOptions options;
+  Timer config_timer;
+  Timer instances_timer;
+  uint64_t revision;
+  bool synced; /* the newest configuration was read, changes are watched */
+  int64_t config_retry_ms;
+  int64_t instances_retry_ms;
+  int64_t read_ms;
+  bool reading;
+  bool store_lost;
+};
+
+static int
+discovery_destroy (Discovery *discovery)
+{
+  timer_clear (&discovery->config_timer);
+  timer_clear (&discovery->instances_timer);
+  return 0;
+}
+
+static void
+note_store (Discovery *discovery, bool reached, CallResult result)
+{
+  if (discovery->store_lost != reached)
+    return;
+  discovery->store_lost = !reached;
+  log_event (reached ? LOG_LEVEL_NOTICE : LOG_LEVEL_WARNING,
+             reached ? "store_regained" : "store_lost", "result=%s", call_result_name (result));
+}
+
+static int64_t
+next_retry_ms (int64_t *retry_ms)
+{
+  const int64_t delay_ms = *retry_ms;
+
+  *retry_ms = MIN (delay_ms * 2, RETRY_LIMIT_MS);
+  return delay_ms;
+}
+
+static void
+on_configuration (void *data, CallResult result, Catalog *catalog, uint64_t revision)
+{
+  Discovery *discovery = data;
+  const DiscoveryOptions *options = &discovery->options;
+
+  if (result == CALL_OUTDATED)
+    {
+      discovery->synced = false;
+      timer_set (options->timers, &discovery->config_timer, 0);
+      return;
+    }
+  note_store (discovery, result == CALL_DONE, result);
+  if (result != CALL_DONE)
+    {
+      timer_set (options->timers, &discovery->config_timer,
+                 next_retry_ms (&discovery->config_retry_ms));
+      return;
+    }
+  discovery->config_retry_ms = RETRY_MS;
+  discovery->revision = MAX (discovery->revision, revision);
+  discovery->synced = true;
+  if (catalog != NULL)
+    options->catalog (options->data, catalog);
+  timer_set (options->timers, &discovery->config_timer, 0);
+}
+
+static void
+on_config_timer (void *data)
+{
+  Discovery *discovery = data;
+  const Directory *directory = discovery->options.directory;
+
+  if (discovery->synced)
+    directory->watch_configuration (directory->self, discovery->revision, WATCH_WAIT_MS,
+                                    on_configuration, discovery);
+  else
+    directory->get_configuration (directory->self, CALL_LIMIT_MS, on_configuration, discovery);
+}
+
+static void
+on_instances (void *data, CallResult result, const GArray *infos)
+{
+  Discovery *discovery = data;
+  const DiscoveryOptions *options = &discovery->options;
+
+  discovery->reading = false;
+  if (result != CALL_DONE)
+    {
+      timer_set (options->timers, &discovery->instances_timer,
+                 next_retry_ms (&discovery->instances_retry_ms));
+      return;
+    }
+  discovery->instances_retry_ms = RETRY_MS;
+  timer_set (options->timers, &discovery->instances_timer, INSTANCES_INTERVAL_MS);
+  options->instances (options->data, infos);
+}
+
+static void
+on_instances_timer (void *data)
+{
+  Discovery *discovery = data;
+  const Directory *directory = discovery->options.directory;
+
+  if (discovery->reading)
+    return;
+  discovery->reading = true;
+  discovery->read_ms = clock_now_ms ();
+  directory->get_instances (directory->self, CALL_LIMIT_MS, on_instances, discovery);
+}
+
+Discovery *
+discovery_new (TALLOC_CTX *parent, const DiscoveryOptions *options)
+{
+  Discovery *discovery = talloc_zero (parent, Discovery);
+
+  discovery->options = *options;
+  discovery->config_retry_ms = discovery->instances_retry_ms = RETRY_MS;
+  discovery->config_timer.fired = on_config_timer;
+  discovery->config_timer.data = discovery;
+  discovery->instances_timer.fired = on_instances_timer;
+  discovery->instances_timer.data = discovery;
+  talloc_set_destructor (discovery, discovery_destroy);
+  on_config_timer (discovery);
+  on_instances_timer (discovery);
+  return discovery;
+}
+
+void
+discovery_look (Discovery *discovery)
+{
+  const int64_t due_ms = discovery->read_ms + INSTANCES_SPACING_MS;
+
+  if (!discovery->reading)
+    timer_set (discovery->options.timers, &discovery->instances_timer,
+               MAX (due_ms - clock_now_ms (), 0));
+}
--- /dev/null
+++ b/src/pool/discovery.h
@@ -0,0 +1,31 @@
+/**
+ * DOC: Keeps a daemon's configuration and list of instances up to date from the directory.
+ */
+#pragma once
+
+#include <talloc.h>
+
+#include "base/timer-queue.h"
+#include "pool/directory.h"
+
+typedef struct Discovery Discovery;
+
+/**
+ * struct DiscoveryOptions - Where to look, and whom to tell.
+ * @catalog: a configuration was read; it may be an old one.
+ * @instances: the list was read; holds &struct InstanceInfo.
+ */
+typedef struct
+{
+  const Directory *directory;
+  TimerQueue *timers;
+  void (*catalog) (void *data, Catalog *catalog);
+  void (*instances) (void *data, const GArray *infos);
+  void *data;
+} DiscoveryOptions;
+
+/** discovery_new() - Starts reading at once. */
+Discovery *discovery_new (TALLOC_CTX *parent, const DiscoveryOptions *options);
+
+/** discovery_look() - The list of instances may be out of date: read it soon. */
+void discovery_look (Discovery *discovery);
--- /dev/null
+++ b/src/pool/instance-pool.c
@@ -0,0 +1,540 @@
+#include "pool/instance-pool.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+
+/* An instance that has not taken a new connection by then is not going to. */
+#define OPEN_LIMIT_MS 1500
+/* After a failed attempt to connect the next one waits, so that a dead address costs little. */
+#define RETRY_OPEN_MS 150
+/* After the instance refused one more connection the pool does not grow for this time. */
+#define GROW_PAUSE_MS 400
+/* A connection unused for this time is closed, so that other hosts may open one. */
+#define IDLE_LIMIT_MS 4000
+/* Waiting requests of one rank; more are refused at the door. */
+#define QUEUE_LIMIT 400
+/* Shares of the connections that lower ranks keep in a flood of others, in percent. */
+#define NORMAL_FLOOR_PERCENT 25
+#define BACKGROUND_FLOOR_PERCENT 10
+/* Attempts to connect that fail in a row before the instance counts as down. */
+#define DOWN_FAILURES 1
+
+struct PooledLine
+{
+  InstancePool *pool;
+  BackendLine *line;
+  LineRequest holder; /* copy of the callbacks */
+  bool granted;
+  bool opening;
+  int64_t opened_ms;
+  Priority priority;
+};
+
+struct InstancePool
+{
+  InstancePoolOptions options;
+  InstanceInfo info;
+  AdmissionQueue *queue;
+  GQueue lines;   /* PooledLine, all */
+  GQueue idle;    /* PooledLine, most recently used first */
+  GQueue waiting; /* LineRequest with a slot, until a connection is ready */
+  uint32_t opening;
+  uint32_t in_use;
+  uint32_t limit;   /* connections in force */
+  uint32_t allowed; /* connections by configuration */
+  uint32_t failures;
+  int64_t open_after_ms;
+  int64_t heard_ms;
+  bool shut;
+  bool pumping;
+};
+
+static int
+pool_destroy (InstancePool *pool)
+{
+  PooledLine *line;
+
+  pool->shut = true;
+  while ((line = g_queue_pop_head (&pool->lines)) != NULL)
+    talloc_free (line);
+  g_queue_clear (&pool->idle);
+  g_queue_clear (&pool->waiting);
+  admission_queue_free (pool->queue);
+  return 0;
+}
+
+static AdmissionOptions
+queue_options (const InstancePool *pool)
+{
+  AdmissionOptions options = {
+    .slots = pool->limit,
+    .reserved_slots = pool->limit > 2 ? 1 : 0,
+    .queue_limit = QUEUE_LIMIT,
+  };
+
+  options.floor_percent[PRIORITY_NORMAL] = NORMAL_FLOOR_PERCENT;
+  options.floor_percent[PRIORITY_BACKGROUND] = BACKGROUND_FLOOR_PERCENT;
+  return options;
+}
+
+static void
+set_limit (InstancePool *pool, uint32_t limit)
+{
+  AdmissionOptions options;
+
+  pool->limit = MAX (limit, 1);
+  options = queue_options (pool);
+  admission_queue_configure (pool->queue, &options);
+}
+
+InstancePool *
+instance_pool_new (TALLOC_CTX *parent, const InstancePoolOptions *options)
+{
+  InstancePool *pool = talloc_zero (parent, InstancePool);
+  AdmissionOptions admission;
+
+  pool->options = *options;
+  pool->info = *options->info;
+  pool->options.info = &pool->info;
+  pool->limit = pool->allowed = MAX (options->limit, 1);
+  g_queue_init (&pool->lines);
+  g_queue_init (&pool->idle);
+  g_queue_init (&pool->waiting);
+  admission = queue_options (pool);
+  pool->queue = admission_queue_new (&admission);
+  pool->heard_ms = clock_now_ms ();
+  talloc_set_destructor (pool, pool_destroy);
+  return pool;
+}
+
+const InstanceInfo *
+instance_pool_info (const InstancePool *pool)
+{
+  return &pool->info;
+}
+
+static void pump (InstancePool *pool);
+
+static void
+forget_line (PooledLine *line)
+{
+  InstancePool *pool = line->pool;
+
+  pool->heard_ms = MAX (pool->heard_ms, backend_line_heard_ms (line->line));
+  g_queue_remove (&pool->lines, line);
+  g_queue_remove (&pool->idle, line);
+  if (line->opening)
+    pool->opening--;
+  if (line->granted)
+    {
+      pool->in_use--;
+      admission_queue_abort (pool->queue, line->priority);
+    }
+  talloc_free (line);
+}
+
+static LineRequest *
+pop_waiting (InstancePool *pool)
+{
+  LineRequest *request = g_queue_pop_head (&pool->waiting);
+
+  if (request != NULL)
+    request->waiting = false;
+  return request;
+}
+
+static void
+refuse_waiting (InstancePool *pool, AnswerCode code)
+{
+  LineRequest *request;
+  AdmissionItem *item;
+
+  while ((request = pop_waiting (pool)) != NULL)
+    {
+      request->pool = NULL;
+      admission_queue_abort (pool->queue, request->priority);
+      request->refused (request->data, code);
+    }
+  while ((item = admission_queue_drain (pool->queue)) != NULL)
+    {
+      request = item->data;
+      request->pool = NULL;
+      request->refused (request->data, code);
+    }
+}
+
+static void
+grant (PooledLine *line, LineRequest *request)
+{
+  InstancePool *pool = line->pool;
+
+  line->granted = true;
+  line->priority = request->priority;
+  line->holder = *request;
+  pool->in_use++;
+  request->pool = NULL;
+  request->granted (request->data, line);
+}
+
+static void
+on_opened (void *data)
+{
+  PooledLine *line = data;
+  InstancePool *pool = line->pool;
+
+  line->opening = false;
+  pool->opening--;
+  pool->failures = 0;
+  pool->heard_ms = clock_now_ms ();
+  g_queue_push_head (&pool->idle, line);
+  pump (pool);
+}
+
+static void
+on_refused (void *data, AnswerCode code)
+{
+  PooledLine *line = data;
+  InstancePool *pool = line->pool;
+  const int64_t now_ms = clock_now_ms ();
+
+  log_event (LOG_LEVEL_NOTICE, "connection_refused", "instance=%s code=%s lines=%u", pool->info.id,
+             answer_code_name (code), pool->lines.length - 1);
+  forget_line (line);
+  pool->heard_ms = now_ms;
+  if (code == ANSWER_WRONG_INSTANCE)
+    {
+      pool->options.displaced (pool->options.data, pool);
+      return;
+    }
+  pool->open_after_ms = now_ms + RETRY_OPEN_MS;
+  if (code == ANSWER_CONNECTION_LIMIT)
+    {
+      // The queue orders the work by rank, so it must know how much may run.
+      pool->open_after_ms = now_ms + GROW_PAUSE_MS;
+      set_limit (pool, pool->lines.length);
+    }
+  if (pool->lines.length == 0)
+    refuse_waiting (pool, code);
+}
+
+static void
+on_lost (void *data)
+{
+  PooledLine *line = data;
+  InstancePool *pool = line->pool;
+  const LineRequest holder = line->holder;
+  const bool granted = line->granted;
+  const bool opening = line->opening;
+
+  forget_line (line);
+  if (granted)
+    holder.lost (holder.data);
+  if (!opening)
+    {
+      pump (pool);
+      return;
+    }
+  pool->failures++;
+  pool->open_after_ms = clock_now_ms () + RETRY_OPEN_MS;
+  if (pool->lines.length == 0)
+    refuse_waiting (pool, ANSWER_OVERLOADED);
+  pool->options.down (pool->options.data, pool);
+}
+
+static bool
+open_line (InstancePool *pool)
+{
+  PooledLine *line = talloc_zero (pool, PooledLine);
+  const BackendLineOptions options = {
+    .events = pool->options.events,
+    .codec = pool->options.codec,
+    .address = pool->info.address,
+    .port = pool->info.port,
+    .service = pool->info.service,
+    .instance = pool->info.id,
+    .opened = on_opened,
+    .refused = on_refused,
+    .lost = on_lost,
+    .data = line,
+  };
+
+  line->pool = pool;
+  line->opening = true;
+  line->opened_ms = clock_now_ms ();
+  line->line = backend_line_new (line, &options);
+  if (line->line == NULL)
+    {
+      talloc_free (line);
+      return false;
+    }
+  g_queue_push_tail (&pool->lines, line);
+  pool->opening++;
+  return true;
+}
+
+static PooledLine *
+take_idle (InstancePool *pool, const SessionValues *values)
+{
+  PooledLine *line;
+
+  for (GList *node = pool->idle.head; node != NULL && values != NULL; node = node->next)
+    {
+      line = node->data;
+      if (!backend_line_matches (line->line, values))
+        continue;
+      g_queue_delete_link (&pool->idle, node);
+      return line;
+    }
+  return g_queue_pop_head (&pool->idle);
+}
+
+/* Opens what the waiting need beyond what is opening already. */
+static void
+open_for_waiting (InstancePool *pool)
+{
+  const int64_t now_ms = clock_now_ms ();
+
+  while (pool->waiting.length > pool->opening && pool->lines.length < pool->limit
+         && now_ms >= pool->open_after_ms)
+    if (!open_line (pool))
+      {
+        pool->open_after_ms = now_ms + RETRY_OPEN_MS;
+        break;
+      }
+  if (pool->lines.length == 0 && pool->waiting.length > 0 && now_ms < pool->open_after_ms)
+    refuse_waiting (pool, ANSWER_OVERLOADED);
+}
+
+static void
+pump (InstancePool *pool)
+{
+  AdmissionItem *item;
+
+  if (pool->pumping || pool->shut)
+    return;
+  pool->pumping = true;
+  while ((item = admission_queue_next (pool->queue, false, clock_now_ms ())) != NULL)
+    {
+      LineRequest *request = item->data;
+
+      request->waiting = true;
+      g_queue_push_tail (&pool->waiting, request);
+    }
+  while (pool->waiting.length > 0 && pool->idle.length > 0)
+    {
+      LineRequest *request = pop_waiting (pool);
+
+      grant (take_idle (pool, request->values), request);
+    }
+  open_for_waiting (pool);
+  pool->pumping = false;
+}
+
+void
+instance_pool_update (InstancePool *pool, const InstanceInfo *info, uint32_t limit)
+{
+  pool->info = *info;
+  pool->allowed = MAX (limit, 1);
+  if (pool->limit > pool->allowed)
+    set_limit (pool, pool->allowed);
+}
+
+void
+instance_pool_request (InstancePool *pool, LineRequest *request)
+{
+  if (pool->shut)
+    {
+      request->refused (request->data, ANSWER_OVERLOADED);
+      return;
+    }
+  request->pool = pool;
+  request->waiting = false;
+  request->item = (AdmissionItem){
+    .priority = request->priority,
+    .source = request->source,
+    .deadline_ms = request->deadline_ms,
+    .data = request,
+  };
+  if (!admission_queue_push (pool->queue, &request->item, clock_now_ms ()))
+    {
+      request->pool = NULL;
+      request->refused (request->data, ANSWER_OVERLOADED);
+      return;
+    }
+  pump (pool);
+}
+
+void
+instance_pool_cancel (LineRequest *request)
+{
+  InstancePool *pool = request->pool;
+
+  if (pool == NULL)
+    return;
+  if (request->waiting)
+    {
+      g_queue_remove (&pool->waiting, request);
+      admission_queue_abort (pool->queue, request->priority);
+    }
+  else
+    admission_queue_remove (pool->queue, &request->item);
+  request->pool = NULL;
+  request->waiting = false;
+}
+
+void
+instance_pool_give_back (PooledLine *line, int64_t service_us)
+{
+  InstancePool *pool = line->pool;
+
+  if (!backend_line_is_idle (line->line) || backend_line_state (line->line) != 'I' || pool->shut)
+    {
+      instance_pool_drop (line);
+      return;
+    }
+  pool->heard_ms = MAX (pool->heard_ms, backend_line_heard_ms (line->line));
+  line->granted = false;
+  pool->in_use--;
+  admission_queue_finish (pool->queue, line->priority, service_us);
+  g_queue_push_head (&pool->idle, line);
+  pump (pool);
+}
+
+void
+instance_pool_drop (PooledLine *line)
+{
+  InstancePool *pool = line->pool;
+
+  forget_line (line);
+  pump (pool);
+}
+
+void
+instance_pool_shut (InstancePool *pool)
+{
+  PooledLine *line;
+
+  pool->shut = true;
+  refuse_waiting (pool, ANSWER_OVERLOADED);
+  while ((line = g_queue_peek_head (&pool->idle)) != NULL)
+    forget_line (line);
+}
+
+uint32_t
+instance_pool_in_use (const InstancePool *pool)
+{
+  return pool->in_use;
+}
+
+uint32_t
+instance_pool_lines (const InstancePool *pool)
+{
+  return pool->lines.length;
+}
+
+BackendLine *
+instance_pool_line (PooledLine *line)
+{
+  return line->line;
+}
+
+InstancePool *
+instance_pool_of (PooledLine *line)
+{
+  return line->pool;
+}
+
+int64_t
+instance_pool_expected_wait_ms (const InstancePool *pool, Priority priority)
+{
+  return admission_queue_expected_wait_us (pool->queue, priority) / 1000;
+}
+
+bool
+instance_pool_is_down (const InstancePool *pool)
+{
+  return pool->shut || (pool->failures >= DOWN_FAILURES && pool->lines.length == pool->opening);
+}
+
+int64_t
+instance_pool_heard_ms (const InstancePool *pool)
+{
+  int64_t heard_ms = pool->heard_ms;
+
+  for (const GList *node = pool->lines.head; node != NULL; node = node->next)
+    {
+      const PooledLine *line = node->data;
+
+      if (!line->opening)
+        heard_ms = MAX (heard_ms, backend_line_heard_ms (line->line));
+    }
+  return heard_ms;
+}
+
+int64_t
+instance_pool_silent_ms (const InstancePool *pool, int64_t now_ms)
+{
+  const int64_t heard_ms = instance_pool_heard_ms (pool);
+  int64_t asked_ms = 0;
+
+  for (const GList *node = pool->lines.head; node != NULL; node = node->next)
+    {
+      const PooledLine *line = node->data;
+      int64_t since_ms = line->opening ? line->opened_ms : backend_line_used_ms (line->line);
+
+      if (!line->opening && backend_line_is_idle (line->line))
+        continue;
+      since_ms = MAX (since_ms, heard_ms);
+      if (asked_ms == 0 || since_ms < asked_ms)
+        asked_ms = since_ms;
+    }
+  return asked_ms == 0 ? 0 : now_ms - asked_ms;
+}
+
+static void
+close_idle (InstancePool *pool, int64_t now_ms)
+{
+  PooledLine *oldest;
+
+  while (pool->lines.length > 1 && (oldest = g_queue_peek_tail (&pool->idle)) != NULL
+         && now_ms - backend_line_used_ms (oldest->line) > IDLE_LIMIT_MS)
+    forget_line (oldest);
+}
+
+static void
+end_slow_openings (InstancePool *pool, int64_t now_ms)
+{
+  GList *node = pool->lines.head;
+
+  while (node != NULL)
+    {
+      PooledLine *line = node->data;
+
+      node = node->next;
+      if (!line->opening || now_ms - line->opened_ms < OPEN_LIMIT_MS)
+        continue;
+      on_lost (line);
+      // The callbacks may have changed the list.
+      node = pool->lines.head;
+    }
+}
+
+void
+instance_pool_tick (InstancePool *pool, int64_t now_ms)
+{
+  AdmissionItem *item;
+
+  end_slow_openings (pool, now_ms);
+  if (pool->limit < pool->allowed && now_ms >= pool->open_after_ms
+      && pool->in_use + pool->waiting.length >= pool->limit)
+    set_limit (pool, pool->limit + 1);
+  close_idle (pool, now_ms);
+  while ((item = admission_queue_expire (pool->queue, now_ms)) != NULL)
+    {
+      LineRequest *request = item->data;
+
+      request->pool = NULL;
+      request->refused (request->data, ANSWER_OVERLOADED);
+    }
+  pump (pool);
+}
--- /dev/null
+++ b/src/pool/instance-pool.h
@@ -0,0 +1,109 @@
+/**
+ * DOC: The connections of this host to one instance, and the queue of those who want one.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <talloc.h>
+#include <tevent.h>
+
+#include "pool/backend-line.h"
+#include "pool/catalog.h"
+
+typedef struct InstancePool InstancePool;
+typedef struct PooledLine PooledLine;
+typedef struct LineRequest LineRequest;
+
+/**
+ * struct LineRequest - One who wants a connection, embedded in its user; zeroed before use.
+ * @priority: rank of the work. @in_transaction: it goes before others of its rank.
+ * @deadline_ms: absolute time after which it is refused.
+ * @source: fairness key.
+ * @values: what the connection should hold already, if there is a choice.
+ * @granted: here is a connection. @refused: there is none; nothing was sent.
+ * @lost: the granted connection is gone, and must not be given back.
+ */
+struct LineRequest
+{
+  Priority priority;
+  int64_t deadline_ms;
+  uint64_t source;
+  const SessionValues *values;
+  void (*granted) (void *data, PooledLine *line);
+  void (*refused) (void *data, AnswerCode code);
+  void (*lost) (void *data);
+  void *data;
+  /* private */
+  AdmissionItem item;
+  InstancePool *pool;
+  bool waiting;
+};
+
+/**
+ * struct InstancePoolOptions - Whom to connect to.
+ * @displaced: the instance at that address is another one by now.
+ * @down: an attempt to connect failed: nobody listens there, or nobody answers.
+ */
+typedef struct
+{
+  struct tevent_context *events;
+  const Codec *codec;
+  const InstanceInfo *info;
+  uint32_t limit;
+  void (*displaced) (void *data, InstancePool *pool);
+  void (*down) (void *data, InstancePool *pool);
+  void *data;
+} InstancePoolOptions;
+
+/** instance_pool_new() - Empty pool. */
+InstancePool *instance_pool_new (TALLOC_CTX *parent, const InstancePoolOptions *options);
+
+/** instance_pool_info() - The instance. */
+const InstanceInfo *instance_pool_info (const InstancePool *pool);
+
+/** instance_pool_update() - The instance announced itself again; same life. */
+void instance_pool_update (InstancePool *pool, const InstanceInfo *info, uint32_t limit);
+
+/** instance_pool_request() - Asks for a connection; a callback may come before it returns. */
+void instance_pool_request (InstancePool *pool, LineRequest *request);
+
+/** instance_pool_cancel() - Not wanted any more; for a request that was not granted. */
+void instance_pool_cancel (LineRequest *request);
+
+/** instance_pool_give_back() - The connection is free, after @service_us of use. */
+void instance_pool_give_back (PooledLine *line, int64_t service_us);
+
+/** instance_pool_drop() - Closes the connection, which rolls back what is open on it. */
+void instance_pool_drop (PooledLine *line);
+
+/** instance_pool_shut() - Refuses all who wait; connections in use stay until given back. */
+void instance_pool_shut (InstancePool *pool);
+
+/** instance_pool_in_use() - Connections granted. */
+uint32_t instance_pool_in_use (const InstancePool *pool);
+
+/** instance_pool_lines() - Connections open or opening. */
+uint32_t instance_pool_lines (const InstancePool *pool);
+
+/** instance_pool_line() - The connection itself. */
+BackendLine *instance_pool_line (PooledLine *line);
+
+/** instance_pool_of() - Pool of a connection. */
+InstancePool *instance_pool_of (PooledLine *line);
+
+/** instance_pool_expected_wait_ms() - Wait for a connection that new work can expect. */
+int64_t instance_pool_expected_wait_ms (const InstancePool *pool, Priority priority);
+
+/** instance_pool_is_down() - Connecting failed a moment ago and nothing is open. */
+bool instance_pool_is_down (const InstancePool *pool);
+
+/** instance_pool_heard_ms() - When the instance last sent anything to this host. */
+int64_t instance_pool_heard_ms (const InstancePool *pool);
+
+/** instance_pool_silent_ms() - How long work has been running there without a sign of life. */
+int64_t instance_pool_silent_ms (const InstancePool *pool, int64_t now_ms);
+
+/** instance_pool_tick() - Time limits of connecting, waiting and idling. */
+void instance_pool_tick (InstancePool *pool, int64_t now_ms);
--- /dev/null
+++ b/src/pool/pool-server.c
@@ -0,0 +1,285 @@
+#include "pool/pool-server.h"
+
+#include <string.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/stream.h"
+#include "base/verdict.h"
+#include "pool/pool-session.h"
+
+/* Time limits are looked at this often. */
+#define TICK_MS 50
+/* New callers come for this long after the host has said that it leaves. */
+#define LEAVE_NOTICE_MS 2300
+/* An open transaction has this part of the time that a shutdown may take. */
+#define DRAIN_TRANSACTION_PART 2
+/* Kept free of the time that a shutdown may take. */
+#define DRAIN_MARGIN_MS 700
+/* Part of an instance's connections that one host may hold. */
+#define CONNECTION_PART 2
+
+struct PoolServer
+{
+  struct tevent_context *events;
+  PoolServerOptions options;
+  int listen_fd;
+  struct tevent_fd *listen_fde;
+  GHashTable *sessions;
+  Catalog *catalog;
+  GHashTable *groups; /* service name to ServiceGroup */
+  GArray *instances;  /* InstanceInfo */
+  Timer tick;
+  uint64_t next_id;
+  int64_t drain_started_ms;
+  int64_t drain_limit_ms;
+};
+
+static int
+server_destroy (PoolServer *server)
+{
+  GHashTableIter iter;
+  void *session;
+
+  timer_clear (&server->tick);
+  g_hash_table_iter_init (&iter, server->sessions);
+  while (g_hash_table_iter_next (&iter, &session, NULL))
+    {
+      g_hash_table_iter_steal (&iter);
+      pool_session_close (session);
+    }
+  g_hash_table_destroy (server->sessions);
+  g_hash_table_destroy (server->groups);
+  g_array_free (server->instances, true);
+  if (server->catalog != NULL)
+    catalog_unref (server->catalog);
+  TALLOC_FREE (server->listen_fde);
+  close (server->listen_fd);
+  return 0;
+}
+
+static void
+on_accept (struct tevent_context *events, struct tevent_fd *fde, uint16_t flags, void *data)
+{
+  PoolServer *server = data;
+  int fd;
+
+  while ((fd = stream_accept (server->listen_fd)) >= 0)
+    pool_session_new (server, fd);
+}
+
+static void
+close_idle_sessions (PoolServer *server, int64_t now_ms)
+{
+  const int64_t since_ms = now_ms - server->drain_started_ms;
+  const bool all = since_ms >= server->drain_limit_ms - DRAIN_MARGIN_MS;
+  const bool transactions = since_ms >= server->drain_limit_ms / DRAIN_TRANSACTION_PART;
+  GList *sessions = g_hash_table_get_keys (server->sessions);
+
+  for (GList *node = sessions; node != NULL; node = node->next)
+    {
+      PoolSession *session = node->data;
+      const bool waits_for_caller = transactions && pool_session_idle_ms (session, now_ms) > 0;
+
+      if (all || pool_session_is_idle (session) || waits_for_caller)
+        pool_session_close (session);
+    }
+  g_list_free (sessions);
+}
+
+static void
+on_tick (void *data)
+{
+  PoolServer *server = data;
+  const int64_t now_ms = clock_now_ms ();
+  GHashTableIter iter;
+  void *group;
+
+  timer_set (server->options.timers, &server->tick, TICK_MS);
+  g_hash_table_iter_init (&iter, server->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &group))
+    service_group_tick (group, now_ms);
+  if (server->drain_started_ms > 0 && now_ms - server->drain_started_ms >= LEAVE_NOTICE_MS)
+    close_idle_sessions (server, now_ms);
+}
+
+PoolServer *
+pool_server_new (TALLOC_CTX *parent, struct tevent_context *events,
+                 const PoolServerOptions *options, GError **error)
+{
+  int fd = stream_listen (options->address, options->port, false);
+  PoolServer *server;
+
+  if (fd < 0)
+    {
+      g_set_error (error, PERIDOTSTEP_ERROR, PERIDOTSTEP_ERROR_IO, "cannot listen on %s port %u",
+                   options->address, options->port);
+      return NULL;
+    }
+  server = talloc_zero (parent, PoolServer);
+  server->events = events;
+  server->options = *options;
+  server->listen_fd = fd;
+  server->sessions = g_hash_table_new (NULL, NULL);
+  server->groups = g_hash_table_new (g_str_hash, g_str_equal);
+  server->instances = g_array_new (false, true, sizeof (InstanceInfo));
+  server->listen_fde = tevent_add_fd (events, server, fd, TEVENT_FD_READ, on_accept, server);
+  server->tick.fired = on_tick;
+  server->tick.data = server;
+  timer_set (options->timers, &server->tick, TICK_MS);
+  talloc_set_destructor (server, server_destroy);
+  return server;
+}
+
+const PoolServerOptions *
+pool_server_options (const PoolServer *server)
+{
+  return &server->options;
+}
+
+struct tevent_context *
+pool_server_events (const PoolServer *server)
+{
+  return server->events;
+}
+
+static void
+distribute_instances (PoolServer *server, ServiceGroup *group)
+{
+  GArray *own = g_array_new (false, true, sizeof (InstanceInfo));
+
+  for (guint i = 0; i < server->instances->len; i++)
+    {
+      const InstanceInfo *info = &g_array_index (server->instances, InstanceInfo, i);
+
+      if (strcmp (info->service, service_group_name (group)) == 0)
+        g_array_append_vals (own, info, 1);
+    }
+  service_group_set_instances (group, (const InstanceInfo *) own->data, own->len);
+  g_array_free (own, true);
+}
+
+static ServiceGroup *
+add_group (PoolServer *server, const char *name)
+{
+  const PoolServerOptions *options = &server->options;
+  const ServiceGroupOptions group_options = {
+    .events = server->events,
+    .timers = options->timers,
+    .codec = options->codec,
+    .counters = options->counters,
+    .host = options->host,
+    .failure_domain = options->failure_domain,
+    .region = options->region,
+    .domain_region = options->domain_region,
+    .lookup = options->lookup,
+    .data = options->data,
+  };
+  ServiceGroup *group = service_group_new (server, &group_options, name);
+
+  g_hash_table_insert (server->groups, (void *) service_group_name (group), group);
+  return group;
+}
+
+void
+pool_server_set_catalog (PoolServer *server, Catalog *catalog)
+{
+  Catalog *old = server->catalog;
+  GHashTableIter iter;
+  void *value;
+
+  if (old != NULL && catalog->version <= old->version)
+    return;
+  server->catalog = catalog_ref (catalog);
+  counter_set (server->options.counters, COUNTER_CONFIG_VERSION, catalog->version);
+  log_event (LOG_LEVEL_NOTICE, "configuration",
+             "version=%" G_GUINT64_FORMAT " was=%" G_GUINT64_FORMAT " databases=%u services=%u",
+             catalog->version, old == NULL ? 0 : old->version,
+             g_hash_table_size (catalog->databases), g_hash_table_size (catalog->services));
+  if (old != NULL)
+    catalog_unref (old);
+  g_hash_table_iter_init (&iter, catalog->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const ServiceEntry *service = value;
+      ServiceGroup *group = pool_server_group (server, service->name);
+
+      if (group == NULL)
+        {
+          group = add_group (server, service->name);
+          distribute_instances (server, group);
+        }
+      service_group_set_limit (group, MAX (service->connection_limit / CONNECTION_PART, 1));
+    }
+}
+
+Catalog *
+pool_server_catalog (const PoolServer *server)
+{
+  return server->catalog;
+}
+
+void
+pool_server_set_instances (PoolServer *server, const GArray *infos)
+{
+  GHashTableIter iter;
+  void *group;
+
+  g_array_set_size (server->instances, 0);
+  g_array_append_vals (server->instances, infos->data, infos->len);
+  g_hash_table_iter_init (&iter, server->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &group))
+    distribute_instances (server, group);
+}
+
+ServiceGroup *
+pool_server_group (const PoolServer *server, const char *service)
+{
+  return g_hash_table_lookup (server->groups, service);
+}
+
+uint64_t
+pool_server_next_id (PoolServer *server)
+{
+  return ++server->next_id;
+}
+
+void
+pool_server_add_session (PoolServer *server, void *session)
+{
+  g_hash_table_add (server->sessions, session);
+}
+
+void
+pool_server_remove_session (PoolServer *server, void *session)
+{
+  g_hash_table_remove (server->sessions, session);
+}
+
+bool
+pool_server_is_ready (const PoolServer *server)
+{
+  return server->catalog != NULL && server->instances->len > 0 && server->drain_started_ms == 0;
+}
+
+void
+pool_server_drain (PoolServer *server, int64_t limit_ms)
+{
+  if (server->drain_started_ms > 0)
+    return;
+  server->drain_started_ms = clock_now_ms ();
+  server->drain_limit_ms = limit_ms;
+  log_event (LOG_LEVEL_NOTICE, "draining", "sessions=%u limit_ms=%" G_GINT64_FORMAT,
+             g_hash_table_size (server->sessions), limit_ms);
+}
+
+bool
+pool_server_is_drained (const PoolServer *server)
+{
+  const int64_t since_ms = clock_now_ms () - server->drain_started_ms;
+
+  if (server->drain_started_ms == 0 || since_ms < LEAVE_NOTICE_MS)
+    return false;
+  return g_hash_table_size (server->sessions) == 0 || since_ms >= server->drain_limit_ms;
+}
--- /dev/null
+++ b/src/pool/service-group.c
@@ -0,0 +1,468 @@
+#include "pool/service-group.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "policy/position-history.h"
+
+/* This host relies on a primary for this long after the last proof that it led its group.
+ * Whoever replaces a primary waits for as long. */
+#define PRIMARY_RIGHT_MS 1000
+/* The group is asked anew when a proof is needed and the last attempt is this old. */
+#define PROBE_SPACING_MS 100
+/* An instance that lacked a position is not asked for a newer one for this time. */
+#define BEHIND_MS 60
+/* An instance that was full is not asked for this time. */
+#define REFUSED_MS 40
+/* Weight of a new answer in the averaged latency, as a divisor. */
+#define LATENCY_WEIGHT 8.0
+
+struct ServiceGroup
+{
+  ServiceGroupOptions options;
+  char name[CATALOG_NAME_BYTES];
+  uint32_t limit;
+  GroupMember *members[GROUP_MEMBERS_MAX];
+  uint32_t count;
+  GPtrArray *retired; /* InstancePool with connections in use */
+  char primary[CATALOG_NAME_BYTES];
+  uint64_t term;
+  int64_t proof_ms; /* the primary led its group then */
+  PositionHistory history;
+  GQueue waiters;
+  int64_t probed_ms;
+};
+
+static int
+group_destroy (ServiceGroup *group)
+{
+  GroupWaiter *waiter;
+
+  while ((waiter = g_queue_pop_head (&group->waiters)) != NULL)
+    waiter->group = NULL;
+  g_ptr_array_free (group->retired, true);
+  return 0;
+}
+
+ServiceGroup *
+service_group_new (TALLOC_CTX *parent, const ServiceGroupOptions *options, const char *name)
+{
+  ServiceGroup *group = talloc_zero (parent, ServiceGroup);
+
+  group->options = *options;
+  group->limit = 1;
+  group->retired = g_ptr_array_new ();
+  g_strlcpy (group->name, name, sizeof group->name);
+  g_queue_init (&group->waiters);
+  talloc_set_destructor (group, group_destroy);
+  return group;
+}
+
+const char *
+service_group_name (const ServiceGroup *group)
+{
+  return group->name;
+}
+
+static GroupMember *
+find_member (const ServiceGroup *group, const char *id)
+{
+  for (uint32_t i = 0; i < group->count; i++)
+    if (strcmp (instance_pool_info (group->members[i]->pool)->id, id) == 0)
+      return group->members[i];
+  return NULL;
+}
+
+static GroupMember *
+member_of (const ServiceGroup *group, const InstancePool *pool)
+{
+  for (uint32_t i = 0; i < group->count; i++)
+    if (group->members[i]->pool == pool)
+      return group->members[i];
+  return NULL;
+}
+
+uint32_t
+service_group_bit (const ServiceGroup *group, const InstancePool *pool)
+{
+  for (uint32_t i = 0; i < group->count; i++)
+    if (group->members[i]->pool == pool)
+      return 1u << i;
+  return 0;
+}
+
+static void
+wake_waiters (ServiceGroup *group)
+{
+  guint count = group->waiters.length;
+
+  // Those who must wait on stand in line again; each is looked at once.
+  for (guint i = 0; i < count; i++)
+    {
+      GroupWaiter *waiter = g_queue_pop_head (&group->waiters);
+
+      if (waiter == NULL)
+        return;
+      waiter->group = NULL;
+      waiter->woken (waiter->data);
+    }
+}
+
+void
+service_group_forget (GroupWaiter *waiter)
+{
+  if (waiter->group == NULL)
+    return;
+  g_queue_remove (&waiter->group->waiters, waiter);
+  waiter->group = NULL;
+}
+
+static void
+set_primary (ServiceGroup *group, const char *id, uint64_t term, const char *source)
+{
+  if (strcmp (group->primary, id) != 0 || group->term != term)
+    log_event (LOG_LEVEL_NOTICE, "primary",
+               "service=%s instance=%s term=%" G_GUINT64_FORMAT
+               " was=%s was_term=%" G_GUINT64_FORMAT " source=%s",
+               group->name, id, term, group->primary, group->term, source);
+  if (strcmp (group->primary, id) != 0)
+    {
+      memset (&group->history, 0, sizeof group->history);
+      group->proof_ms = 0;
+    }
+  g_strlcpy (group->primary, id, sizeof group->primary);
+  group->term = term;
+}
+
+static Distance
+distance_to (const ServiceGroup *group, const InstanceInfo *info)
+{
+  const char *region;
+
+  if (strcmp (info->failure_domain, group->options.failure_domain) == 0)
+    return DISTANCE_DOMAIN;
+  region = g_hash_table_lookup ((GHashTable *) group->options.domain_region, info->failure_domain);
+  return g_strcmp0 (region, group->options.region) == 0 ? DISTANCE_REGION : DISTANCE_REMOTE;
+}
+
+static void
+on_displaced (void *data, InstancePool *pool)
+{
+  GroupMember *member = data;
+
+  member->displaced = true;
+  log_event (LOG_LEVEL_NOTICE, "instance_displaced", "service=%s instance=%s", member->group->name,
+             instance_pool_info (pool)->id);
+  member->group->options.lookup (member->group->options.data);
+}
+
+static void
+on_down (void *data, InstancePool *pool)
+{
+  GroupMember *member = data;
+
+  log_event (LOG_LEVEL_NOTICE, "instance_unreached", "service=%s instance=%s", member->group->name,
+             instance_pool_info (pool)->id);
+}
+
+static GroupMember *
+add_member (ServiceGroup *group, const InstanceInfo *info)
+{
+  GroupMember *member = talloc_zero (group, GroupMember);
+  const InstancePoolOptions options = {
+    .events = group->options.events,
+    .codec = group->options.codec,
+    .info = info,
+    .limit = group->limit,
+    .displaced = on_displaced,
+    .down = on_down,
+    .data = member,
+  };
+
+  member->group = group;
+  member->pool = instance_pool_new (group, &options);
+  member->orders = order_line_new (member, group->options.events, group->options.timers,
+                                   group->options.codec, info);
+  member->distance = distance_to (group, info);
+  group->members[group->count++] = member;
+  log_event (LOG_LEVEL_NOTICE, "instance_added",
+             "service=%s instance=%s address=%s:%u failure_domain=%s leaving=%d primary=%d",
+             group->name, info->id, info->address, info->port, info->failure_domain, info->leaving,
+             info->primary);
+  return member;
+}
+
+static void
+remove_member (ServiceGroup *group, uint32_t index)
+{
+  GroupMember *member = group->members[index];
+
+  log_event (LOG_LEVEL_NOTICE, "instance_removed", "service=%s instance=%s", group->name,
+             instance_pool_info (member->pool)->id);
+  group->members[index] = group->members[--group->count];
+  instance_pool_shut (member->pool);
+  g_ptr_array_add (group->retired, member->pool);
+  talloc_free (member);
+}
+
+static const InstanceInfo *
+find_info (const InstanceInfo *infos, uint32_t count, const InstanceInfo *old)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (strcmp (infos[i].id, old->id) == 0 && infos[i].started_ms == old->started_ms
+        && strcmp (infos[i].address, old->address) == 0 && infos[i].port == old->port)
+      return &infos[i];
+  return NULL;
+}
+
+void
+service_group_set_instances (ServiceGroup *group, const InstanceInfo *infos, uint32_t count)
+{
+  for (uint32_t i = group->count; i > 0; i--)
+    if (find_info (infos, count, instance_pool_info (group->members[i - 1]->pool)) == NULL)
+      remove_member (group, i - 1);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      GroupMember *member = find_member (group, infos[i].id);
+
+      if (member != NULL)
+        {
+          if (instance_pool_info (member->pool)->leaving != infos[i].leaving)
+            log_event (LOG_LEVEL_NOTICE, "instance_leaving", "service=%s instance=%s leaving=%d",
+                       group->name, infos[i].id, infos[i].leaving);
+          instance_pool_update (member->pool, &infos[i], group->limit);
+        }
+      else if (group->count < GROUP_MEMBERS_MAX)
+        add_member (group, &infos[i]);
+    }
+  wake_waiters (group);
+}
+
+void
+service_group_set_limit (ServiceGroup *group, uint32_t limit)
+{
+  group->limit = limit;
+  for (uint32_t i = 0; i < group->count; i++)
+    instance_pool_update (group->members[i]->pool, instance_pool_info (group->members[i]->pool),
+                          limit);
+}
+
+static bool
+right_is_valid (const ServiceGroup *group, int64_t at_ms)
+{
+  return group->proof_ms > 0 && at_ms - group->proof_ms < PRIMARY_RIGHT_MS;
+}
+
+InstancePool *
+service_group_primary (ServiceGroup *group)
+{
+  GroupMember *member = find_member (group, group->primary);
+
+  if (member == NULL || member->displaced || instance_pool_is_down (member->pool))
+    return NULL;
+  return right_is_valid (group, clock_now_ms ()) ? member->pool : NULL;
+}
+
+static void
+fill_views (const ServiceGroup *group, Priority priority, PlacementView *views)
+{
+  for (uint32_t i = 0; i < group->count; i++)
+    {
+      const GroupMember *member = group->members[i];
+      const InstanceInfo *info = instance_pool_info (member->pool);
+      const bool primary = strcmp (info->id, group->primary) == 0;
+
+      views[i] = (PlacementView){
+        .usable = !info->leaving && !member->displaced && !instance_pool_is_down (member->pool),
+        .primary = primary,
+        .distance = member->distance,
+        .seen = member->seen,
+        .latency_ms = (int64_t) member->latency_ms,
+        .wait_ms = instance_pool_expected_wait_ms (member->pool, priority),
+        .behind_until_ms = member->behind_until_ms,
+        .refused_until_ms = member->refused_until_ms,
+      };
+    }
+}
+
+InstancePool *
+service_group_place (ServiceGroup *group, int64_t since_ms, SessionToken session, Priority priority,
+                     uint32_t tried, SessionToken *after)
+{
+  const int64_t now_ms = clock_now_ms ();
+  PlacementView views[GROUP_MEMBERS_MAX];
+  PlacementNeed need = { 0 };
+  PositionSample sample;
+  int index;
+
+  if (!position_history_since (&group->history, since_ms, &sample))
+    return NULL;
+  need.after = sample.position;
+  need.after_age_ms = now_ms - sample.at_ms;
+  if (session_token_compare (session, need.after) > 0)
+    {
+      need.after = session;
+      need.after_age_ms = 0;
+    }
+  fill_views (group, priority, views);
+  index = placement_read (views, group->count, &need, tried, now_ms);
+  if (index < 0)
+    return NULL;
+  // The position is asked of the primary too: it may have been replaced in the meantime.
+  *after = need.after;
+  return group->members[index]->pool;
+}
+
+static void
+note_position (ServiceGroup *group, GroupMember *member, SessionToken position, int64_t sent_ms)
+{
+  if (position.term == 0 && position.position == 0)
+    return;
+  if (session_token_compare (position, member->seen) > 0)
+    {
+      member->seen = position;
+      member->seen_ms = clock_now_ms ();
+    }
+  if (strcmp (instance_pool_info (member->pool)->id, group->primary) == 0
+      && right_is_valid (group, sent_ms))
+    position_history_add (&group->history, sent_ms, position);
+}
+
+static void
+note_proof (ServiceGroup *group, int64_t at_ms)
+{
+  group->proof_ms = MAX (group->proof_ms, at_ms);
+}
+
+void
+service_group_note_answer (ServiceGroup *group, const InstancePool *pool, const LineResult *result,
+                           int64_t sent_ms, bool committed)
+{
+  GroupMember *member = member_of (group, pool);
+  const int64_t now_ms = clock_now_ms ();
+  const bool is_primary = service_group_is_primary (group, pool);
+
+  if (member == NULL)
+    return;
+  switch (result->code)
+    {
+    case ANSWER_OK:
+      member->latency_ms += ((double) (now_ms - sent_ms) - member->latency_ms) / LATENCY_WEIGHT;
+      break;
+    case ANSWER_BEHIND:
+      member->behind_until_ms = now_ms + BEHIND_MS;
+      break;
+    case ANSWER_OVERLOADED:
+      member->refused_until_ms = now_ms + REFUSED_MS;
+      break;
+    default:
+      break;
+    }
+  if (result->code == ANSWER_OK && committed && is_primary)
+    note_proof (group, sent_ms);
+  if (result->code == ANSWER_READ_ONLY && is_primary)
+    group->proof_ms = 0;
+  note_position (group, member, result->position, sent_ms);
+}
+
+bool
+service_group_is_primary (const ServiceGroup *group, const InstancePool *pool)
+{
+  return strcmp (instance_pool_info (pool)->id, group->primary) == 0;
+}
+
+Distance
+service_group_distance (const ServiceGroup *group, const InstancePool *pool)
+{
+  const GroupMember *member = member_of (group, pool);
+
+  return member == NULL ? DISTANCE_REMOTE : member->distance;
+}
+
+/* A replica that follows the term, and is not paused, shows that its primary leads. */
+static bool
+is_proof (const ServiceGroup *group, const InstanceReport *report)
+{
+  return !report->primary && report->term == group->term && report->held_term <= group->term;
+}
+
+static void
+take_report (GroupMember *member, const InstanceReport *report, int64_t sent_ms)
+{
+  ServiceGroup *group = member->group;
+  const char *id = instance_pool_info (member->pool)->id;
+
+  member->report = *report;
+  member->report_ms = sent_ms;
+  if (report->primary && report->term >= group->term)
+    set_primary (group, id, report->term, "report");
+  else if (is_proof (group, report))
+    note_proof (group, sent_ms);
+  note_position (group, member, report->received, sent_ms);
+}
+
+static void
+on_report (void *data, OrderResult result, const InstanceReport *report, int64_t sent_ms)
+{
+  GroupMember *member = data;
+  ServiceGroup *group = member->group;
+
+  member->asked = false;
+  if (log_enabled (LOG_LEVEL_DEBUG))
+    log_event (LOG_LEVEL_DEBUG, "report", "service=%s instance=%s result=%s", group->name,
+               instance_pool_info (member->pool)->id, order_result_name (result));
+  if (result == ORDER_ANSWERED)
+    take_report (member, report, sent_ms);
+  wake_waiters (group);
+}
+
+/* Asks every instance that is not being asked already, not more often than needed. */
+static void
+probe (ServiceGroup *group, int64_t now_ms)
+{
+  if (now_ms - group->probed_ms < PROBE_SPACING_MS)
+    return;
+  group->probed_ms = now_ms;
+  for (uint32_t i = 0; i < group->count; i++)
+    {
+      GroupMember *member = group->members[i];
+
+      if (member->asked)
+        continue;
+      member->asked = true;
+      order_line_send (member->orders, ORDER_STATUS, 0, on_report, member);
+    }
+}
+
+void
+service_group_wait (ServiceGroup *group, GroupWaiter *waiter)
+{
+  waiter->group = group;
+  g_queue_push_tail (&group->waiters, waiter);
+  probe (group, clock_now_ms ());
+}
+
+static void
+free_retired (ServiceGroup *group)
+{
+  for (guint i = group->retired->len; i > 0; i--)
+    {
+      InstancePool *pool = group->retired->pdata[i - 1];
+
+      if (instance_pool_in_use (pool) > 0)
+        continue;
+      g_ptr_array_remove_index_fast (group->retired, i - 1);
+      talloc_free (pool);
+    }
+}
+
+void
+service_group_tick (ServiceGroup *group, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < group->count; i++)
+    instance_pool_tick (group->members[i]->pool, now_ms);
+  free_retired (group);
+  if (group->waiters.length > 0)
+    probe (group, now_ms);
+}
--- /dev/null
+++ b/src/pool/service-group.h
@@ -0,0 +1,127 @@
+/**
+ * DOC: One service as this host sees it: its instances, which of them leads, what its log
+ * position was when, and whether this host may still take the primary for the primary.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <talloc.h>
+#include <tevent.h>
+
+#include "base/counters.h"
+#include "base/timer-queue.h"
+#include "policy/placement.h"
+#include "pool/catalog.h"
+#include "pool/instance-pool.h"
+#include "pool/order-line.h"
+
+typedef struct ServiceGroup ServiceGroup;
+
+/** Instances of a group that are looked at; a group has three, and more while one is replaced. */
+#define GROUP_MEMBERS_MAX 16
+
+/**
+ * struct GroupMember - An instance of the group.
+ * @seen: last log position it showed, at @seen_ms.
+ * @latency_ms: averaged time of its answers.
+ * @displaced: another instance stands at its address.
+ * @report: what it last said of itself, asked at @report_ms; 0 for never.
+ * @asked: a report is due.
+ */
+typedef struct
+{
+  ServiceGroup *group;
+  InstancePool *pool;
+  OrderLine *orders;
+  Distance distance;
+  SessionToken seen;
+  int64_t seen_ms;
+  double latency_ms;
+  int64_t behind_until_ms;
+  int64_t refused_until_ms;
+  bool displaced;
+  InstanceReport report;
+  int64_t report_ms;
+  bool asked;
+} GroupMember;
+
+/**
+ * struct ServiceGroupOptions - The daemon's part.
+ * @domain_region: table failure domain to region.
+ * @lookup: the list of instances may be out of date.
+ */
+typedef struct
+{
+  struct tevent_context *events;
+  TimerQueue *timers;
+  const Codec *codec;
+  Counters *counters;
+  const char *host;
+  const char *failure_domain;
+  const char *region;
+  const GHashTable *domain_region;
+  void (*lookup) (void *data);
+  void *data;
+} ServiceGroupOptions;
+
+/**
+ * struct GroupWaiter - One who waits for news of the group, embedded in its user.
+ * @woken: something changed; look again.
+ */
+typedef struct
+{
+  void (*woken) (void *data);
+  void *data;
+  ServiceGroup *group; /* %NULL while not waiting */
+} GroupWaiter;
+
+/** service_group_new() - Group called @name, without instances. */
+ServiceGroup *service_group_new (TALLOC_CTX *parent, const ServiceGroupOptions *options,
+                                 const char *name);
+
+/** service_group_name() - Name of the service. */
+const char *service_group_name (const ServiceGroup *group);
+
+/** service_group_set_limit() - Connections that this host opens to one instance at most. */
+void service_group_set_limit (ServiceGroup *group, uint32_t limit);
+
+/** service_group_set_instances() - The instances as listed now; others are let go. */
+void service_group_set_instances (ServiceGroup *group, const InstanceInfo *infos, uint32_t count);
+
+/** service_group_primary() - Pool of the primary if this host may rely on it, or %NULL. */
+InstancePool *service_group_primary (ServiceGroup *group);
+
+/**
+ * service_group_place() - Pool for a read that must see all commits acknowledged before
+ * @since_ms, and @session. @after is the position to ask for; zero if none is needed. Returns
+ * %NULL if it can't be told now. @tried: bit mask of refusals, see service_group_bit().
+ */
+InstancePool *service_group_place (ServiceGroup *group, int64_t since_ms, SessionToken session,
+                                   Priority priority, uint32_t tried, SessionToken *after);
+
+/** service_group_bit() - Bit of the instance of @pool in masks of refusals; 0 when gone. */
+uint32_t service_group_bit (const ServiceGroup *group, const InstancePool *pool);
+
+/** service_group_wait() - @waiter is woken when something changed; asks the instances. */
+void service_group_wait (ServiceGroup *group, GroupWaiter *waiter);
+
+/** service_group_forget() - @waiter waits no more. */
+void service_group_forget (GroupWaiter *waiter);
+
+/**
+ * service_group_note_answer() - An instance answered a statement sent at @sent_ms.
+ * @committed: a commit that wrote was acknowledged.
+ */
+void service_group_note_answer (ServiceGroup *group, const InstancePool *pool,
+                                const LineResult *result, int64_t sent_ms, bool committed);
+
+/** service_group_is_primary() - Whether the instance of @pool is taken for the primary. */
+bool service_group_is_primary (const ServiceGroup *group, const InstancePool *pool);
+
+/** service_group_distance() - Distance of the instance of @pool. */
+Distance service_group_distance (const ServiceGroup *group, const InstancePool *pool);
+
+/** service_group_tick() - Time limits. */
+void service_group_tick (ServiceGroup *group, int64_t now_ms);
--- /dev/null
+++ b/src/pool/session-values.c
@@ -0,0 +1,59 @@
+#include "pool/session-values.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+static void
+shape_free (void *data)
+{
+  PreparedShape *shape = data;
+
+  g_free (shape->shape);
+  g_free (shape);
+}
+
+void
+session_values_init (SessionValues *state)
+{
+  state->values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  state->prepared = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, shape_free);
+}
+
+void
+session_values_done (SessionValues *state)
+{
+  g_hash_table_destroy (state->values);
+  g_hash_table_destroy (state->prepared);
+}
+
+void
+session_values_set (SessionValues *state, const char *name, const char *value)
+{
+  g_hash_table_replace (state->values, g_strdup (name), g_strdup (value));
+}
+
+void
+session_values_prepare (SessionValues *state, const char *name, bool read_only, const char *shape)
+{
+  PreparedShape *prepared = g_new0 (PreparedShape, 1);
+  const uint64_t hash = XXH64 (shape, strlen (shape), read_only ? 1 : 0);
+
+  prepared->shape = g_strdup (shape);
+  prepared->read_only = read_only;
+  g_snprintf (prepared->shared_name, sizeof prepared->shared_name, "p%016" PRIx64, hash);
+  g_hash_table_replace (state->prepared, g_strdup (name), prepared);
+}
+
+bool
+session_values_deallocate (SessionValues *state, const char *name)
+{
+  return g_hash_table_remove (state->prepared, name);
+}
+
+const PreparedShape *
+session_values_shape (const SessionValues *state, const char *name)
+{
+  return g_hash_table_lookup (state->prepared, name);
+}
--- /dev/null
+++ b/src/pool/session-values.h
@@ -0,0 +1,51 @@
+/**
+ * DOC: What a caller's session carries between connections: its values and its prepared
+ * statements, kept by the proxy and put onto a connection before use.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+/** Longest name of a prepared statement on a backend connection, with its terminator. */
+#define SHARED_NAME_BYTES 20
+
+/**
+ * struct PreparedShape - A prepared statement.
+ * @shape: what it runs. @read_only: whether that reads only.
+ * @shared_name: its name on backend connections, the same for all callers with this shape.
+ */
+typedef struct
+{
+  char *shape;
+  bool read_only;
+  char shared_name[SHARED_NAME_BYTES];
+} PreparedShape;
+
+/** struct SessionValues - Tables name to value and name to &struct PreparedShape. */
+typedef struct
+{
+  GHashTable *values;
+  GHashTable *prepared;
+} SessionValues;
+
+/** session_values_init() - Empty. */
+void session_values_init (SessionValues *state);
+
+/** session_values_done() - Frees what it holds. */
+void session_values_done (SessionValues *state);
+
+/** session_values_set() - Sets value @name. */
+void session_values_set (SessionValues *state, const char *name, const char *value);
+
+/** session_values_prepare() - Defines, or replaces, prepared statement @name. */
+void session_values_prepare (SessionValues *state, const char *name, bool read_only,
+                             const char *shape);
+
+/** session_values_deallocate() - Forgets @name; false if it was not known. */
+bool session_values_deallocate (SessionValues *state, const char *name);
+
+/** session_values_shape() - Prepared statement @name, or %NULL. */
+const PreparedShape *session_values_shape (const SessionValues *state, const char *name);
