--- a/src/cli/pool.c
+++ b/src/cli/pool.c
@@ -19,6 +19,7 @@
 #include "platform/platform-api.h"
 #include "platform/platform-format.h"
 #include "pool/discovery.h"
+#include "pool/host-registry.h"
 #include "pool/pool-server.h"
 #include "pool/status-http.h"
 
@@ -50,6 +51,8 @@
   HttpClient *http;
   Directory *directory;
   Discovery *discovery;
+  HostRegistry *registry;
+  PeerMesh *mesh;
   PoolServer *server;
   StatusHttp *status;
   int signal_fd;
@@ -98,13 +101,49 @@
   counters_print (&daemon->counters, out);
 }
 
+static void
+on_hosts (void *data, const GArray *hosts)
+{
+  PoolDaemon *daemon = data;
+
+  peer_mesh_add_hosts (daemon->mesh, hosts);
+  pool_server_set_hosts_known (daemon->server);
+}
+
+static void
+fill_beat (void *data, Pool__Beat *beat)
+{
+  PoolDaemon *daemon = data;
+
+  pool_server_fill_beat (daemon->server, beat);
+}
+
+static void
+take_beat (void *data, uint64_t peer, const Pool__ServiceBeat *beat, int64_t sent_ms)
+{
+  PoolDaemon *daemon = data;
+
+  pool_server_take_beat (daemon->server, peer, beat, sent_ms);
+}
+
+static void
+on_peer_ended (void *data, uint64_t peer)
+{
+  PoolDaemon *daemon = data;
+
+  pool_server_forget_peer (daemon->server, peer);
+}
+
 static void
 on_drain_timer (void *data)
 {
   PoolDaemon *daemon = data;
 
   if (pool_server_is_drained (daemon->server))
-    daemon->ended = true;
+    {
+      peer_mesh_leave (daemon->mesh);
+      daemon->ended = true;
+    }
   else
     timer_set (daemon->timers, &daemon->drain_timer, SIGNAL_POLL_MS);
 }
@@ -123,6 +162,7 @@
       return;
     }
   pool_server_drain (daemon->server, daemon->drain_limit_ms - DRAIN_RESERVE_MS);
+  host_registry_leave (daemon->registry);
   timer_set (daemon->timers, &daemon->drain_timer, SIGNAL_POLL_MS);
 }
 
@@ -169,9 +209,22 @@
     .codec = &platform_line_codec,
     .counters = &daemon->counters,
     .timers = daemon->timers,
+    .directory = daemon->directory,
     .lookup = on_lookup,
     .data = daemon,
   };
+  PeerMeshOptions mesh = {
+    .events = daemon->events,
+    .timers = daemon->timers,
+    .counters = &daemon->counters,
+    .host = options.host,
+    .address = address,
+    .port = (uint16_t) settings_number (settings, "peer-port"),
+    .fill = fill_beat,
+    .take = take_beat,
+    .ended = on_peer_ended,
+    .data = daemon,
+  };
   StatusHttpOptions status = {
     .address = status_address,
     .ready_path = PLATFORM_READY_PATH,
@@ -188,6 +241,9 @@
                    "listen and status-listen must be IP:PORT");
       return false;
     }
+  daemon->mesh = options.mesh = peer_mesh_new (daemon, &mesh, error);
+  if (daemon->mesh == NULL)
+    return false;
   daemon->server = pool_server_new (daemon, daemon->events, &options, error);
   if (daemon->server == NULL)
     return false;
@@ -198,21 +254,27 @@
 static void
 start_discovery (PoolDaemon *daemon, const Settings *settings)
 {
-  const PlatformApiOptions api = {
-    .http = daemon->http,
-    .store = settings_text (settings, "store"),
-    .promoter = settings_text (settings, "promoter"),
-  };
-  DiscoveryOptions options = {
+  const DiscoveryOptions options = {
+    .directory = daemon->directory,
     .timers = daemon->timers,
     .catalog = on_catalog,
     .instances = on_instances,
     .data = daemon,
   };
 
-  daemon->directory = platform_api_new (daemon, &api);
-  options.directory = daemon->directory;
+  HostRegistryOptions registry = {
+    .directory = daemon->directory,
+    .timers = daemon->timers,
+    .hosts = on_hosts,
+    .data = daemon,
+  };
+
   daemon->discovery = discovery_new (daemon, &options);
+  g_strlcpy (registry.self.id, settings_text (settings, "host"), sizeof registry.self.id);
+  platform_format_address (settings_text (settings, "listen"), registry.self.address,
+                           &registry.self.port);
+  registry.self.port = (uint16_t) settings_number (settings, "peer-port");
+  daemon->registry = host_registry_new (daemon, &registry);
 }
 
 static int
@@ -220,6 +282,10 @@
 {
   PoolDaemon *daemon = talloc_zero (NULL, PoolDaemon);
   GHashTable *domains = read_domains (settings_text (settings, "domains"));
+  PlatformApiOptions api = {
+    .store = settings_text (settings, "store"),
+    .promoter = settings_text (settings, "promoter"),
+  };
   GError *error = NULL;
 
   log_set_level ((LogLevel) settings_number (settings, "pool-log-level"));
@@ -227,6 +293,8 @@
   daemon->events = tevent_context_init (daemon);
   daemon->timers = timer_queue_new (daemon, daemon->events);
   daemon->http = http_client_new (daemon, daemon->events, daemon->timers);
+  api.http = daemon->http;
+  daemon->directory = platform_api_new (daemon, &api);
   daemon->drain_limit_ms = settings_number (settings, "drain-limit") * 1000;
   daemon->drain_timer.fired = on_drain_timer;
   daemon->drain_timer.data = daemon;
@@ -248,7 +316,6 @@
         return EXIT_FAILED;
       }
   log_event (LOG_LEVEL_NOTICE, "stopped", "host=%s", settings_text (settings, "host"));
-  TALLOC_FREE (daemon->server);
   return EXIT_DONE;
 }
 
--- /dev/null
+++ b/src/policy/lead-change.c
@@ -0,0 +1,667 @@
+#include "policy/lead-change.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+/* Extra wait for each host that would make the change before this one. */
+#define RANK_DELAY_MS 350
+/* A host that knows of no primary looks for one after this time. */
+#define UNKNOWN_DELAY_MS 800
+/* After a change that came to nothing the host waits before it looks again. */
+#define BACKOFF_MS 400
+/* A change that can't be completed is undone after this time. */
+#define WAIT_LIMIT_MS 8000
+/* Silent instances are asked again at this pace while a change waits. */
+#define ASK_INTERVAL_MS 250
+/* A primary that has stepped down waits this long for a replica to catch up. */
+#define CATCH_UP_LIMIT_MS 2000
+#define CATCH_UP_POLL_MS 30
+#define CONFIRM_POLL_MS 50
+#define CONFIRM_LIMIT_MS 2500
+/* What an instance reported counts for a promotion for this time: the host may have been
+ * suspended since, and another may have made a change. */
+#define FRESH_MS 250
+/* A pause made by an unknown host is respected for this time. */
+#define FOREIGN_PAUSE_MS 2000
+
+typedef struct
+{
+  uint32_t key;
+  bool leaving;
+  bool asked;
+  bool answered; /* since it was last asked */
+  int64_t report_ms;
+  InstanceReport report;
+  bool paused; /* by this change */
+} Member;
+
+struct LeadChange
+{
+  LeadOptions options;
+  LeadPhase phase;
+  Member members[LEAD_MEMBERS_MAX];
+  uint32_t count;
+  uint32_t size; /* most members ever listed */
+  int64_t reason_ms;
+  int64_t phase_ms;
+  int64_t started_ms;
+  int64_t asked_ms;
+  int64_t paused_ms;
+  int64_t backoff_until_ms;
+  uint64_t foreign_pause;
+  int64_t foreign_pause_ms;
+  bool planned;
+  bool announced;
+  bool promote_again;
+  uint64_t fence;
+  uint64_t term;
+  uint32_t old_primary;
+  uint32_t candidate;
+  LeadAction *actions;
+  uint32_t action_count;
+};
+
+const char *
+lead_phase_name (LeadPhase phase)
+{
+  static const char *const names[LEAD_PHASE_COUNT] = {
+    [LEAD_IDLE] = "idle",
+    [LEAD_LOOKING] = "looking",
+    [LEAD_STEPPING_DOWN] = "stepping_down",
+    [LEAD_CATCHING_UP] = "catching_up",
+    [LEAD_PAUSING] = "pausing",
+    [LEAD_WAITING] = "waiting",
+    [LEAD_PROMOTING] = "promoting",
+    [LEAD_CONFIRMING] = "confirming",
+  };
+
+  return names[phase];
+}
+
+LeadChange *
+lead_change_new (const LeadOptions *options)
+{
+  LeadChange *change = g_new0 (LeadChange, 1);
+
+  change->options = *options;
+  return change;
+}
+
+void
+lead_change_free (LeadChange *change)
+{
+  g_free (change);
+}
+
+/* Numbers rise with the term, then with each attempt in it, and differ between hosts. */
+static uint64_t
+make_fence (uint64_t term, uint64_t attempt, uint16_t host_bits)
+{
+  return term << 32 | (attempt & 0xffff) << 16 | host_bits;
+}
+
+uint64_t
+lead_change_fence_term (uint64_t fence)
+{
+  return fence >> 32;
+}
+
+static uint64_t
+fence_attempt (uint64_t fence)
+{
+  return fence >> 16 & 0xffff;
+}
+
+static Member *
+find_member (LeadChange *change, uint32_t key)
+{
+  for (uint32_t i = 0; i < change->count; i++)
+    if (change->members[i].key == key)
+      return &change->members[i];
+  return NULL;
+}
+
+void
+lead_change_set_member (LeadChange *change, uint32_t key, bool listed, bool leaving)
+{
+  Member *member = find_member (change, key);
+
+  if (!listed)
+    {
+      if (member != NULL)
+        *member = change->members[--change->count];
+      return;
+    }
+  if (member == NULL)
+    {
+      if (change->count == LEAD_MEMBERS_MAX)
+        return;
+      member = &change->members[change->count++];
+      memset (member, 0, sizeof *member);
+      member->key = key;
+    }
+  member->leaving = leaving;
+  change->size = MAX (change->size, change->count);
+}
+
+uint32_t
+lead_change_members (const LeadChange *change, uint32_t *keys)
+{
+  for (uint32_t i = 0; i < change->count; i++)
+    keys[i] = change->members[i].key;
+  return change->count;
+}
+
+void
+lead_change_report (LeadChange *change, uint32_t key, const InstanceReport *report, int64_t now_ms)
+{
+  Member *member = find_member (change, key);
+
+  if (member == NULL)
+    return;
+  member->asked = false;
+  member->answered = true;
+  member->report = *report;
+  member->report_ms = now_ms;
+}
+
+void
+lead_change_unanswered (LeadChange *change, uint32_t key)
+{
+  Member *member = find_member (change, key);
+
+  if (member == NULL)
+    return;
+  member->asked = false;
+  member->answered = false;
+}
+
+LeadPhase
+lead_change_phase (const LeadChange *change)
+{
+  return change->phase;
+}
+
+uint64_t
+lead_change_fence (const LeadChange *change)
+{
+  return change->announced ? change->fence : 0;
+}
+
+static void
+enter (LeadChange *change, LeadPhase phase, int64_t now_ms)
+{
+  change->phase = phase;
+  change->phase_ms = now_ms;
+}
+
+static void
+order (LeadChange *change, Member *member, OrderKind kind, int64_t now_ms)
+{
+  if (member->asked || change->action_count == LEAD_ACTIONS_MAX)
+    return;
+  member->asked = kind != ORDER_RESUME;
+  member->answered = false;
+  change->asked_ms = now_ms;
+  change->actions[change->action_count++] = (LeadAction){
+    .kind = LEAD_ACTION_ORDER,
+    .member = member->key,
+    .order = kind,
+    .fence = change->fence,
+  };
+}
+
+static bool
+all_asked_ended (const LeadChange *change)
+{
+  for (uint32_t i = 0; i < change->count; i++)
+    if (change->members[i].asked)
+      return false;
+  return true;
+}
+
+static void
+ask_all (LeadChange *change, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < change->count; i++)
+    order (change, &change->members[i], ORDER_STATUS, now_ms);
+}
+
+/* Ends the change. With @resume the replicas follow their primary again. */
+static void
+end_change (LeadChange *change, bool resume, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < change->count; i++)
+    {
+      Member *member = &change->members[i];
+
+      if (resume && (member->paused || (member->answered && member->report.held_term != 0)))
+        {
+          member->asked = false;
+          order (change, member, ORDER_RESUME, now_ms);
+        }
+      member->paused = false;
+    }
+  change->announced = false;
+  change->reason_ms = 0;
+  change->backoff_until_ms = now_ms + BACKOFF_MS + (change->options.host_bits * 37) % BACKOFF_MS;
+  enter (change, LEAD_IDLE, now_ms);
+}
+
+static void
+start_looking (LeadChange *change, int64_t now_ms)
+{
+  enter (change, LEAD_LOOKING, now_ms);
+  ask_all (change, now_ms);
+}
+
+static bool
+has_reason (const LeadSituation *situation)
+{
+  if (situation->primary == 0 || situation->leaving)
+    return true;
+  return situation->suspect && situation->votes * 2 >= situation->hosts;
+}
+
+static void
+step_idle (LeadChange *change, const LeadSituation *situation)
+{
+  const int64_t now_ms = situation->now_ms;
+  int64_t delay_ms;
+
+  if (!has_reason (situation) || change->count == 0)
+    {
+      change->reason_ms = 0;
+      return;
+    }
+  if (change->reason_ms == 0)
+    change->reason_ms = now_ms;
+  delay_ms = (int64_t) situation->rank * RANK_DELAY_MS;
+  if (situation->primary == 0)
+    delay_ms += UNKNOWN_DELAY_MS;
+  if (situation->foreign_fence != 0 || now_ms < change->backoff_until_ms
+      || now_ms - change->reason_ms < delay_ms)
+    return;
+  change->started_ms = now_ms;
+  change->old_primary = situation->primary;
+  start_looking (change, now_ms);
+}
+
+static uint64_t
+greatest_term (const LeadChange *change, const LeadSituation *situation)
+{
+  uint64_t term = situation->term;
+
+  for (uint32_t i = 0; i < change->count; i++)
+    if (change->members[i].answered)
+      term = MAX (term, change->members[i].report.term);
+  return term;
+}
+
+static const Member *
+leading_member (const LeadChange *change, uint64_t term)
+{
+  for (uint32_t i = 0; i < change->count; i++)
+    {
+      const Member *member = &change->members[i];
+
+      if (member->answered && member->report.primary && member->report.term >= term)
+        return member;
+    }
+  return NULL;
+}
+
+static uint64_t
+greatest_pause (const LeadChange *change)
+{
+  uint64_t held = 0;
+
+  for (uint32_t i = 0; i < change->count; i++)
+    if (change->members[i].answered)
+      held = MAX (held, change->members[i].report.held_term);
+  return held;
+}
+
+/* A pause that this host did not make: its maker may be at work, unless it stays for long. */
+static bool
+is_paused_by_other (LeadChange *change, int64_t now_ms)
+{
+  const uint64_t held = greatest_pause (change);
+
+  if (held == 0 || held == change->fence)
+    return false;
+  if (held != change->foreign_pause)
+    {
+      change->foreign_pause = held;
+      change->foreign_pause_ms = now_ms;
+    }
+  return now_ms - change->foreign_pause_ms < FOREIGN_PAUSE_MS;
+}
+
+static void
+choose_fence (LeadChange *change, const LeadSituation *situation)
+{
+  const uint64_t seen = MAX (MAX (situation->seen_fence, greatest_pause (change)), change->fence);
+  uint64_t attempt = 1;
+
+  if (lead_change_fence_term (seen) >= change->term + 1)
+    attempt = fence_attempt (seen) + 1;
+  change->fence = make_fence (change->term + 1, attempt, change->options.host_bits);
+  change->announced = true;
+}
+
+static void
+start_pausing (LeadChange *change, const LeadSituation *situation)
+{
+  enter (change, LEAD_PAUSING, situation->now_ms);
+  for (uint32_t i = 0; i < change->count; i++)
+    {
+      Member *member = &change->members[i];
+
+      if (member->answered && !member->report.primary)
+        order (change, member, ORDER_PAUSE, situation->now_ms);
+    }
+}
+
+static void
+step_looking (LeadChange *change, const LeadSituation *situation)
+{
+  const int64_t now_ms = situation->now_ms;
+  const Member *leader;
+  Member *primary;
+
+  if (!all_asked_ended (change))
+    return;
+  change->term = greatest_term (change, situation);
+  leader = leading_member (change, change->term);
+  if (leader != NULL && (leader->key != change->old_primary || change->term > situation->term))
+    {
+      end_change (change, true, now_ms);
+      return;
+    }
+  if (is_paused_by_other (change, now_ms))
+    {
+      if (now_ms - change->asked_ms >= ASK_INTERVAL_MS)
+        ask_all (change, now_ms);
+      return;
+    }
+  if (leader != NULL && situation->leaving)
+    {
+      primary = find_member (change, leader->key);
+      change->planned = true;
+      choose_fence (change, situation);
+      enter (change, LEAD_STEPPING_DOWN, now_ms);
+      order (change, primary, ORDER_STEP_DOWN, now_ms);
+      return;
+    }
+  change->planned = false;
+  if (leader != NULL && !situation->stuck)
+    {
+      end_change (change, true, now_ms);
+      return;
+    }
+  choose_fence (change, situation);
+  start_pausing (change, situation);
+}
+
+static Member *
+best_member (LeadChange *change, bool stepped_down)
+{
+  Member *best = NULL;
+
+  for (uint32_t i = 0; i < change->count; i++)
+    {
+      Member *member = &change->members[i];
+      int order_of_logs;
+
+      if (!member->answered || member->report.primary)
+        continue;
+      if (!stepped_down && !member->paused)
+        continue;
+      if (best == NULL)
+        {
+          best = member;
+          continue;
+        }
+      order_of_logs = session_token_compare (member->report.received, best->report.received);
+      if (order_of_logs > 0 || (order_of_logs == 0 && best->leaving && !member->leaving))
+        best = member;
+    }
+  return best;
+}
+
+static void
+start_promoting (LeadChange *change, const Member *candidate, int64_t now_ms)
+{
+  enter (change, LEAD_PROMOTING, now_ms);
+  change->candidate = candidate->key;
+  change->promote_again = false;
+  change->actions[change->action_count++] = (LeadAction){
+    .kind = LEAD_ACTION_PROMOTE,
+    .member = candidate->key,
+    .fence = change->fence,
+  };
+}
+
+static void
+step_stepping_down (LeadChange *change, const LeadSituation *situation)
+{
+  const Member *primary = find_member (change, change->old_primary);
+
+  if (!all_asked_ended (change))
+    return;
+  if (primary != NULL && primary->answered && !primary->report.primary)
+    {
+      enter (change, LEAD_CATCHING_UP, situation->now_ms);
+      return;
+    }
+  // It may have stepped down or not: the replicas decide, as when it is lost.
+  change->planned = false;
+  start_pausing (change, situation);
+}
+
+static void
+step_catching_up (LeadChange *change, const LeadSituation *situation)
+{
+  const int64_t now_ms = situation->now_ms;
+  const Member *best;
+
+  if (!all_asked_ended (change))
+    return;
+  best = best_member (change, true);
+  if (best != NULL && best->key == change->old_primary
+      && now_ms - change->phase_ms < CATCH_UP_LIMIT_MS)
+    {
+      if (now_ms - change->asked_ms >= CATCH_UP_POLL_MS)
+        ask_all (change, now_ms);
+      return;
+    }
+  if (best == NULL || !situation->all_obey)
+    {
+      // Hosts that did not say so may still rely on the primary: pause, and wait for them.
+      if (best == NULL || now_ms - change->phase_ms >= ASK_INTERVAL_MS)
+        start_pausing (change, situation);
+      return;
+    }
+  if (now_ms - best->report_ms > FRESH_MS)
+    ask_all (change, now_ms);
+  else
+    start_promoting (change, best, now_ms);
+}
+
+static void
+step_pausing (LeadChange *change, const LeadSituation *situation)
+{
+  if (!all_asked_ended (change))
+    return;
+  for (uint32_t i = 0; i < change->count; i++)
+    {
+      Member *member = &change->members[i];
+
+      member->paused = member->answered && member->report.held_term == change->fence;
+    }
+  change->paused_ms = situation->now_ms;
+  enter (change, LEAD_WAITING, situation->now_ms);
+}
+
+static uint32_t
+paused_count (const LeadChange *change)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < change->count; i++)
+    count += change->members[i].paused;
+  return count;
+}
+
+/* Whether some paused log must hold every commit that was ever acknowledged. */
+static bool
+logs_suffice (const LeadChange *change, const LeadSituation *situation, const Member *best)
+{
+  if (paused_count (change) + situation->synchronous >= change->size)
+    return true;
+  return situation->all_obey
+         && session_token_compare (best->report.received, situation->committed) >= 0;
+}
+
+static bool
+is_contested (const LeadChange *change)
+{
+  for (uint32_t i = 0; i < change->count; i++)
+    {
+      const Member *member = &change->members[i];
+
+      if (member->paused && member->answered && member->report.held_term != change->fence)
+        return true;
+    }
+  return false;
+}
+
+static void
+step_waiting (LeadChange *change, const LeadSituation *situation)
+{
+  const int64_t now_ms = situation->now_ms;
+  const Member *leader;
+  Member *best;
+
+  if (!all_asked_ended (change))
+    return;
+  if (situation->foreign_fence > change->fence || is_contested (change))
+    {
+      // Another host makes the change, and its pauses must stand.
+      end_change (change, false, now_ms);
+      return;
+    }
+  leader = leading_member (change, change->term);
+  if ((leader != NULL && !situation->stuck) || now_ms - change->started_ms > WAIT_LIMIT_MS)
+    {
+      end_change (change, true, now_ms);
+      return;
+    }
+  best = best_member (change, false);
+  if (best == NULL || !logs_suffice (change, situation, best)
+      || (!situation->all_obey && now_ms - change->paused_ms < change->options.right_ms))
+    {
+      if (now_ms - change->asked_ms < ASK_INTERVAL_MS)
+        return;
+      if (best == NULL || !logs_suffice (change, situation, best))
+        {
+          enter (change, LEAD_LOOKING, now_ms);
+          change->paused_ms = 0;
+        }
+      ask_all (change, now_ms);
+      return;
+    }
+  if (now_ms - best->report_ms > FRESH_MS)
+    ask_all (change, now_ms);
+  else
+    start_promoting (change, best, now_ms);
+}
+
+void
+lead_change_promoted (LeadChange *change, LeadPromoted result, int64_t now_ms)
+{
+  if (change->phase != LEAD_PROMOTING)
+    return;
+  switch (result)
+    {
+    case LEAD_PROMOTED:
+    case LEAD_PROMOTE_UNKNOWN:
+      enter (change, LEAD_CONFIRMING, now_ms);
+      return;
+    case LEAD_PROMOTE_REFUSED:
+    case LEAD_PROMOTE_INVALID:
+      change->promote_again = true;
+      change->phase_ms = now_ms;
+      return;
+    }
+}
+
+/* The call failed without effect: look again, under the same number. */
+static void
+step_promoting (LeadChange *change, const LeadSituation *situation)
+{
+  if (!change->promote_again || situation->now_ms - change->phase_ms < CONFIRM_POLL_MS)
+    return;
+  change->promote_again = false;
+  start_looking (change, situation->now_ms);
+}
+
+static void
+step_confirming (LeadChange *change, const LeadSituation *situation)
+{
+  const int64_t now_ms = situation->now_ms;
+  Member *candidate = find_member (change, change->candidate);
+
+  if (candidate != NULL && candidate->answered && candidate->report.primary
+      && candidate->report.term > change->term)
+    {
+      end_change (change, true, now_ms);
+      return;
+    }
+  if (candidate == NULL || now_ms - change->phase_ms > CONFIRM_LIMIT_MS)
+    {
+      start_looking (change, now_ms);
+      return;
+    }
+  if (now_ms - change->asked_ms >= CONFIRM_POLL_MS)
+    order (change, candidate, ORDER_STATUS, now_ms);
+}
+
+uint32_t
+lead_change_step (LeadChange *change, const LeadSituation *situation, LeadAction *actions)
+{
+  change->actions = actions;
+  change->action_count = 0;
+  switch (change->phase)
+    {
+    case LEAD_IDLE:
+      step_idle (change, situation);
+      break;
+    case LEAD_LOOKING:
+      step_looking (change, situation);
+      break;
+    case LEAD_STEPPING_DOWN:
+      step_stepping_down (change, situation);
+      break;
+    case LEAD_CATCHING_UP:
+      step_catching_up (change, situation);
+      break;
+    case LEAD_PAUSING:
+      step_pausing (change, situation);
+      break;
+    case LEAD_WAITING:
+      step_waiting (change, situation);
+      break;
+    case LEAD_PROMOTING:
+      step_promoting (change, situation);
+      break;
+    case LEAD_CONFIRMING:
+      step_confirming (change, situation);
+      break;
+    case LEAD_PHASE_COUNT:
+      break;
+    }
+  return change->action_count;
+}
--- a/src/policy/placement.c
+++ b/src/policy/placement.c
@@ -45,8 +45,7 @@
     cost += PRIMARY_PENALTY_MS;
   if (is_probably_behind (view, need))
     cost += BEHIND_PENALTY_MS;
-  if (now_ms < view->behind_until_ms
-      && session_token_compare (view->seen, need->after) < 0)
+  if (now_ms < view->behind_until_ms && session_token_compare (view->seen, need->after) < 0)
     cost += REFUSED_PENALTY_MS;
   if (now_ms < view->refused_until_ms)
     cost += REFUSED_PENALTY_MS;
--- a/src/policy/position-history.c
+++ b/src/policy/position-history.c
@@ -48,3 +48,11 @@
     }
   return false;
 }
+
+void
+position_history_last (const PositionHistory *history, PositionSample *sample)
+{
+  *sample = (PositionSample){ 0 };
+  if (history->count > 0)
+    *sample = history->samples[(history->first + history->count - 1) % POSITION_SAMPLES];
+}
--- a/src/policy/position-history.h
+++ b/src/policy/position-history.h
@@ -38,3 +38,6 @@
  */
 bool position_history_since (const PositionHistory *history, int64_t since_ms,
                              PositionSample *sample);
+
+/** position_history_last() - The newest sample; time 0 if there is none. */
+void position_history_last (const PositionHistory *history, PositionSample *sample);
--- /dev/null
+++ b/src/pool/host-registry.c
@@ -0,0 +1,93 @@
+#include "pool/host-registry.h"
+
+#include "base/log.h"
+
+/* The list is read this often; others that start make themselves known by their beats. */
+#define READ_INTERVAL_MS 12000
+#define RETRY_MS 300
+#define CALL_LIMIT_MS 1500
+
+struct HostRegistry
+{
+  HostRegistryOptions options;
+  Timer timer;
+  bool listed;
+  bool leaving;
+};
+
+static int
+registry_destroy (HostRegistry *registry)
+{
+  timer_clear (&registry->timer);
+  return 0;
+}
+
+static void
+again (HostRegistry *registry, int64_t delay_ms)
+{
+  if (!registry->leaving)
+    timer_set (registry->options.timers, &registry->timer, delay_ms);
+}
+
+static void
+on_listed (void *data, CallResult result)
+{
+  HostRegistry *registry = data;
+
+  registry->listed = result == CALL_DONE;
+  again (registry, registry->listed ? 0 : RETRY_MS);
+}
+
+static void
+on_hosts (void *data, CallResult result, const GArray *hosts)
+{
+  HostRegistry *registry = data;
+
+  if (result == CALL_DONE && !registry->leaving)
+    registry->options.hosts (registry->options.data, hosts);
+  again (registry, result == CALL_DONE ? READ_INTERVAL_MS : RETRY_MS);
+}
+
+static void
+on_timer (void *data)
+{
+  HostRegistry *registry = data;
+  const Directory *directory = registry->options.directory;
+
+  if (registry->listed)
+    directory->get_hosts (directory->self, CALL_LIMIT_MS, on_hosts, registry);
+  else
+    directory->put_host (directory->self, &registry->options.self, false, CALL_LIMIT_MS, on_listed,
+                         registry);
+}
+
+HostRegistry *
+host_registry_new (TALLOC_CTX *parent, const HostRegistryOptions *options)
+{
+  HostRegistry *registry = talloc_zero (parent, HostRegistry);
+
+  registry->options = *options;
+  registry->timer.fired = on_timer;
+  registry->timer.data = registry;
+  talloc_set_destructor (registry, registry_destroy);
+  on_timer (registry);
+  return registry;
+}
+
+static void
+on_left (void *data, CallResult result)
+{
+  if (result != CALL_DONE)
+    log_event (LOG_LEVEL_INFO, "host_not_unlisted", "result=%s", call_result_name (result));
+}
+
+void
+host_registry_leave (HostRegistry *registry)
+{
+  const Directory *directory = registry->options.directory;
+
+  registry->leaving = true;
+  timer_clear (&registry->timer);
+  directory->put_host (directory->self, &registry->options.self, true, CALL_LIMIT_MS, on_left,
+                       registry);
+}
--- /dev/null
+++ b/src/pool/lead-driver.c
@@ -0,0 +1,495 @@
+#include "pool/lead-driver.h"
+
+#include <string.h>
+
+#include <xxhash.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "policy/lead-change.h"
+
+/* A primary that has said nothing for this time, with work outstanding, is asked for a sign. */
+#define SILENCE_MS 350
+/* It is asked again at this pace while it gives none. */
+#define CHECK_INTERVAL_MS 200
+/* What a host said counts for this time: several beats. */
+#define PEER_FRESH_MS 800
+/* A change under way at a host that fell silent is over after this time. */
+#define FENCE_FRESH_MS 1500
+/* A commit that did not end makes the primary suspect for this time. */
+#define UNACKNOWLEDGED_MS 1500
+/* Hosts rely on a primary for this long after a proof; see service-group.c. */
+#define PRIMARY_RIGHT_MS 1000
+/* Time for the promote call; what is not sent by then is not sent later. */
+#define PROMOTE_LIMIT_MS 700
+#define NEVER_AGE 0
+
+typedef struct
+{
+  int64_t heard_ms;
+  bool suspect;
+  uint32_t primary;
+  uint64_t fence;
+  uint64_t fence_obeyed;
+  SessionToken committed;
+} PeerView;
+
+struct LeadDriver
+{
+  LeadDriverOptions options;
+  LeadChange *change;
+  GHashTable *peers; /* peer id to PeerView */
+  uint32_t synchronous;
+  uint64_t seen_fence;
+  uint64_t obeyed;
+  bool suspect;
+  bool checking;
+  int64_t checked_ms;
+  LeadPhase logged_phase;
+  bool stepping;
+};
+
+typedef struct
+{
+  LeadDriver *driver;
+  uint32_t member;
+} OrderTag;
+
+static int
+driver_destroy (LeadDriver *driver)
+{
+  lead_change_free (driver->change);
+  g_hash_table_destroy (driver->peers);
+  return 0;
+}
+
+LeadDriver *
+lead_driver_new (TALLOC_CTX *parent, const LeadDriverOptions *options)
+{
+  LeadDriver *driver = talloc_zero (parent, LeadDriver);
+  const LeadOptions lead = {
+    .host_bits = (uint16_t) XXH32 (options->host, strlen (options->host), 7),
+    .right_ms = PRIMARY_RIGHT_MS,
+  };
+
+  driver->options = *options;
+  driver->change = lead_change_new (&lead);
+  driver->peers = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  talloc_set_destructor (driver, driver_destroy);
+  return driver;
+}
+
+void
+lead_driver_set_synchronous (LeadDriver *driver, uint32_t synchronous)
+{
+  driver->synchronous = synchronous;
+}
+
+static uint32_t
+member_key (const GroupMember *member)
+{
+  return peer_mesh_hash (instance_pool_info (member->pool)->id);
+}
+
+static GroupMember *
+find_member (const LeadDriver *driver, uint32_t key)
+{
+  uint32_t count;
+  GroupMember *const *members = service_group_members (driver->options.group, &count);
+
+  for (uint32_t i = 0; i < count; i++)
+    if (member_key (members[i]) == key)
+      return members[i];
+  return NULL;
+}
+
+static uint32_t
+primary_key (const GroupBelief *belief)
+{
+  return *belief->primary == '\0' ? 0 : peer_mesh_hash (belief->primary);
+}
+
+static uint32_t
+age_of (int64_t at_ms, int64_t now_ms)
+{
+  return at_ms == 0 ? NEVER_AGE : (uint32_t) CLAMP (now_ms - at_ms + 1, 1, INT32_MAX);
+}
+
+void
+lead_driver_fill (LeadDriver *driver, Pool__ServiceBeat *beat)
+{
+  const int64_t now_ms = clock_now_ms ();
+  GroupBelief belief;
+
+  service_group_belief (driver->options.group, &belief);
+  beat->service = peer_mesh_hash (service_group_name (driver->options.group));
+  beat->primary = primary_key (&belief);
+  beat->term = belief.term;
+  beat->proof_age = age_of (belief.proof_ms, now_ms);
+  beat->position_term = belief.position.position.term;
+  beat->position = belief.position.position.position;
+  beat->position_age = age_of (belief.position.at_ms, now_ms);
+  beat->suspect = driver->suspect;
+  beat->fence = lead_change_fence (driver->change);
+  beat->fence_obeyed = driver->obeyed;
+  beat->committed_term = belief.committed.term;
+  beat->committed = belief.committed.position;
+}
+
+static PeerView *
+view_of (LeadDriver *driver, uint64_t peer)
+{
+  PeerView *view = g_hash_table_lookup (driver->peers, &peer);
+
+  if (view == NULL)
+    {
+      view = g_new0 (PeerView, 1);
+      g_hash_table_insert (driver->peers, g_memdup2 (&peer, sizeof peer), view);
+    }
+  return view;
+}
+
+static void
+take_belief (LeadDriver *driver, const Pool__ServiceBeat *beat, int64_t sent_ms)
+{
+  ServiceGroup *group = driver->options.group;
+  GroupMember *member = find_member (driver, beat->primary);
+  const SessionToken position = { beat->position_term, beat->position };
+  GroupBelief belief;
+
+  service_group_belief (group, &belief);
+  if (member != NULL && beat->term > belief.term)
+    {
+      service_group_adopt (group, member, beat->term);
+      service_group_belief (group, &belief);
+    }
+  if (sent_ms == 0 || beat->term != belief.term || beat->primary != primary_key (&belief))
+    return;
+  if (beat->proof_age != NEVER_AGE)
+    service_group_take_proof (group, sent_ms - beat->proof_age);
+  if (beat->position_age != NEVER_AGE)
+    service_group_take_position (group, sent_ms - beat->position_age, position);
+}
+
+typedef struct
+{
+  LeadDriver *driver;
+  LeadSituation *situation;
+  int64_t now_ms;
+} PeerCount;
+
+static void
+count_peer (void *data, const PeerState *state)
+{
+  PeerCount *count = data;
+  LeadDriver *driver = count->driver;
+  LeadSituation *situation = count->situation;
+  const PeerView *view = g_hash_table_lookup (driver->peers, &state->id);
+  const uint32_t service = peer_mesh_hash (service_group_name (driver->options.group));
+  const uint64_t own = XXH64 (&service, sizeof service, peer_mesh_self (driver->options.mesh));
+  int64_t silent_ms;
+
+  if (view == NULL || view->fence_obeyed < lead_change_fence (driver->change))
+    situation->all_obey = false;
+  if (view == NULL)
+    return;
+  if (session_token_compare (view->committed, situation->committed) > 0)
+    situation->committed = view->committed;
+  silent_ms = count->now_ms - view->heard_ms;
+  if (silent_ms < FENCE_FRESH_MS && lead_change_fence_term (view->fence) > situation->term)
+    situation->foreign_fence = MAX (situation->foreign_fence, view->fence);
+  if (silent_ms >= PEER_FRESH_MS)
+    return;
+  situation->hosts++;
+  if (view->suspect && view->primary == situation->primary)
+    situation->votes++;
+  if (XXH64 (&service, sizeof service, state->id) < own)
+    situation->rank++;
+}
+
+static bool
+is_stuck (const GroupBelief *belief, int64_t now_ms)
+{
+  return belief->unacknowledged_ms > 0 && now_ms - belief->unacknowledged_ms < UNACKNOWLEDGED_MS
+         && belief->proof_ms < belief->unacknowledged_ms - PRIMARY_RIGHT_MS / 2;
+}
+
+static void
+assess (LeadDriver *driver, LeadSituation *situation)
+{
+  const int64_t now_ms = clock_now_ms ();
+  PeerCount count = { driver, situation, now_ms };
+  const GroupMember *member;
+  GroupBelief belief;
+
+  service_group_belief (driver->options.group, &belief);
+  member = find_member (driver, primary_key (&belief));
+  *situation = (LeadSituation){
+    .now_ms = now_ms,
+    .primary = primary_key (&belief),
+    .term = belief.term,
+    .leaving = member != NULL && instance_pool_info (member->pool)->leaving,
+    .stuck = is_stuck (&belief, now_ms),
+    .hosts = 1,
+    .seen_fence = driver->seen_fence,
+    .all_obey = true,
+    .committed = belief.committed,
+    .synchronous = driver->synchronous,
+  };
+  situation->suspect
+      = driver->suspect || situation->stuck || (situation->primary != 0 && member == NULL);
+  situation->votes = situation->suspect;
+  peer_mesh_each (driver->options.mesh, count_peer, &count);
+}
+
+static void run_step (LeadDriver *driver);
+
+static void
+on_order_ended (void *data, OrderResult result, const InstanceReport *report, int64_t sent_ms)
+{
+  OrderTag *tag = data;
+  LeadDriver *driver = tag->driver;
+  GroupMember *member = find_member (driver, tag->member);
+
+  if (log_enabled (LOG_LEVEL_INFO) && member != NULL)
+    log_event (LOG_LEVEL_INFO, "order_ended",
+               "service=%s instance=%s result=%s primary=%d term=%" G_GUINT64_FORMAT
+               " received=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT " held=%" G_GUINT64_FORMAT,
+               service_group_name (driver->options.group), instance_pool_info (member->pool)->id,
+               order_result_name (result), report != NULL && report->primary,
+               report == NULL ? 0 : report->term, report == NULL ? 0 : report->received.term,
+               report == NULL ? 0 : report->received.position,
+               report == NULL ? 0 : report->held_term);
+  if (result == ORDER_ANSWERED)
+    {
+      if (member != NULL)
+        service_group_take_report (driver->options.group, member, report, sent_ms);
+      lead_change_report (driver->change, tag->member, report, clock_now_ms ());
+    }
+  else
+    lead_change_unanswered (driver->change, tag->member);
+  g_free (tag);
+  run_step (driver);
+}
+
+static void
+on_promoted (void *data, CallResult result)
+{
+  LeadDriver *driver = data;
+  static const LeadPromoted results[] = {
+    [CALL_DONE] = LEAD_PROMOTED,           [CALL_CONFLICT] = LEAD_PROMOTE_INVALID,
+    [CALL_REFUSED] = LEAD_PROMOTE_REFUSED, [CALL_OUTDATED] = LEAD_PROMOTE_REFUSED,
+    [CALL_UNKNOWN] = LEAD_PROMOTE_UNKNOWN,
+  };
+
+  log_event (LOG_LEVEL_NOTICE, "promote_ended", "service=%s result=%s",
+             service_group_name (driver->options.group), call_result_name (result));
+  lead_change_promoted (driver->change, results[result], clock_now_ms ());
+  run_step (driver);
+}
+
+static void
+promote (LeadDriver *driver, const LeadAction *action)
+{
+  const LeadDriverOptions *options = &driver->options;
+  const GroupMember *member = find_member (driver, action->member);
+  PromoteOrder order = {
+    .service = service_group_name (options->group),
+    .holder = options->host,
+    .fence = action->fence,
+    .timeout_ms = PROMOTE_LIMIT_MS,
+  };
+
+  if (member == NULL)
+    {
+      lead_change_promoted (driver->change, LEAD_PROMOTE_INVALID, clock_now_ms ());
+      return;
+    }
+  order.instance = instance_pool_info (member->pool)->id;
+  log_event (LOG_LEVEL_NOTICE, "promoting", "service=%s instance=%s fence=%" G_GUINT64_FORMAT,
+             order.service, order.instance, order.fence);
+  counter_add (options->counters, COUNTER_FAILOVERS, 1);
+  options->directory->promote (options->directory->self, &order, on_promoted, driver);
+}
+
+static void
+send_order (LeadDriver *driver, const LeadAction *action)
+{
+  GroupMember *member = find_member (driver, action->member);
+  OrderTag *tag;
+
+  if (member == NULL)
+    {
+      lead_change_unanswered (driver->change, action->member);
+      return;
+    }
+  tag = g_new (OrderTag, 1);
+  *tag = (OrderTag){ driver, action->member };
+  order_line_send (member->orders, action->order, action->fence, on_order_ended, tag);
+}
+
+static void
+set_members (LeadDriver *driver)
+{
+  uint32_t count;
+  GroupMember *const *members = service_group_members (driver->options.group, &count);
+  uint32_t keys[LEAD_MEMBERS_MAX];
+  uint32_t known = lead_change_members (driver->change, keys);
+
+  for (uint32_t i = 0; i < known; i++)
+    if (find_member (driver, keys[i]) == NULL)
+      lead_change_set_member (driver->change, keys[i], false, false);
+  for (uint32_t i = 0; i < count; i++)
+    lead_change_set_member (driver->change, member_key (members[i]), true,
+                            instance_pool_info (members[i]->pool)->leaving);
+}
+
+/* The primary is not relied on while this host, or one that it hears, replaces it. */
+static void
+update_fence (LeadDriver *driver, const LeadSituation *situation)
+{
+  const uint64_t own = lead_change_fence (driver->change);
+  const uint64_t obeyed = MAX (situation->foreign_fence, own);
+
+  driver->seen_fence = MAX (driver->seen_fence, obeyed);
+  service_group_set_fenced (driver->options.group, obeyed != 0);
+  if (driver->obeyed == situation->foreign_fence)
+    return;
+  driver->obeyed = situation->foreign_fence;
+  peer_mesh_beat (driver->options.mesh);
+}
+
+static void
+log_phase (LeadDriver *driver, const LeadSituation *situation)
+{
+  const LeadPhase phase = lead_change_phase (driver->change);
+
+  if (phase == driver->logged_phase)
+    return;
+  driver->logged_phase = phase;
+  log_event (LOG_LEVEL_NOTICE, "lead_change",
+             "service=%s phase=%s fence=%" G_GUINT64_FORMAT " term=%" G_GUINT64_FORMAT
+             " leaving=%d suspect=%d stuck=%d votes=%u hosts=%u rank=%u all_obey=%d "
+             "foreign_fence=%" G_GUINT64_FORMAT,
+             service_group_name (driver->options.group), lead_phase_name (phase),
+             lead_change_fence (driver->change), situation->term, situation->leaving,
+             situation->suspect, situation->stuck, situation->votes, situation->hosts,
+             situation->rank, situation->all_obey, situation->foreign_fence);
+}
+
+static void
+run_step (LeadDriver *driver)
+{
+  LeadAction actions[LEAD_ACTIONS_MAX];
+  LeadSituation situation;
+  uint64_t fence_before;
+  uint32_t count;
+
+  // Orders may end, and come back here, while they are being sent.
+  if (driver->stepping)
+    return;
+  driver->stepping = true;
+  fence_before = lead_change_fence (driver->change);
+  set_members (driver);
+  assess (driver, &situation);
+  count = lead_change_step (driver->change, &situation, actions);
+  update_fence (driver, &situation);
+  log_phase (driver, &situation);
+  if (lead_change_fence (driver->change) != fence_before)
+    peer_mesh_beat (driver->options.mesh);
+  for (uint32_t i = 0; i < count; i++)
+    switch (actions[i].kind)
+      {
+      case LEAD_ACTION_ORDER:
+        send_order (driver, &actions[i]);
+        break;
+      case LEAD_ACTION_PROMOTE:
+        promote (driver, &actions[i]);
+        break;
+      }
+  driver->stepping = false;
+}
+
+void
+lead_driver_take (LeadDriver *driver, uint64_t peer, const Pool__ServiceBeat *beat, int64_t sent_ms)
+{
+  PeerView *view = view_of (driver, peer);
+  const bool changed = view->fence != beat->fence || view->fence_obeyed != beat->fence_obeyed
+                       || view->suspect != beat->suspect;
+
+  view->heard_ms = clock_now_ms ();
+  view->suspect = beat->suspect;
+  view->primary = beat->primary;
+  view->fence = beat->fence;
+  view->fence_obeyed = beat->fence_obeyed;
+  view->committed = (SessionToken){ beat->committed_term, beat->committed };
+  driver->seen_fence = MAX (driver->seen_fence, beat->fence);
+  take_belief (driver, beat, sent_ms);
+  if (changed)
+    run_step (driver);
+}
+
+void
+lead_driver_forget (LeadDriver *driver, uint64_t peer)
+{
+  g_hash_table_remove (driver->peers, &peer);
+}
+
+static void
+set_suspect (LeadDriver *driver, bool suspect, const char *why)
+{
+  if (driver->suspect == suspect)
+    return;
+  driver->suspect = suspect;
+  log_event (LOG_LEVEL_NOTICE, "suspect", "service=%s value=%d reason=%s",
+             service_group_name (driver->options.group), suspect, why);
+  peer_mesh_beat (driver->options.mesh);
+}
+
+static void
+on_checked (void *data, OrderResult result, const InstanceReport *report, int64_t sent_ms)
+{
+  OrderTag *tag = data;
+  LeadDriver *driver = tag->driver;
+  GroupMember *member = find_member (driver, tag->member);
+  const bool lives = result == ORDER_ANSWERED || result == ORDER_BUSY || result == ORDER_REFUSED;
+  GroupBelief belief;
+
+  driver->checking = false;
+  service_group_belief (driver->options.group, &belief);
+  if (member != NULL && result == ORDER_ANSWERED)
+    service_group_take_report (driver->options.group, member, report, sent_ms);
+  if (tag->member == primary_key (&belief))
+    set_suspect (driver, !lives, order_result_name (result));
+  g_free (tag);
+  run_step (driver);
+}
+
+/* Asks a primary that gives no sign of life for one. */
+static void
+check_primary (LeadDriver *driver, int64_t now_ms)
+{
+  GroupBelief belief;
+  GroupMember *member;
+  OrderTag *tag;
+
+  service_group_belief (driver->options.group, &belief);
+  member = find_member (driver, primary_key (&belief));
+  if (member == NULL || driver->checking || now_ms - driver->checked_ms < CHECK_INTERVAL_MS)
+    return;
+  if (!driver->suspect && !instance_pool_is_down (member->pool)
+      && instance_pool_silent_ms (member->pool, now_ms) < SILENCE_MS)
+    return;
+  driver->checking = true;
+  driver->checked_ms = now_ms;
+  tag = g_new (OrderTag, 1);
+  *tag = (OrderTag){ driver, member_key (member) };
+  order_line_send (member->orders, ORDER_STATUS, 0, on_checked, tag);
+}
+
+void
+lead_driver_tick (LeadDriver *driver, int64_t now_ms)
+{
+  check_primary (driver, now_ms);
+  run_step (driver);
+}
--- a/src/pool/order-line.c
+++ b/src/pool/order-line.c
@@ -48,9 +48,15 @@
 static int
 order_line_destroy (OrderLine *line)
 {
+  Order *order;
+
   timer_clear (&line->timer);
   TALLOC_FREE (line->line);
-  g_queue_clear_full (&line->orders, g_free);
+  while ((order = g_queue_pop_head (&line->orders)) != NULL)
+    {
+      order->ended (order->data, ORDER_UNREACHED, NULL, line->sent_ms);
+      g_free (order);
+    }
   return 0;
 }
 
--- /dev/null
+++ b/src/pool/peer-mesh.c
@@ -0,0 +1,314 @@
+#include "pool/peer-mesh.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <xxhash.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/verdict.h"
+
+/* Pace of beats to each host. */
+#define BEAT_INTERVAL_MS 250
+/* Beats out of turn are at least this far apart. */
+#define BEAT_SPACING_MS 4
+/* A host not heard for this time is given up. */
+#define FORGET_MS 30000
+/* Not heard for this time, a host is called lost in the log. */
+#define LOST_MS 1200
+#define DATAGRAM_BYTES 8192
+
+typedef struct
+{
+  PeerState state;
+  struct sockaddr_in address;
+  uint64_t boot;
+  uint64_t sent;    /* "sent" of its last beat */
+  int64_t taken_ms; /* when that came */
+  bool lost;
+} Peer;
+
+struct PeerMesh
+{
+  PeerMeshOptions options;
+  int fd;
+  struct tevent_fd *fde;
+  GPtrArray *peers;
+  struct sockaddr_in self_address;
+  uint64_t self;
+  uint64_t boot;
+  int64_t beat_ms;
+  bool leaving;
+  Timer timer;
+};
+
+uint32_t
+peer_mesh_hash (const char *name)
+{
+  return XXH32 (name, strlen (name), 0);
+}
+
+static int
+mesh_destroy (PeerMesh *mesh)
+{
+  timer_clear (&mesh->timer);
+  TALLOC_FREE (mesh->fde);
+  close (mesh->fd);
+  g_ptr_array_free (mesh->peers, true);
+  return 0;
+}
+
+static Peer *
+find_peer (const PeerMesh *mesh, const struct sockaddr_in *address)
+{
+  for (guint i = 0; i < mesh->peers->len; i++)
+    {
+      Peer *peer = mesh->peers->pdata[i];
+
+      if (peer->address.sin_addr.s_addr == address->sin_addr.s_addr
+          && peer->address.sin_port == address->sin_port)
+        return peer;
+    }
+  return NULL;
+}
+
+static Peer *
+add_peer (PeerMesh *mesh, const struct sockaddr_in *address)
+{
+  Peer *peer = g_new0 (Peer, 1);
+
+  peer->address = *address;
+  peer->state.known_ms = clock_now_ms ();
+  g_ptr_array_add (mesh->peers, peer);
+  return peer;
+}
+
+static void
+end_peer (PeerMesh *mesh, Peer *peer, const char *why)
+{
+  const uint64_t id = peer->state.id;
+
+  log_event (LOG_LEVEL_NOTICE, "peer_ended", "peer=%016" G_GINT64_MODIFIER "x reason=%s", id, why);
+  g_ptr_array_remove_fast (mesh->peers, peer);
+  if (id != 0)
+    mesh->options.ended (mesh->options.data, id);
+}
+
+static void
+send_beat (PeerMesh *mesh, const Peer *peer, Pool__Beat *beat)
+{
+  const int64_t now_ms = clock_now_ms ();
+  uint8_t bytes[DATAGRAM_BYTES];
+  size_t size;
+
+  beat->sent = (uint64_t) now_ms;
+  beat->echo = peer->sent;
+  beat->echo_age = (uint32_t) (peer->sent == 0 ? 0 : now_ms - peer->taken_ms);
+  if (pool__beat__get_packed_size (beat) > sizeof bytes)
+    return;
+  size = pool__beat__pack (beat, bytes);
+  // A datagram that the system does not take is like one that was lost.
+  if (sendto (mesh->fd, bytes, size, MSG_NOSIGNAL, (const struct sockaddr *) &peer->address,
+              sizeof peer->address)
+      < 0)
+    return;
+  counter_add (mesh->options.counters, COUNTER_GOSSIP_SENT, 1);
+  counter_add (mesh->options.counters, COUNTER_GOSSIP_BYTES_SENT, (int64_t) size);
+}
+
+static void
+send_beats (PeerMesh *mesh)
+{
+  Pool__Beat beat = POOL__BEAT__INIT;
+
+  mesh->beat_ms = clock_now_ms ();
+  beat.sender = mesh->self;
+  beat.boot = mesh->boot;
+  beat.leaving = mesh->leaving;
+  mesh->options.fill (mesh->options.data, &beat);
+  for (guint i = 0; i < mesh->peers->len; i++)
+    send_beat (mesh, mesh->peers->pdata[i], &beat);
+  for (size_t i = 0; i < beat.n_services; i++)
+    g_free (beat.services[i]);
+  g_free (beat.services);
+}
+
+static void
+forget_silent (PeerMesh *mesh, int64_t now_ms)
+{
+  for (guint i = mesh->peers->len; i > 0; i--)
+    {
+      Peer *peer = mesh->peers->pdata[i - 1];
+      const int64_t silent_ms = now_ms - MAX (peer->state.heard_ms, peer->state.known_ms);
+
+      if (!peer->lost && peer->state.heard_ms > 0 && silent_ms > LOST_MS)
+        {
+          peer->lost = true;
+          log_event (LOG_LEVEL_NOTICE, "peer_lost", "peer=%016" G_GINT64_MODIFIER "x",
+                     peer->state.id);
+        }
+      if (silent_ms <= FORGET_MS)
+        continue;
+      end_peer (mesh, peer, "silent");
+      g_free (peer);
+    }
+}
+
+static void
+on_timer (void *data)
+{
+  PeerMesh *mesh = data;
+
+  timer_set (mesh->options.timers, &mesh->timer, BEAT_INTERVAL_MS);
+  forget_silent (mesh, clock_now_ms ());
+  send_beats (mesh);
+}
+
+static void
+take_beat (PeerMesh *mesh, const struct sockaddr_in *from, const Pool__Beat *beat)
+{
+  Peer *peer = find_peer (mesh, from);
+  const int64_t now_ms = clock_now_ms ();
+  int64_t sent_ms = 0;
+
+  if (beat->leaving)
+    {
+      if (peer != NULL)
+        {
+          end_peer (mesh, peer, "leaving");
+          g_free (peer);
+        }
+      return;
+    }
+  if (peer == NULL)
+    peer = add_peer (mesh, from);
+  if (peer->state.id != 0 && peer->boot != beat->boot)
+    {
+      mesh->options.ended (mesh->options.data, peer->state.id);
+      peer->sent = 0;
+    }
+  // Datagrams overtake each other; an older one says nothing new.
+  if (peer->sent != 0 && beat->sent < peer->sent)
+    return;
+  if (peer->state.id == 0 || peer->lost)
+    log_event (LOG_LEVEL_NOTICE, "peer_heard", "peer=%016" G_GINT64_MODIFIER "x", beat->sender);
+  peer->lost = false;
+  peer->state.id = beat->sender;
+  peer->boot = beat->boot;
+  peer->sent = beat->sent;
+  peer->taken_ms = peer->state.heard_ms = now_ms;
+  // It was sent after the beat that it echoes, so this is no later than its sending.
+  if (beat->echo != 0)
+    sent_ms = (int64_t) beat->echo + beat->echo_age;
+  for (size_t i = 0; i < beat->n_services; i++)
+    mesh->options.take (mesh->options.data, beat->sender, beat->services[i],
+                        sent_ms <= now_ms ? sent_ms : 0);
+}
+
+static void
+on_datagram (struct tevent_context *events, struct tevent_fd *fde, uint16_t flags, void *data)
+{
+  PeerMesh *mesh = data;
+  uint8_t bytes[DATAGRAM_BYTES];
+  struct sockaddr_in from;
+  socklen_t length = sizeof from;
+  ssize_t size;
+
+  while ((size = recvfrom (mesh->fd, bytes, sizeof bytes, 0, (struct sockaddr *) &from, &length))
+         >= 0)
+    {
+      Pool__Beat *beat = pool__beat__unpack (NULL, (size_t) size, bytes);
+
+      if (beat == NULL)
+        log_event (LOG_LEVEL_WARNING, "beat_malformed", "bytes=%zd", size);
+      else
+        take_beat (mesh, &from, beat);
+      pool__beat__free_unpacked (beat, NULL);
+      length = sizeof from;
+    }
+}
+
+PeerMesh *
+peer_mesh_new (TALLOC_CTX *parent, const PeerMeshOptions *options, GError **error)
+{
+  PeerMesh *mesh = talloc_zero (parent, PeerMesh);
+
+  mesh->options = *options;
+  mesh->self = XXH64 (options->host, strlen (options->host), 0);
+  mesh->boot = (uint64_t) g_get_real_time () ^ ((uint64_t) clock_now_us () << 20);
+  mesh->peers = g_ptr_array_new ();
+  mesh->self_address
+      = (struct sockaddr_in){ .sin_family = AF_INET, .sin_port = htons (options->port) };
+  mesh->fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  talloc_set_destructor (mesh, mesh_destroy);
+  if (inet_pton (AF_INET, options->address, &mesh->self_address.sin_addr) != 1
+      || bind (mesh->fd, (struct sockaddr *) &mesh->self_address, sizeof mesh->self_address) != 0)
+    {
+      g_set_error (error, PERIDOTSTEP_ERROR, PERIDOTSTEP_ERROR_IO, "cannot open UDP %s port %u",
+                   options->address, options->port);
+      talloc_free (mesh);
+      return NULL;
+    }
+  mesh->fde = tevent_add_fd (options->events, mesh, mesh->fd, TEVENT_FD_READ, on_datagram, mesh);
+  mesh->timer.fired = on_timer;
+  mesh->timer.data = mesh;
+  timer_set (options->timers, &mesh->timer, BEAT_INTERVAL_MS);
+  return mesh;
+}
+
+void
+peer_mesh_add_hosts (PeerMesh *mesh, const GArray *hosts)
+{
+  for (guint i = 0; i < hosts->len; i++)
+    {
+      const HostEntry *host = &g_array_index (hosts, HostEntry, i);
+      struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (host->port) };
+
+      if (inet_pton (AF_INET, host->address, &address.sin_addr) != 1)
+        continue;
+      if (address.sin_addr.s_addr == mesh->self_address.sin_addr.s_addr
+          && address.sin_port == mesh->self_address.sin_port)
+        continue;
+      if (find_peer (mesh, &address) == NULL)
+        add_peer (mesh, &address);
+    }
+  peer_mesh_beat (mesh);
+}
+
+void
+peer_mesh_beat (PeerMesh *mesh)
+{
+  const int64_t since_ms = clock_now_ms () - mesh->beat_ms;
+
+  if (since_ms >= BEAT_SPACING_MS)
+    {
+      timer_set (mesh->options.timers, &mesh->timer, BEAT_INTERVAL_MS);
+      send_beats (mesh);
+    }
+  else
+    timer_set (mesh->options.timers, &mesh->timer, BEAT_SPACING_MS - since_ms);
+}
+
+void
+peer_mesh_leave (PeerMesh *mesh)
+{
+  mesh->leaving = true;
+  send_beats (mesh);
+}
+
+uint64_t
+peer_mesh_self (const PeerMesh *mesh)
+{
+  return mesh->self;
+}
+
+void
+peer_mesh_each (const PeerMesh *mesh, void (*each) (void *data, const PeerState *peer), void *data)
+{
+  for (guint i = 0; i < mesh->peers->len; i++)
+    each (data, &((const Peer *) mesh->peers->pdata[i])->state);
+}
--- /dev/null
+++ b/src/pool/peer-mesh.h
@@ -0,0 +1,71 @@
+/**
+ * DOC: What pooling daemons tell each other: small datagrams at a steady pace, and at once
+ * when something changed.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+#include <talloc.h>
+#include <tevent.h>
+
+#include "base/counters.h"
+#include "base/timer-queue.h"
+#include "pool/beat.pb-c.h"
+#include "pool/directory.h"
+
+typedef struct PeerMesh PeerMesh;
+
+/**
+ * struct PeerMeshOptions - Where to listen and what to say.
+ * @host: unique name of this host.
+ * @fill: adds the services to a beat that is about to be sent.
+ * @take: what @peer said of one service. @sent_ms is the earliest time on this host's clock
+ *   at which it may have said so; 0 while that is not known.
+ * @ended: nothing more will be heard of @peer in this life.
+ */
+typedef struct
+{
+  struct tevent_context *events;
+  TimerQueue *timers;
+  Counters *counters;
+  const char *host;
+  const char *address;
+  uint16_t port;
+  void (*fill) (void *data, Pool__Beat *beat);
+  void (*take) (void *data, uint64_t peer, const Pool__ServiceBeat *beat, int64_t sent_ms);
+  void (*ended) (void *data, uint64_t peer);
+  void *data;
+} PeerMeshOptions;
+
+/** peer_mesh_new() - Listens. Errors: %PERIDOTSTEP_ERROR_IO. */
+PeerMesh *peer_mesh_new (TALLOC_CTX *parent, const PeerMeshOptions *options, GError **error);
+
+/** peer_mesh_add_hosts() - Hosts to talk to; holds &struct HostEntry. */
+void peer_mesh_add_hosts (PeerMesh *mesh, const GArray *hosts);
+
+/** peer_mesh_beat() - Says now what is new. */
+void peer_mesh_beat (PeerMesh *mesh);
+
+/** peer_mesh_leave() - Tells the others that this host ends. */
+void peer_mesh_leave (PeerMesh *mesh);
+
+/** peer_mesh_self() - How this host is named in beats. */
+uint64_t peer_mesh_self (const PeerMesh *mesh);
+
+/** struct PeerState - Another host. @heard_ms: when it was last heard; 0 for never. */
+typedef struct
+{
+  uint64_t id; /* 0 while it was never heard */
+  int64_t heard_ms;
+  int64_t known_ms;
+} PeerState;
+
+/** peer_mesh_each() - Calls @each for every host that has not been given up. */
+void peer_mesh_each (const PeerMesh *mesh, void (*each) (void *data, const PeerState *peer),
+                     void *data);
+
+/** peer_mesh_hash() - Hash of a name in beats. */
+uint32_t peer_mesh_hash (const char *name);
--- a/src/pool/pool-server.c
+++ b/src/pool/pool-server.c
@@ -7,6 +7,7 @@
 #include "base/log.h"
 #include "base/stream.h"
 #include "base/verdict.h"
+#include "pool/lead-driver.h"
 #include "pool/pool-session.h"
 
 /* Time limits are looked at this often. */
@@ -20,6 +21,12 @@
 /* Part of an instance's connections that one host may hold. */
 #define CONNECTION_PART 2
 
+typedef struct
+{
+  ServiceGroup *group;
+  LeadDriver *driver;
+} Service;
+
 struct PoolServer
 {
   struct tevent_context *events;
@@ -28,8 +35,9 @@
   struct tevent_fd *listen_fde;
   GHashTable *sessions;
   Catalog *catalog;
-  GHashTable *groups; /* service name to ServiceGroup */
-  GArray *instances;  /* InstanceInfo */
+  GHashTable *groups; /* service name to Service */
+  bool hosts_known;
+  GArray *instances; /* InstanceInfo */
   Timer tick;
   uint64_t next_id;
   int64_t drain_started_ms;
@@ -94,12 +102,17 @@
   PoolServer *server = data;
   const int64_t now_ms = clock_now_ms ();
   GHashTableIter iter;
-  void *group;
+  void *value;
 
   timer_set (server->options.timers, &server->tick, TICK_MS);
   g_hash_table_iter_init (&iter, server->groups);
-  while (g_hash_table_iter_next (&iter, NULL, &group))
-    service_group_tick (group, now_ms);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Service *service = value;
+
+      service_group_tick (service->group, now_ms);
+      lead_driver_tick (service->driver, now_ms);
+    }
   if (server->drain_started_ms > 0 && now_ms - server->drain_started_ms >= LEAVE_NOTICE_MS)
     close_idle_sessions (server, now_ms);
 }
@@ -160,8 +173,8 @@
   g_array_free (own, true);
 }
 
-static ServiceGroup *
-add_group (PoolServer *server, const char *name)
+static Service *
+add_service (PoolServer *server, const char *name)
 {
   const PoolServerOptions *options = &server->options;
   const ServiceGroupOptions group_options = {
@@ -176,10 +189,19 @@
     .lookup = options->lookup,
     .data = options->data,
   };
-  ServiceGroup *group = service_group_new (server, &group_options, name);
+  LeadDriverOptions driver_options = {
+    .directory = options->directory,
+    .mesh = options->mesh,
+    .counters = options->counters,
+    .host = options->host,
+  };
+  Service *service = talloc_zero (server, Service);
 
-  g_hash_table_insert (server->groups, (void *) service_group_name (group), group);
-  return group;
+  service->group = service_group_new (service, &group_options, name);
+  driver_options.group = service->group;
+  service->driver = lead_driver_new (service, &driver_options);
+  g_hash_table_insert (server->groups, (void *) service_group_name (service->group), service);
+  return service;
 }
 
 void
@@ -202,15 +224,16 @@
   g_hash_table_iter_init (&iter, catalog->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const ServiceEntry *service = value;
-      ServiceGroup *group = pool_server_group (server, service->name);
+      const ServiceEntry *entry = value;
+      Service *service = g_hash_table_lookup (server->groups, entry->name);
 
-      if (group == NULL)
+      if (service == NULL)
         {
-          group = add_group (server, service->name);
-          distribute_instances (server, group);
+          service = add_service (server, entry->name);
+          distribute_instances (server, service->group);
         }
-      service_group_set_limit (group, MAX (service->connection_limit / CONNECTION_PART, 1));
+      service_group_set_limit (service->group, MAX (entry->connection_limit / CONNECTION_PART, 1));
+      lead_driver_set_synchronous (service->driver, entry->synchronous);
     }
 }
 
@@ -224,19 +247,73 @@
 pool_server_set_instances (PoolServer *server, const GArray *infos)
 {
   GHashTableIter iter;
-  void *group;
+  void *service;
 
   g_array_set_size (server->instances, 0);
   g_array_append_vals (server->instances, infos->data, infos->len);
   g_hash_table_iter_init (&iter, server->groups);
-  while (g_hash_table_iter_next (&iter, NULL, &group))
-    distribute_instances (server, group);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    distribute_instances (server, ((const Service *) service)->group);
 }
 
 ServiceGroup *
 pool_server_group (const PoolServer *server, const char *service)
 {
-  return g_hash_table_lookup (server->groups, service);
+  const Service *found = g_hash_table_lookup (server->groups, service);
+
+  return found == NULL ? NULL : found->group;
+}
+
+void
+pool_server_set_hosts_known (PoolServer *server)
+{
+  server->hosts_known = true;
+}
+
+void
+pool_server_fill_beat (PoolServer *server, Pool__Beat *beat)
+{
+  GHashTableIter iter;
+  void *service;
+
+  beat->config_version = server->catalog == NULL ? 0 : server->catalog->version;
+  beat->services = g_new0 (Pool__ServiceBeat *, g_hash_table_size (server->groups));
+  g_hash_table_iter_init (&iter, server->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    {
+      Pool__ServiceBeat *entry = g_new (Pool__ServiceBeat, 1);
+
+      pool__service_beat__init (entry);
+      lead_driver_fill (((const Service *) service)->driver, entry);
+      beat->services[beat->n_services++] = entry;
+    }
+}
+
+void
+pool_server_take_beat (PoolServer *server, uint64_t peer, const Pool__ServiceBeat *beat,
+                       int64_t sent_ms)
+{
+  GHashTableIter iter;
+  void *name, *service;
+
+  g_hash_table_iter_init (&iter, server->groups);
+  while (g_hash_table_iter_next (&iter, &name, &service))
+    if (peer_mesh_hash (name) == beat->service)
+      {
+        lead_driver_take (((const Service *) service)->driver, peer, beat, sent_ms);
+        return;
+      }
+}
+
+void
+pool_server_forget_peer (PoolServer *server, uint64_t peer)
+{
+  GHashTableIter iter;
+  void *service;
+
+  g_hash_table_iter_init (&iter, server->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    lead_driver_forget (((const Service *) service)->driver, peer);
 }
 
 uint64_t
@@ -260,7 +337,8 @@
 bool
 pool_server_is_ready (const PoolServer *server)
 {
-  return server->catalog != NULL && server->instances->len > 0 && server->drain_started_ms == 0;
+  return server->catalog != NULL && server->instances->len > 0 && server->hosts_known
+         && server->drain_started_ms == 0;
 }
 
 void
--- a/src/pool/pool-server.h
+++ b/src/pool/pool-server.h
@@ -14,6 +14,8 @@
 #include "base/timer-queue.h"
 #include "pool/catalog.h"
 #include "pool/codec.h"
+#include "pool/directory.h"
+#include "pool/peer-mesh.h"
 #include "pool/service-group.h"
 
 typedef struct PoolServer PoolServer;
@@ -23,6 +25,7 @@
  * @host: unique name. @failure_domain, @region: where it stands.
  * @address, @port: where callers connect.
  * @domain_region: table failure domain to region, of the whole deployment.
+ * @directory: where primaries are changed. @mesh: the other hosts.
  * @lookup: the list of instances may be out of date.
  */
 typedef struct
@@ -36,6 +39,8 @@
   const Codec *codec;
   Counters *counters;
   TimerQueue *timers;
+  const Directory *directory;
+  PeerMesh *mesh;
   void (*lookup) (void *data);
   void *data;
 } PoolServerOptions;
@@ -62,6 +67,19 @@
 /** pool_server_group() - Group of @service, or %NULL. */
 ServiceGroup *pool_server_group (const PoolServer *server, const char *service);
 
+/** pool_server_set_hosts_known() - The other hosts are known: primaries can be relied on. */
+void pool_server_set_hosts_known (PoolServer *server);
+
+/** pool_server_fill_beat() - What this host says to the others. */
+void pool_server_fill_beat (PoolServer *server, Pool__Beat *beat);
+
+/** pool_server_take_beat() - What @peer says of one service; see &struct PeerMeshOptions. */
+void pool_server_take_beat (PoolServer *server, uint64_t peer, const Pool__ServiceBeat *beat,
+                            int64_t sent_ms);
+
+/** pool_server_forget_peer() - @peer has ended. */
+void pool_server_forget_peer (PoolServer *server, uint64_t peer);
+
 /** pool_server_next_id() - Number for a session. */
 uint64_t pool_server_next_id (PoolServer *server);
 
--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -339,6 +339,8 @@
     }
   log_event (LOG_LEVEL_INFO, "statement_limit", "request=%s limit_ms=%" PRId64,
              session->statement.id, session->database->statement_ms);
+  if (wrote && (session->transaction == TRANSACTION_NONE || ends_transaction (session)))
+    service_group_note_unacknowledged (session->group);
   drop_line (session);
   if (session->transaction == TRANSACTION_BOUND
       && (session->statement.kind != STATEMENT_COMMIT || !wrote))
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -4,7 +4,6 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "policy/position-history.h"
 
 /* This host relies on a primary for this long after the last proof that it led its group.
  * Whoever replaces a primary waits for as long. */
@@ -29,6 +28,9 @@
   char primary[CATALOG_NAME_BYTES];
   uint64_t term;
   int64_t proof_ms; /* the primary led its group then */
+  bool fenced;
+  SessionToken committed;
+  int64_t unacknowledged_ms;
   PositionHistory history;
   GQueue waiters;
   int64_t probed_ms;
@@ -259,7 +261,7 @@
 {
   GroupMember *member = find_member (group, group->primary);
 
-  if (member == NULL || member->displaced || instance_pool_is_down (member->pool))
+  if (member == NULL || member->displaced || group->fenced || instance_pool_is_down (member->pool))
     return NULL;
   return right_is_valid (group, clock_now_ms ()) ? member->pool : NULL;
 }
@@ -359,6 +361,8 @@
     default:
       break;
     }
+  if (result->code == ANSWER_OK && committed)
+    session_token_raise (&group->committed, result->position);
   if (result->code == ANSWER_OK && committed && is_primary)
     note_proof (group, sent_ms);
   if (result->code == ANSWER_READ_ONLY && is_primary)
@@ -387,10 +391,10 @@
   return !report->primary && report->term == group->term && report->held_term <= group->term;
 }
 
-static void
-take_report (GroupMember *member, const InstanceReport *report, int64_t sent_ms)
+void
+service_group_take_report (ServiceGroup *group, GroupMember *member, const InstanceReport *report,
+                           int64_t sent_ms)
 {
-  ServiceGroup *group = member->group;
   const char *id = instance_pool_info (member->pool)->id;
 
   member->report = *report;
@@ -413,7 +417,7 @@
     log_event (LOG_LEVEL_DEBUG, "report", "service=%s instance=%s result=%s", group->name,
                instance_pool_info (member->pool)->id, order_result_name (result));
   if (result == ORDER_ANSWERED)
-    take_report (member, report, sent_ms);
+    service_group_take_report (group, member, report, sent_ms);
   wake_waiters (group);
 }
 
@@ -443,6 +447,70 @@
   probe (group, clock_now_ms ());
 }
 
+void
+service_group_note_unacknowledged (ServiceGroup *group)
+{
+  group->unacknowledged_ms = clock_now_ms ();
+}
+
+GroupMember *const *
+service_group_members (const ServiceGroup *group, uint32_t *count)
+{
+  *count = group->count;
+  return group->members;
+}
+
+void
+service_group_belief (const ServiceGroup *group, GroupBelief *belief)
+{
+  *belief = (GroupBelief){
+    .primary = group->primary,
+    .term = group->term,
+    .proof_ms = group->proof_ms,
+    .committed = group->committed,
+    .unacknowledged_ms = group->unacknowledged_ms,
+  };
+  position_history_last (&group->history, &belief->position);
+}
+
+void
+service_group_adopt (ServiceGroup *group, const GroupMember *member, uint64_t term)
+{
+  if (term <= group->term)
+    return;
+  set_primary (group, instance_pool_info (member->pool)->id, term, "peer");
+  wake_waiters (group);
+}
+
+void
+service_group_take_proof (ServiceGroup *group, int64_t at_ms)
+{
+  const bool had_right = right_is_valid (group, clock_now_ms ());
+
+  note_proof (group, at_ms);
+  if (!had_right && right_is_valid (group, clock_now_ms ()))
+    wake_waiters (group);
+}
+
+void
+service_group_take_position (ServiceGroup *group, int64_t at_ms, SessionToken position)
+{
+  position_history_add (&group->history, at_ms, position);
+}
+
+void
+service_group_set_fenced (ServiceGroup *group, bool fenced)
+{
+  if (group->fenced == fenced)
+    return;
+  group->fenced = fenced;
+  log_event (LOG_LEVEL_NOTICE, "fenced",
+             "service=%s primary=%s term=%" G_GUINT64_FORMAT " value=%d", group->name,
+             group->primary, group->term, fenced);
+  if (!fenced)
+    wake_waiters (group);
+}
+
 static void
 free_retired (ServiceGroup *group)
 {
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -13,6 +13,7 @@
 #include "base/counters.h"
 #include "base/timer-queue.h"
 #include "policy/placement.h"
+#include "policy/position-history.h"
 #include "pool/catalog.h"
 #include "pool/instance-pool.h"
 #include "pool/order-line.h"
@@ -123,5 +124,41 @@
 /** service_group_distance() - Distance of the instance of @pool. */
 Distance service_group_distance (const ServiceGroup *group, const InstancePool *pool);
 
+/** service_group_note_unacknowledged() - A commit at the primary did not end in its time. */
+void service_group_note_unacknowledged (ServiceGroup *group);
+
+/** service_group_members() - The instances; @count of them. */
+GroupMember *const *service_group_members (const ServiceGroup *group, uint32_t *count);
+
+/** struct GroupBelief - What the host holds true of the primary; ages in the host's time. */
+typedef struct
+{
+  const char *primary; /* "" if none is known */
+  uint64_t term;
+  int64_t proof_ms;          /* it led its group then; 0 for never */
+  PositionSample position;   /* its last position known; time 0 for none */
+  SessionToken committed;    /* greatest position acknowledged to callers here */
+  int64_t unacknowledged_ms; /* a commit last did not end in its time */
+} GroupBelief;
+
+/** service_group_belief() - What this host holds true. */
+void service_group_belief (const ServiceGroup *group, GroupBelief *belief);
+
+/** service_group_take_report() - An instance reported, asked at @sent_ms. */
+void service_group_take_report (ServiceGroup *group, GroupMember *member,
+                                const InstanceReport *report, int64_t sent_ms);
+
+/** service_group_adopt() - Another host knows that @member leads in the greater @term. */
+void service_group_adopt (ServiceGroup *group, const GroupMember *member, uint64_t term);
+
+/** service_group_take_proof() - Another host knew at @at_ms that the primary led its group. */
+void service_group_take_proof (ServiceGroup *group, int64_t at_ms);
+
+/** service_group_take_position() - Another host saw the primary at @position at @at_ms. */
+void service_group_take_position (ServiceGroup *group, int64_t at_ms, SessionToken position);
+
+/** service_group_set_fenced() - Whether the primary is not to be relied on: it is replaced. */
+void service_group_set_fenced (ServiceGroup *group, bool fenced);
+
 /** service_group_tick() - Time limits. */
 void service_group_tick (ServiceGroup *group, int64_t now_ms);
