--- a/src/policy/lead-change.c
+++ b/src/policy/lead-change.c
@@ -469,6 +469,11 @@
 
   if (!all_asked_ended (change))
     return;
+  if (greatest_pause (change) != 0 || leading_member (change, change->term + 1) != NULL)
+    {
+      end_change (change, false, now_ms);
+      return;
+    }
   best = best_member (change, true);
   if (best != NULL && best->key == change->old_primary
       && now_ms - change->phase_ms < CATCH_UP_LIMIT_MS)
@@ -547,14 +552,13 @@
 
   if (!all_asked_ended (change))
     return;
-  if (situation->foreign_fence > change->fence || is_contested (change))
+  if (is_contested (change))
     {
-      // Another host makes the change, and its pauses must stand.
       end_change (change, false, now_ms);
       return;
     }
   leader = leading_member (change, change->term);
-  if ((leader != NULL && !situation->stuck) || now_ms - change->started_ms > WAIT_LIMIT_MS)
+  if ((leader != NULL && (!situation->stuck || leader->report.term > change->term)) || now_ms - change->started_ms > WAIT_LIMIT_MS)
     {
       end_change (change, true, now_ms);
       return;
@@ -629,11 +633,35 @@
     order (change, candidate, ORDER_STATUS, now_ms);
 }
 
+/* Of two hosts that make a change at once the one with the greater number goes on. */
+static bool
+gives_way (const LeadChange *change, const LeadSituation *situation)
+{
+  switch (change->phase)
+    {
+    case LEAD_LOOKING:
+      return situation->foreign_fence != 0;
+    case LEAD_STEPPING_DOWN:
+    case LEAD_CATCHING_UP:
+    case LEAD_PAUSING:
+    case LEAD_WAITING:
+      return situation->foreign_fence > change->fence;
+    default:
+      return false;
+    }
+}
+
 uint32_t
 lead_change_step (LeadChange *change, const LeadSituation *situation, LeadAction *actions)
 {
   change->actions = actions;
   change->action_count = 0;
+  if (gives_way (change, situation))
+    {
+      // Its pauses must stand, so nothing is resumed.
+      end_change (change, false, situation->now_ms);
+      return 0;
+    }
   switch (change->phase)
     {
     case LEAD_IDLE:
--- a/src/pool/lead-driver.c
+++ b/src/pool/lead-driver.c
@@ -189,7 +189,8 @@
   const uint64_t own = XXH64 (&service, sizeof service, peer_mesh_self (driver->options.mesh));
   int64_t silent_ms;
 
-  if (view == NULL || view->fence_obeyed < lead_change_fence (driver->change))
+  if (view == NULL || count->now_ms - view->heard_ms >= PEER_FRESH_MS
+      || view->fence_obeyed < lead_change_fence (driver->change))
     situation->all_obey = false;
   if (view == NULL)
     return;
@@ -349,13 +350,15 @@
 update_fence (LeadDriver *driver, const LeadSituation *situation)
 {
   const uint64_t own = lead_change_fence (driver->change);
-  const uint64_t obeyed = MAX (situation->foreign_fence, own);
+  const uint64_t greatest = MAX (situation->foreign_fence, own);
+  const uint64_t obeyed = own == 0 ? situation->foreign_fence : 0;
 
-  driver->seen_fence = MAX (driver->seen_fence, obeyed);
-  service_group_set_fenced (driver->options.group, obeyed != 0);
-  if (driver->obeyed == situation->foreign_fence)
+  driver->seen_fence = MAX (driver->seen_fence, greatest);
+  service_group_set_fenced (driver->options.group, greatest != 0);
+  if (driver->obeyed == obeyed)
     return;
-  driver->obeyed = situation->foreign_fence;
+  // A host that makes a change of its own does not stand back from it by saying that it obeys.
+  driver->obeyed = obeyed;
   peer_mesh_beat (driver->options.mesh);
 }
 
