--- a/src/policy/lead-change.c
+++ b/src/policy/lead-change.c
@@ -10,6 +10,8 @@
 #define UNKNOWN_DELAY_MS 800
 /* After a change that came to nothing the host waits before it looks again. */
 #define BACKOFF_MS 400
+/* A host that does not reach enough instances lets others try for this time. */
+#define UNABLE_BACKOFF_MS 2500
 /* A change that can't be completed is undone after this time. */
 #define WAIT_LIMIT_MS 8000
 /* Silent instances are asked again at this pace while a change waits. */
@@ -364,6 +366,19 @@
     }
 }
 
+/* Some answering replica must hold every acknowledged commit, or the other hosts may tell what
+ * was acknowledged, for which at least one replica must answer. */
+static bool
+enough_answer (const LeadChange *change, const LeadSituation *situation)
+{
+  uint32_t replicas = 0;
+
+  for (uint32_t i = 0; i < change->count; i++)
+    replicas += change->members[i].answered && !change->members[i].report.primary;
+  return replicas + situation->synchronous >= change->size
+         || (replicas > 0 && situation->hosts > 1 && !situation->stuck);
+}
+
 static void
 step_looking (LeadChange *change, const LeadSituation *situation)
 {
@@ -401,6 +416,12 @@
       end_change (change, true, now_ms);
       return;
     }
+  if (!enough_answer (change, situation))
+    {
+      end_change (change, true, now_ms);
+      change->backoff_until_ms = now_ms + UNABLE_BACKOFF_MS;
+      return;
+    }
   choose_fence (change, situation);
   start_pausing (change, situation);
 }
@@ -558,7 +579,8 @@
       return;
     }
   leader = leading_member (change, change->term);
-  if ((leader != NULL && (!situation->stuck || leader->report.term > change->term)) || now_ms - change->started_ms > WAIT_LIMIT_MS)
+  if ((leader != NULL && (!situation->stuck || leader->report.term > change->term))
+      || now_ms - change->started_ms > WAIT_LIMIT_MS)
     {
       end_change (change, true, now_ms);
       return;
--- a/src/pool/beat.pb-c.c
+++ b/src/pool/beat.pb-c.c
@@ -97,7 +97,7 @@
   assert(message->base.descriptor == &pool__beat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor pool__service_beat__field_descriptors[12] =
+static const ProtobufCFieldDescriptor pool__service_beat__field_descriptors[14] =
 {
   {
     "service",
@@ -243,12 +243,37 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "instances",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED32,
+    offsetof(Pool__ServiceBeat, n_instances),
+    offsetof(Pool__ServiceBeat, instances),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wanted",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Pool__ServiceBeat, n_wanted),
+    offsetof(Pool__ServiceBeat, wanted),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool__service_beat__field_indices_by_name[] = {
   11,   /* field[11] = committed */
   10,   /* field[10] = committed_term */
   8,   /* field[8] = fence */
   9,   /* field[9] = fence_obeyed */
+  12,   /* field[12] = instances */
   5,   /* field[5] = position */
   6,   /* field[6] = position_age */
   4,   /* field[4] = position_term */
@@ -257,11 +282,12 @@
   0,   /* field[0] = service */
   7,   /* field[7] = suspect */
   2,   /* field[2] = term */
+  13,   /* field[13] = wanted */
 };
 static const ProtobufCIntRange pool__service_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor pool__service_beat__descriptor =
 {
@@ -271,7 +297,7 @@
   "Pool__ServiceBeat",
   "pool",
   sizeof(Pool__ServiceBeat),
-  12,
+  14,
   pool__service_beat__field_descriptors,
   pool__service_beat__field_indices_by_name,
   1,  pool__service_beat__number_ranges,
--- a/src/pool/beat.pb-c.h
+++ b/src/pool/beat.pb-c.h
@@ -63,10 +63,20 @@
    */
   uint64_t committed_term;
   uint64_t committed;
+  /*
+   * instances that the sender uses ...
+   */
+  size_t n_instances;
+  uint32_t *instances;
+  /*
+   * ... and the connections that it wants to each
+   */
+  size_t n_wanted;
+  uint32_t *wanted;
 };
 #define POOL__SERVICE_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool__service_beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Pool__Beat
--- a/src/pool/instance-pool.c
+++ b/src/pool/instance-pool.c
@@ -11,13 +11,15 @@
 #define GROW_PAUSE_MS 400
 /* A connection unused for this time is closed, so that other hosts may open one. */
 #define IDLE_LIMIT_MS 4000
+/* The number of connections wanted falls by one in this time. */
+#define WANTED_DECAY_MS 200
 /* Waiting requests of one rank; more are refused at the door. */
 #define QUEUE_LIMIT 400
 /* Shares of the connections that lower ranks keep in a flood of others, in percent. */
 #define NORMAL_FLOOR_PERCENT 25
 #define BACKGROUND_FLOOR_PERCENT 10
-/* Attempts to connect that fail in a row before the instance counts as down. */
-#define DOWN_FAILURES 1
+/* Longest pause between attempts to connect to an instance that is down. */
+#define RETRY_OPEN_LIMIT_MS 600
 
 struct PooledLine
 {
@@ -45,6 +47,8 @@
   uint32_t failures;
   int64_t open_after_ms;
   int64_t heard_ms;
+  uint32_t wanted;
+  int64_t wanted_ms;
   bool shut;
   bool pumping;
 };
@@ -82,7 +86,10 @@
 {
   AdmissionOptions options;
 
-  pool->limit = MAX (limit, 1);
+  limit = MAX (limit, 1);
+  if (pool->limit == limit)
+    return;
+  pool->limit = limit;
   options = queue_options (pool);
   admission_queue_configure (pool->queue, &options);
 }
@@ -235,7 +242,7 @@
       return;
     }
   pool->failures++;
-  pool->open_after_ms = clock_now_ms () + RETRY_OPEN_MS;
+  pool->open_after_ms = clock_now_ms () + MIN (pool->failures * RETRY_OPEN_MS, RETRY_OPEN_LIMIT_MS);
   if (pool->lines.length == 0)
     refuse_waiting (pool, ANSWER_OVERLOADED);
   pool->options.down (pool->options.data, pool);
@@ -331,11 +338,17 @@
 }
 
 void
-instance_pool_update (InstancePool *pool, const InstanceInfo *info, uint32_t limit)
+instance_pool_update (InstancePool *pool, const InstanceInfo *info)
 {
   pool->info = *info;
+}
+
+void
+instance_pool_set_limit (InstancePool *pool, uint32_t limit)
+{
   pool->allowed = MAX (limit, 1);
-  if (pool->limit > pool->allowed)
+  // After a refusal the pool grows step by step, see instance_pool_tick().
+  if (pool->limit > pool->allowed || clock_now_ms () >= pool->open_after_ms)
     set_limit (pool, pool->allowed);
 }
 
@@ -412,12 +425,19 @@
 void
 instance_pool_shut (InstancePool *pool)
 {
-  PooledLine *line;
+  GList *node = pool->lines.head;
 
+  // Whoever made the pool may be gone before the connections in use are: no more callbacks.
   pool->shut = true;
   refuse_waiting (pool, ANSWER_OVERLOADED);
-  while ((line = g_queue_peek_head (&pool->idle)) != NULL)
-    forget_line (line);
+  while (node != NULL)
+    {
+      PooledLine *line = node->data;
+
+      node = node->next;
+      if (!line->granted)
+        forget_line (line);
+    }
 }
 
 uint32_t
@@ -426,6 +446,22 @@
   return pool->in_use;
 }
 
+static uint32_t
+demand (const InstancePool *pool)
+{
+  uint32_t waiting = pool->waiting.length;
+
+  for (int priority = 0; priority < PRIORITY_COUNT; priority++)
+    waiting += admission_queue_waiting (pool->queue, (Priority) priority);
+  return pool->in_use + waiting;
+}
+
+uint32_t
+instance_pool_wanted (const InstancePool *pool)
+{
+  return MAX (pool->wanted, demand (pool));
+}
+
 uint32_t
 instance_pool_lines (const InstancePool *pool)
 {
@@ -453,7 +489,7 @@
 bool
 instance_pool_is_down (const InstancePool *pool)
 {
-  return pool->shut || (pool->failures >= DOWN_FAILURES && pool->lines.length == pool->opening);
+  return pool->shut || (pool->failures > 0 && pool->lines.length == pool->opening);
 }
 
 int64_t
@@ -501,6 +537,14 @@
     forget_line (oldest);
 }
 
+/* Other hosts need what this one may not hold any more. */
+static void
+close_surplus (InstancePool *pool)
+{
+  while (pool->lines.length > pool->limit && pool->idle.length > 0)
+    forget_line (g_queue_peek_tail (&pool->idle));
+}
+
 static void
 end_slow_openings (InstancePool *pool, int64_t now_ms)
 {
@@ -524,6 +568,20 @@
 {
   AdmissionItem *item;
 
+  if (demand (pool) >= pool->wanted)
+    {
+      pool->wanted = demand (pool);
+      pool->wanted_ms = now_ms;
+    }
+  else if (now_ms - pool->wanted_ms >= WANTED_DECAY_MS)
+    {
+      pool->wanted--;
+      pool->wanted_ms = now_ms;
+    }
+  // Nobody asks for a connection to an instance that is down, so the pool looks by itself.
+  if (pool->failures > 0 && pool->lines.length == 0 && now_ms >= pool->open_after_ms)
+    open_line (pool);
+  close_surplus (pool);
   end_slow_openings (pool, now_ms);
   if (pool->limit < pool->allowed && now_ms >= pool->open_after_ms
       && pool->in_use + pool->waiting.length >= pool->limit)
--- a/src/pool/instance-pool.h
+++ b/src/pool/instance-pool.h
@@ -64,7 +64,7 @@
 const InstanceInfo *instance_pool_info (const InstancePool *pool);
 
 /** instance_pool_update() - The instance announced itself again; same life. */
-void instance_pool_update (InstancePool *pool, const InstanceInfo *info, uint32_t limit);
+void instance_pool_update (InstancePool *pool, const InstanceInfo *info);
 
 /** instance_pool_request() - Asks for a connection; a callback may come before it returns. */
 void instance_pool_request (InstancePool *pool, LineRequest *request);
@@ -87,6 +87,12 @@
 /** instance_pool_lines() - Connections open or opening. */
 uint32_t instance_pool_lines (const InstancePool *pool);
 
+/** instance_pool_wanted() - Connections that the work of the last second or so could use. */
+uint32_t instance_pool_wanted (const InstancePool *pool);
+
+/** instance_pool_set_limit() - Connections that may be open from now on. */
+void instance_pool_set_limit (InstancePool *pool, uint32_t limit);
+
 /** instance_pool_line() - The connection itself. */
 BackendLine *instance_pool_line (PooledLine *line);
 
--- a/src/pool/lead-driver.c
+++ b/src/pool/lead-driver.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "policy/connection-share.h"
 #include "policy/lead-change.h"
 
 /* A primary that has said nothing for this time, with work outstanding, is asked for a sign. */
@@ -22,8 +23,16 @@
 #define PRIMARY_RIGHT_MS 1000
 /* Time for the promote call; what is not sent by then is not sent later. */
 #define PROMOTE_LIMIT_MS 700
+/* The connections of a host that fell silent are closed at the instance after this time. */
+#define CONNECTIONS_KEPT_MS 3000
 #define NEVER_AGE 0
 
+typedef struct
+{
+  uint32_t instance;
+  uint32_t wanted;
+} InstanceUse;
+
 typedef struct
 {
   int64_t heard_ms;
@@ -32,6 +41,8 @@
   uint64_t fence;
   uint64_t fence_obeyed;
   SessionToken committed;
+  uint32_t use_count;
+  InstanceUse uses[GROUP_MEMBERS_MAX];
 } PeerView;
 
 struct LeadDriver
@@ -40,6 +51,7 @@
   LeadChange *change;
   GHashTable *peers; /* peer id to PeerView */
   uint32_t synchronous;
+  uint32_t connection_limit;
   uint64_t seen_fence;
   uint64_t obeyed;
   bool suspect;
@@ -80,9 +92,10 @@
 }
 
 void
-lead_driver_set_synchronous (LeadDriver *driver, uint32_t synchronous)
+lead_driver_configure (LeadDriver *driver, const ServiceEntry *entry)
 {
-  driver->synchronous = synchronous;
+  driver->synchronous = entry->synchronous;
+  driver->connection_limit = entry->connection_limit;
 }
 
 static uint32_t
@@ -115,6 +128,29 @@
   return at_ms == 0 ? NEVER_AGE : (uint32_t) CLAMP (now_ms - at_ms + 1, 1, INT32_MAX);
 }
 
+static bool
+is_stuck (const GroupBelief *belief, int64_t now_ms)
+{
+  return belief->unacknowledged_ms > 0 && now_ms - belief->unacknowledged_ms < UNACKNOWLEDGED_MS
+         && belief->acknowledged_ms < belief->unacknowledged_ms - PRIMARY_RIGHT_MS;
+}
+
+static void
+fill_uses (const LeadDriver *driver, Pool__ServiceBeat *beat)
+{
+  uint32_t count;
+  GroupMember *const *members = service_group_members (driver->options.group, &count);
+
+  beat->instances = g_new (uint32_t, count + 1);
+  beat->wanted = g_new (uint32_t, count + 1);
+  beat->n_instances = beat->n_wanted = count;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      beat->instances[i] = member_key (members[i]);
+      beat->wanted[i] = instance_pool_wanted (members[i]->pool);
+    }
+}
+
 void
 lead_driver_fill (LeadDriver *driver, Pool__ServiceBeat *beat)
 {
@@ -129,11 +165,58 @@
   beat->position_term = belief.position.position.term;
   beat->position = belief.position.position.position;
   beat->position_age = age_of (belief.position.at_ms, now_ms);
-  beat->suspect = driver->suspect;
+  beat->suspect = driver->suspect || is_stuck (&belief, now_ms);
   beat->fence = lead_change_fence (driver->change);
   beat->fence_obeyed = driver->obeyed;
   beat->committed_term = belief.committed.term;
   beat->committed = belief.committed.position;
+  fill_uses (driver, beat);
+}
+
+static void
+take_uses (PeerView *view, const Pool__ServiceBeat *beat)
+{
+  view->use_count = (uint32_t) MIN (MIN (beat->n_instances, beat->n_wanted), GROUP_MEMBERS_MAX);
+  for (uint32_t i = 0; i < view->use_count; i++)
+    view->uses[i] = (InstanceUse){ beat->instances[i], beat->wanted[i] };
+}
+
+static uint32_t
+wanted_by (const PeerView *view, uint32_t instance)
+{
+  for (uint32_t i = 0; i < view->use_count; i++)
+    if (view->uses[i].instance == instance)
+      return view->uses[i].wanted;
+  return 0;
+}
+
+/* Shares the connections that the instances take among the hosts that are heard. */
+static void
+share_connections (LeadDriver *driver, int64_t now_ms)
+{
+  uint32_t count;
+  GroupMember *const *members = service_group_members (driver->options.group, &count);
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      ConnectionDemand demand = {
+        .limit = driver->connection_limit,
+        .hosts = 1,
+        .own = instance_pool_wanted (members[i]->pool),
+      };
+      GHashTableIter iter;
+      void *view;
+
+      g_hash_table_iter_init (&iter, driver->peers);
+      while (g_hash_table_iter_next (&iter, NULL, &view))
+        {
+          if (now_ms - ((const PeerView *) view)->heard_ms > CONNECTIONS_KEPT_MS)
+            continue;
+          demand.hosts++;
+          demand.others += wanted_by (view, member_key (members[i]));
+        }
+      instance_pool_set_limit (members[i]->pool, connection_share (&demand));
+    }
 }
 
 static PeerView *
@@ -208,13 +291,6 @@
     situation->rank++;
 }
 
-static bool
-is_stuck (const GroupBelief *belief, int64_t now_ms)
-{
-  return belief->unacknowledged_ms > 0 && now_ms - belief->unacknowledged_ms < UNACKNOWLEDGED_MS
-         && belief->proof_ms < belief->unacknowledged_ms - PRIMARY_RIGHT_MS / 2;
-}
-
 static void
 assess (LeadDriver *driver, LeadSituation *situation)
 {
@@ -426,6 +502,7 @@
   view->fence = beat->fence;
   view->fence_obeyed = beat->fence_obeyed;
   view->committed = (SessionToken){ beat->committed_term, beat->committed };
+  take_uses (view, beat);
   driver->seen_fence = MAX (driver->seen_fence, beat->fence);
   take_belief (driver, beat, sent_ms);
   if (changed)
@@ -493,6 +570,7 @@
 void
 lead_driver_tick (LeadDriver *driver, int64_t now_ms)
 {
+  share_connections (driver, now_ms);
   check_primary (driver, now_ms);
   run_step (driver);
 }
--- a/src/pool/lead-driver.h
+++ b/src/pool/lead-driver.h
@@ -26,8 +26,8 @@
 /** lead_driver_new() - Starts watching. */
 LeadDriver *lead_driver_new (TALLOC_CTX *parent, const LeadDriverOptions *options);
 
-/** lead_driver_set_synchronous() - Replicas that hold a commit before it is acknowledged. */
-void lead_driver_set_synchronous (LeadDriver *driver, uint32_t synchronous);
+/** lead_driver_configure() - Takes the service's configuration. */
+void lead_driver_configure (LeadDriver *driver, const ServiceEntry *entry);
 
 /** lead_driver_fill() - What this host says of the service. */
 void lead_driver_fill (LeadDriver *driver, Pool__ServiceBeat *beat);
--- a/src/pool/peer-mesh.c
+++ b/src/pool/peer-mesh.c
@@ -133,7 +133,11 @@
   for (guint i = 0; i < mesh->peers->len; i++)
     send_beat (mesh, mesh->peers->pdata[i], &beat);
   for (size_t i = 0; i < beat.n_services; i++)
-    g_free (beat.services[i]);
+    {
+      g_free (beat.services[i]->instances);
+      g_free (beat.services[i]->wanted);
+      g_free (beat.services[i]);
+    }
   g_free (beat.services);
 }
 
--- a/src/pool/pool-server.c
+++ b/src/pool/pool-server.c
@@ -18,8 +18,6 @@
 #define DRAIN_TRANSACTION_PART 2
 /* Kept free of the time that a shutdown may take. */
 #define DRAIN_MARGIN_MS 700
-/* Part of an instance's connections that one host may hold. */
-#define CONNECTION_PART 2
 
 typedef struct
 {
@@ -232,8 +230,7 @@
           service = add_service (server, entry->name);
           distribute_instances (server, service->group);
         }
-      service_group_set_limit (service->group, MAX (entry->connection_limit / CONNECTION_PART, 1));
-      lead_driver_set_synchronous (service->driver, entry->synchronous);
+      lead_driver_configure (service->driver, entry);
     }
 }
 
--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -81,6 +81,12 @@
 static void process_input (PoolSession *session);
 static void on_ended (void *data, const LineResult *result);
 
+static InstancePool *
+current_pool (const PoolSession *session)
+{
+  return instance_pool_of (session->line);
+}
+
 static GByteArray *
 output (PoolSession *session)
 {
@@ -337,8 +343,9 @@
     case STEP_RUNNING:
       break;
     }
-  log_event (LOG_LEVEL_INFO, "statement_limit", "request=%s limit_ms=%" PRId64,
-             session->statement.id, session->database->statement_ms);
+  log_event (LOG_LEVEL_INFO, "statement_limit", "request=%s instance=%s limit_ms=%" PRId64,
+             session->statement.id, instance_pool_info (current_pool (session))->id,
+             session->database->statement_ms);
   if (wrote && (session->transaction == TRANSACTION_NONE || ends_transaction (session)))
     service_group_note_unacknowledged (session->group);
   drop_line (session);
@@ -411,12 +418,6 @@
     backend_line_run (line, statement->id, after, statement->text, on_ended, session);
 }
 
-static InstancePool *
-current_pool (const PoolSession *session)
-{
-  return instance_pool_of (session->line);
-}
-
 static void
 note_answer (PoolSession *session, const LineResult *result, bool committed)
 {
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -8,6 +8,8 @@
 /* This host relies on a primary for this long after the last proof that it led its group.
  * Whoever replaces a primary waits for as long. */
 #define PRIMARY_RIGHT_MS 1000
+/* Connections that a host may hold to an instance before it knows of the others. */
+#define FIRST_LIMIT 3
 /* The group is asked anew when a proof is needed and the last attempt is this old. */
 #define PROBE_SPACING_MS 100
 /* An instance that lacked a position is not asked for a newer one for this time. */
@@ -21,13 +23,13 @@
 {
   ServiceGroupOptions options;
   char name[CATALOG_NAME_BYTES];
-  uint32_t limit;
   GroupMember *members[GROUP_MEMBERS_MAX];
   uint32_t count;
   GPtrArray *retired; /* InstancePool with connections in use */
   char primary[CATALOG_NAME_BYTES];
   uint64_t term;
-  int64_t proof_ms; /* the primary led its group then */
+  int64_t acknowledged_ms; /* last commit that ended, by its sending */
+  int64_t proof_ms;        /* the primary led its group then */
   bool fenced;
   SessionToken committed;
   int64_t unacknowledged_ms;
@@ -53,7 +55,6 @@
   ServiceGroup *group = talloc_zero (parent, ServiceGroup);
 
   group->options = *options;
-  group->limit = 1;
   group->retired = g_ptr_array_new ();
   g_strlcpy (group->name, name, sizeof group->name);
   g_queue_init (&group->waiters);
@@ -176,7 +177,7 @@
     .events = group->options.events,
     .codec = group->options.codec,
     .info = info,
-    .limit = group->limit,
+    .limit = FIRST_LIMIT,
     .displaced = on_displaced,
     .down = on_down,
     .data = member,
@@ -233,7 +234,7 @@
           if (instance_pool_info (member->pool)->leaving != infos[i].leaving)
             log_event (LOG_LEVEL_NOTICE, "instance_leaving", "service=%s instance=%s leaving=%d",
                        group->name, infos[i].id, infos[i].leaving);
-          instance_pool_update (member->pool, &infos[i], group->limit);
+          instance_pool_update (member->pool, &infos[i]);
         }
       else if (group->count < GROUP_MEMBERS_MAX)
         add_member (group, &infos[i]);
@@ -241,15 +242,6 @@
   wake_waiters (group);
 }
 
-void
-service_group_set_limit (ServiceGroup *group, uint32_t limit)
-{
-  group->limit = limit;
-  for (uint32_t i = 0; i < group->count; i++)
-    instance_pool_update (group->members[i]->pool, instance_pool_info (group->members[i]->pool),
-                          limit);
-}
-
 static bool
 right_is_valid (const ServiceGroup *group, int64_t at_ms)
 {
@@ -362,7 +354,10 @@
       break;
     }
   if (result->code == ANSWER_OK && committed)
-    session_token_raise (&group->committed, result->position);
+    {
+      session_token_raise (&group->committed, result->position);
+      group->acknowledged_ms = MAX (group->acknowledged_ms, sent_ms);
+    }
   if (result->code == ANSWER_OK && committed && is_primary)
     note_proof (group, sent_ms);
   if (result->code == ANSWER_READ_ONLY && is_primary)
@@ -468,6 +463,7 @@
     .term = group->term,
     .proof_ms = group->proof_ms,
     .committed = group->committed,
+    .acknowledged_ms = group->acknowledged_ms,
     .unacknowledged_ms = group->unacknowledged_ms,
   };
   position_history_last (&group->history, &belief->position);
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -85,9 +85,6 @@
 /** service_group_name() - Name of the service. */
 const char *service_group_name (const ServiceGroup *group);
 
-/** service_group_set_limit() - Connections that this host opens to one instance at most. */
-void service_group_set_limit (ServiceGroup *group, uint32_t limit);
-
 /** service_group_set_instances() - The instances as listed now; others are let go. */
 void service_group_set_instances (ServiceGroup *group, const InstanceInfo *infos, uint32_t count);
 
@@ -138,6 +135,7 @@
   int64_t proof_ms;          /* it led its group then; 0 for never */
   PositionSample position;   /* its last position known; time 0 for none */
   SessionToken committed;    /* greatest position acknowledged to callers here */
+  int64_t acknowledged_ms;   /* a commit sent then was acknowledged */
   int64_t unacknowledged_ms; /* a commit last did not end in its time */
 } GroupBelief;
 
