--- a/src/policy/placement.c
+++ b/src/policy/placement.c
@@ -1,7 +1,5 @@
 #include "policy/placement.h"
 
-#include <stdbool.h>
-
 /* Work that writes need the primary for weighs this much against a read there. */
 #define PRIMARY_PENALTY_MS 25
 /* A zone away costs a hop and some money. */
@@ -21,6 +19,13 @@
          && session_token_compare (view->seen, need->after) < 0;
 }
 
+/* It said so a moment ago: asking again only costs a round trip. */
+static bool
+is_known_behind (const PlacementView *view, const PlacementNeed *need, int64_t now_ms)
+{
+  return now_ms < view->behind_until_ms && session_token_compare (view->seen, need->after) < 0;
+}
+
 static int64_t
 distance_cost (Distance distance)
 {
@@ -45,8 +50,6 @@
     cost += PRIMARY_PENALTY_MS;
   if (is_probably_behind (view, need))
     cost += BEHIND_PENALTY_MS;
-  if (now_ms < view->behind_until_ms && session_token_compare (view->seen, need->after) < 0)
-    cost += REFUSED_PENALTY_MS;
   if (now_ms < view->refused_until_ms)
     cost += REFUSED_PENALTY_MS;
   return cost;
@@ -63,7 +66,7 @@
     {
       int64_t cost;
 
-      if (!views[i].usable || (tried & (1u << i)) != 0)
+      if (!views[i].usable || (tried & (1u << i)) != 0 || is_known_behind (&views[i], need, now_ms))
         continue;
       cost = cost_ms (&views[i], need, now_ms);
       if (best >= 0 && cost >= best_cost)
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -18,7 +18,7 @@
  * @latency_ms: averaged time of its recent answers.
  * @wait_ms: expected wait for one of this host's connections to it.
  * @behind_until_ms: it lacked a position that others had; not asked before then.
- * @refused_until_ms: it refused for load; not asked before then unless alone.
+ * @refused_until_ms: it refused for load; others go before it until then.
  */
 typedef struct
 {
--- a/src/pool/instance-pool.c
+++ b/src/pool/instance-pool.c
@@ -244,7 +244,7 @@
   pool->failures++;
   pool->open_after_ms = clock_now_ms () + MIN (pool->failures * RETRY_OPEN_MS, RETRY_OPEN_LIMIT_MS);
   if (pool->lines.length == 0)
-    refuse_waiting (pool, ANSWER_OVERLOADED);
+    refuse_waiting (pool, ANSWER_UNREACHED);
   pool->options.down (pool->options.data, pool);
 }
 
@@ -309,7 +309,7 @@
         break;
       }
   if (pool->lines.length == 0 && pool->waiting.length > 0 && now_ms < pool->open_after_ms)
-    refuse_waiting (pool, ANSWER_OVERLOADED);
+    refuse_waiting (pool, ANSWER_UNREACHED);
 }
 
 static void
@@ -357,7 +357,7 @@
 {
   if (pool->shut)
     {
-      request->refused (request->data, ANSWER_OVERLOADED);
+      request->refused (request->data, ANSWER_UNREACHED);
       return;
     }
   request->pool = pool;
@@ -422,6 +422,33 @@
   pump (pool);
 }
 
+static PooledLine *
+restartable_line (const InstancePool *pool)
+{
+  for (GList *node = pool->lines.head; node != NULL; node = node->next)
+    {
+      PooledLine *line = node->data;
+
+      if (line->granted && line->holder.restartable)
+        return line;
+    }
+  return NULL;
+}
+
+void
+instance_pool_restart (InstancePool *pool)
+{
+  PooledLine *line;
+
+  while ((line = restartable_line (pool)) != NULL)
+    {
+      const LineRequest holder = line->holder;
+
+      forget_line (line);
+      holder.lost (holder.data);
+    }
+}
+
 void
 instance_pool_shut (InstancePool *pool)
 {
@@ -429,7 +456,7 @@
 
   // Whoever made the pool may be gone before the connections in use are: no more callbacks.
   pool->shut = true;
-  refuse_waiting (pool, ANSWER_OVERLOADED);
+  refuse_waiting (pool, ANSWER_UNREACHED);
   while (node != NULL)
     {
       PooledLine *line = node->data;
--- a/src/pool/instance-pool.h
+++ b/src/pool/instance-pool.h
@@ -18,9 +18,10 @@
 
 /**
  * struct LineRequest - One who wants a connection, embedded in its user; zeroed before use.
- * @priority: rank of the work. @in_transaction: it goes before others of its rank.
+ * @priority: rank of the work.
  * @deadline_ms: absolute time after which it is refused.
  * @source: fairness key.
+ * @restartable: what runs on the connection may be given up and run elsewhere.
  * @values: what the connection should hold already, if there is a choice.
  * @granted: here is a connection. @refused: there is none; nothing was sent.
  * @lost: the granted connection is gone, and must not be given back.
@@ -30,6 +31,7 @@
   Priority priority;
   int64_t deadline_ms;
   uint64_t source;
+  bool restartable;
   const SessionValues *values;
   void (*granted) (void *data, PooledLine *line);
   void (*refused) (void *data, AnswerCode code);
@@ -78,6 +80,9 @@
 /** instance_pool_drop() - Closes the connection, which rolls back what is open on it. */
 void instance_pool_drop (PooledLine *line);
 
+/** instance_pool_restart() - The instance is silent: restartable work is lost there at once. */
+void instance_pool_restart (InstancePool *pool);
+
 /** instance_pool_shut() - Refuses all who wait; connections in use stay until given back. */
 void instance_pool_shut (InstancePool *pool);
 
--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -9,6 +9,9 @@
 /* A request without a route is refused after this part of the time its operation should take:
  * the caller gains more from coming back than from waiting. */
 #define ROUTE_WAIT_PART 4
+/* A statement that has not got a connection after this part of that time is refused: what is
+ * left of it has to do for the work. */
+#define QUEUE_WAIT_PART 2
 /* A statement that an instance had no slot for is sent again after this time. */
 #define BUSY_RETRY_MS 25
 /* Times that a statement that did not run is tried, in all. */
@@ -378,6 +381,57 @@
   timer_set (session->options->timers, &session->timer, delay_ms);
 }
 
+static InstancePool *
+choose_pool (PoolSession *session)
+{
+  const Database *database = session->database;
+  SessionToken token = { 0 };
+  InstancePool *pool;
+  int64_t since_ms;
+
+  session->after = (SessionToken){ 0 };
+  if (needs_primary (session))
+    return service_group_primary (session->group);
+  if (database->consistency == CONSISTENCY_SESSION
+      && strcmp (session->token_service, database->service) == 0)
+    token = session->token;
+  since_ms = session->started_ms - MAX (database->staleness_ms - STALENESS_MARGIN_MS, 0);
+  pool = service_group_place (session->group, since_ms, token, database->priority, session->tried,
+                              &session->after);
+  if (pool != NULL || session->tried == 0)
+    return pool;
+  session->tried = 0;
+  return service_group_place (session->group, since_ms, token, database->priority, 0,
+                              &session->after);
+}
+
+static bool
+has_untried_pool (PoolSession *session)
+{
+  const InstancePool *pool = choose_pool (session);
+
+  return pool != NULL && (service_group_bit (session->group, pool) & session->tried) == 0;
+}
+
+static void
+wait_for_route (PoolSession *session)
+{
+  const int64_t limit_ms
+      = MIN (session->deadline_ms,
+             session->started_ms + session->database->operation_ms / ROUTE_WAIT_PART);
+  const int64_t left_ms = limit_ms - clock_now_ms ();
+
+  if (left_ms <= 0)
+    {
+      refuse (session, ANSWER_OVERLOADED);
+      return;
+    }
+  session->step = STEP_ROUTING;
+  session->timer.fired = on_statement_timer;
+  timer_set (session->options->timers, &session->timer, left_ms);
+  service_group_wait (session->group, &session->waiter);
+}
+
 /* The statement did not run, with @code; another try follows if it may help. */
 static void
 retry (PoolSession *session, AnswerCode code)
@@ -390,10 +444,13 @@
       return;
     }
   counter_add (session->options->counters, COUNTER_RETRIES, 1);
-  if (code == ANSWER_OVERLOADED || code == ANSWER_CONNECTION_LIMIT)
-    pause_and_retry (session, BUSY_RETRY_MS);
-  else
-    dispatch (session);
+  if (has_untried_pool (session) || code != ANSWER_OVERLOADED)
+    {
+      dispatch (session);
+      return;
+    }
+  session->tried = 0;
+  pause_and_retry (session, BUSY_RETRY_MS);
 }
 
 static void
@@ -635,13 +692,20 @@
                     session->begin.text, on_begin_ended, session);
 }
 
+/* No connection in time: another instance may have one, else the caller had better come back. */
 static void
 on_refused (void *data, AnswerCode code)
 {
   PoolSession *session = data;
 
   session->tried |= service_group_bit (session->group, session->asked);
-  retry (session, code);
+  session->attempts++;
+  if (session->attempts < ATTEMPTS_MAX && has_untried_pool (session))
+    dispatch (session);
+  else if (session->attempts < ATTEMPTS_MAX && code == ANSWER_UNREACHED)
+    wait_for_route (session);
+  else
+    refuse (session, code);
   if (!session->active)
     process_input (session);
 }
@@ -649,50 +713,10 @@
 static void
 on_woken (void *data)
 {
-  dispatch (data);
-}
-
-static InstancePool *
-choose_pool (PoolSession *session)
-{
-  const Database *database = session->database;
-  SessionToken token = { 0 };
-  InstancePool *pool;
-  int64_t since_ms;
+  PoolSession *session = data;
 
-  session->after = (SessionToken){ 0 };
-  if (needs_primary (session))
-    return service_group_primary (session->group);
-  if (database->consistency == CONSISTENCY_SESSION
-      && strcmp (session->token_service, database->service) == 0)
-    token = session->token;
-  since_ms = session->started_ms - MAX (database->staleness_ms - STALENESS_MARGIN_MS, 0);
-  pool = service_group_place (session->group, since_ms, token, database->priority, session->tried,
-                              &session->after);
-  if (pool != NULL || session->tried == 0)
-    return pool;
   session->tried = 0;
-  return service_group_place (session->group, since_ms, token, database->priority, 0,
-                              &session->after);
-}
-
-static void
-wait_for_route (PoolSession *session)
-{
-  const int64_t limit_ms
-      = MIN (session->deadline_ms,
-             session->started_ms + session->database->operation_ms / ROUTE_WAIT_PART);
-  const int64_t left_ms = limit_ms - clock_now_ms ();
-
-  if (left_ms <= 0)
-    {
-      refuse (session, ANSWER_OVERLOADED);
-      return;
-    }
-  session->step = STEP_ROUTING;
-  session->timer.fired = on_statement_timer;
-  timer_set (session->options->timers, &session->timer, left_ms);
-  service_group_wait (session->group, &session->waiter);
+  dispatch (session);
 }
 
 static void
@@ -715,7 +739,11 @@
   session->step = STEP_CONNECTING;
   session->asked = pool;
   session->request.priority = session->database->priority;
-  session->request.deadline_ms = session->deadline_ms;
+  session->request.deadline_ms
+      = MIN (session->deadline_ms,
+             session->started_ms + session->database->operation_ms / QUEUE_WAIT_PART);
+  session->request.restartable
+      = session->transaction == TRANSACTION_NONE && !statement_writes (session);
   session->request.source = session->id;
   session->request.values = &session->values;
   instance_pool_request (pool, &session->request);
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -12,8 +12,14 @@
 #define FIRST_LIMIT 3
 /* The group is asked anew when a proof is needed and the last attempt is this old. */
 #define PROBE_SPACING_MS 100
-/* An instance that lacked a position is not asked for a newer one for this time. */
+/* An instance that lacked a position is not asked for a newer one for this time, twice as long
+ * each time in a row, up to the limit. */
 #define BEHIND_MS 60
+#define BEHIND_LIMIT_MS 480
+/* An instance that owes answers and said nothing for this time is asked for a sign of life. */
+#define SILENCE_MS 350
+/* It is asked again at this pace while it gives none. */
+#define CHECK_INTERVAL_MS 250
 /* An instance that was full is not asked for this time. */
 #define REFUSED_MS 40
 /* Weight of a new answer in the averaged latency, as a divisor. */
@@ -268,7 +274,8 @@
       const bool primary = strcmp (info->id, group->primary) == 0;
 
       views[i] = (PlacementView){
-        .usable = !info->leaving && !member->displaced && !instance_pool_is_down (member->pool),
+        .usable = !info->leaving && !member->displaced && !member->silent
+                  && !instance_pool_is_down (member->pool),
         .primary = primary,
         .distance = member->distance,
         .seen = member->seen,
@@ -342,10 +349,13 @@
   switch (result->code)
     {
     case ANSWER_OK:
+      member->behind_streak = 0;
       member->latency_ms += ((double) (now_ms - sent_ms) - member->latency_ms) / LATENCY_WEIGHT;
       break;
     case ANSWER_BEHIND:
-      member->behind_until_ms = now_ms + BEHIND_MS;
+      member->behind_until_ms
+          = now_ms + MIN (BEHIND_MS << MIN (member->behind_streak, 8), BEHIND_LIMIT_MS);
+      member->behind_streak++;
       break;
     case ANSWER_OVERLOADED:
       member->refused_until_ms = now_ms + REFUSED_MS;
@@ -521,11 +531,52 @@
     }
 }
 
+static void
+set_silent (GroupMember *member, bool silent, const char *why)
+{
+  if (member->silent == silent)
+    return;
+  member->silent = silent;
+  log_event (LOG_LEVEL_NOTICE, "instance_silent", "service=%s instance=%s value=%d reason=%s",
+             member->group->name, instance_pool_info (member->pool)->id, silent, why);
+  if (silent)
+    instance_pool_restart (member->pool);
+  else
+    wake_waiters (member->group);
+}
+
+static void
+on_checked (void *data, OrderResult result, const InstanceReport *report, int64_t sent_ms)
+{
+  GroupMember *member = data;
+
+  member->checking = false;
+  if (result == ORDER_ANSWERED)
+    service_group_take_report (member->group, member, report, sent_ms);
+  set_silent (member, result == ORDER_UNANSWERED || result == ORDER_UNREACHED,
+              order_result_name (result));
+}
+
+static void
+check_member (GroupMember *member, int64_t now_ms)
+{
+  if (member->checking || now_ms - member->checked_ms < CHECK_INTERVAL_MS)
+    return;
+  if (!member->silent && instance_pool_silent_ms (member->pool, now_ms) < SILENCE_MS)
+    return;
+  member->checking = true;
+  member->checked_ms = now_ms;
+  order_line_send (member->orders, ORDER_STATUS, 0, on_checked, member);
+}
+
 void
 service_group_tick (ServiceGroup *group, int64_t now_ms)
 {
   for (uint32_t i = 0; i < group->count; i++)
-    instance_pool_tick (group->members[i]->pool, now_ms);
+    {
+      instance_pool_tick (group->members[i]->pool, now_ms);
+      check_member (group->members[i], now_ms);
+    }
   free_retired (group);
   if (group->waiters.length > 0)
     probe (group, now_ms);
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -27,7 +27,9 @@
  * struct GroupMember - An instance of the group.
  * @seen: last log position it showed, at @seen_ms.
  * @latency_ms: averaged time of its answers.
+ * @behind_streak: times in a row that it lacked a position.
  * @displaced: another instance stands at its address.
+ * @silent: it owes answers, and gave no sign of life when asked.
  * @report: what it last said of itself, asked at @report_ms; 0 for never.
  * @asked: a report is due.
  */
@@ -41,8 +43,12 @@
   int64_t seen_ms;
   double latency_ms;
   int64_t behind_until_ms;
+  uint32_t behind_streak;
   int64_t refused_until_ms;
   bool displaced;
+  bool silent;
+  bool checking;
+  int64_t checked_ms;
   InstanceReport report;
   int64_t report_ms;
   bool asked;
