--- /dev/null
+++ b/tests/script-place.c
@@ -0,0 +1,114 @@
+/**
+ * DOC: Placement of reads, the history of positions, the share of connections.
+ */
+#include <inttypes.h>
+#include <string.h>
+
+#include "policy/connection-share.h"
+#include "policy/placement.h"
+#include "policy/position-history.h"
+#include "script.h"
+
+#define VIEWS 3
+
+typedef struct
+{
+  PlacementView views[VIEWS];
+  PositionHistory history;
+} State;
+
+static void *
+start (void)
+{
+  State *state = g_new0 (State, 1);
+
+  for (int i = 0; i < VIEWS; i++)
+    state->views[i] = (PlacementView){ .usable = true, .distance = (Distance) i };
+  return state;
+}
+
+static void
+end (void *data)
+{
+  g_free (data);
+}
+
+/* view INSTANCE KEY VALUE */
+static void
+set_view (PlacementView *view, const char *key, const char *value)
+{
+  const gint64 number = g_ascii_strtoll (value, NULL, 10);
+
+  if (strcmp (key, "usable") == 0)
+    view->usable = number != 0;
+  else if (strcmp (key, "primary") == 0)
+    view->primary = number != 0;
+  else if (strcmp (key, "seen") == 0)
+    session_token_parse (value, &view->seen);
+  else if (strcmp (key, "latency") == 0)
+    view->latency_ms = number;
+  else if (strcmp (key, "wait") == 0)
+    view->wait_ms = number;
+  else if (strcmp (key, "behind") == 0)
+    view->behind_until_ms = number;
+  else if (strcmp (key, "refused") == 0)
+    view->refused_until_ms = number;
+  else
+    g_error ("no such key: %s", key);
+}
+
+/* since TIME */
+static void
+print_since (const State *state, char **words, GString *out)
+{
+  PositionSample sample;
+
+  if (position_history_since (&state->history, script_number (words, 1), &sample))
+    g_string_append_printf (out, "%" PRIu64 "/%" PRIu64 " at %" PRId64 "\n", sample.position.term,
+                            sample.position.position, sample.at_ms);
+  else
+    g_string_append (out, "unknown\n");
+}
+
+static void
+command (void *data, char **words, GString *out)
+{
+  State *state = data;
+  const char *verb = words[0];
+  PlacementNeed need = { .after_age_ms = script_number (words, 2) };
+  SessionToken token = { 0, 0 };
+  ConnectionDemand demand;
+
+  if (strcmp (verb, "view") == 0)
+    set_view (&state->views[script_number (words, 1)], script_word (words, 2),
+              script_word (words, 3));
+  else if (strcmp (verb, "read") == 0)
+    {
+      session_token_parse (script_word (words, 1), &need.after);
+      g_string_append_printf (out, "%d\n",
+                              placement_read (state->views, VIEWS, &need,
+                                              (guint32) script_number (words, 3),
+                                              script_number (words, 4)));
+    }
+  else if (strcmp (verb, "sample") == 0)
+    {
+      session_token_parse (script_word (words, 2), &token);
+      position_history_add (&state->history, script_number (words, 1), token);
+    }
+  else if (strcmp (verb, "since") == 0)
+    print_since (state, words, out);
+  else if (strcmp (verb, "share") == 0)
+    {
+      demand = (ConnectionDemand){
+        .limit = (guint32) script_number (words, 1),
+        .hosts = (guint32) script_number (words, 2),
+        .own = (guint32) script_number (words, 3),
+        .others = (guint32) script_number (words, 4),
+      };
+      g_string_append_printf (out, "%u\n", connection_share (&demand));
+    }
+  else
+    g_error ("no such command: %s", verb);
+}
+
+const ScriptKind script_place = { "place", start, command, end };
--- a/tests/script.h
+++ b/tests/script.h
@@ -30,3 +30,5 @@
 extern const ScriptKind script_small;
 extern const ScriptKind script_text;
 extern const ScriptKind script_config;
+extern const ScriptKind script_lead;
+extern const ScriptKind script_place;
