Pooling daemons tested word for word against a group that speaks the line protocol

The tests found: a displaced instance left its waiting requests unanswered; after a change of primary no host had a proof that the new one leads until a commit; orders under way were ended into freed state at the end. All three mended.

--- a/src/pool/instance-pool.c
+++ b/src/pool/instance-pool.c
@@ -211,6 +211,7 @@
   if (code == ANSWER_WRONG_INSTANCE)
     {
       pool->options.displaced (pool->options.data, pool);
+      refuse_waiting (pool, ANSWER_UNREACHED);
       return;
     }
   pool->open_after_ms = now_ms + RETRY_OPEN_MS;
--- a/src/pool/lead-driver.c
+++ b/src/pool/lead-driver.c
@@ -327,6 +327,7 @@
   OrderTag *tag = data;
   LeadDriver *driver = tag->driver;
   GroupMember *member = find_member (driver, tag->member);
+  const bool confirming = lead_change_phase (driver->change) == LEAD_CONFIRMING;
 
   if (log_enabled (LOG_LEVEL_INFO) && member != NULL)
     log_event (LOG_LEVEL_INFO, "order_ended",
@@ -345,8 +346,12 @@
     }
   else
     lead_change_unanswered (driver->change, tag->member);
-  g_free (tag);
+  talloc_free (tag);
   run_step (driver);
+  // Nobody else can have changed the primary while this host did: it leads for sure.
+  if (confirming && lead_change_phase (driver->change) == LEAD_IDLE && result == ORDER_ANSWERED
+      && report->primary)
+    service_group_take_proof (driver->options.group, sent_ms);
 }
 
 static void
@@ -400,7 +405,7 @@
       lead_change_unanswered (driver->change, action->member);
       return;
     }
-  tag = g_new (OrderTag, 1);
+  tag = talloc (driver, OrderTag);
   *tag = (OrderTag){ driver, action->member };
   order_line_send (member->orders, action->order, action->fence, on_order_ended, tag);
 }
@@ -541,7 +546,7 @@
     service_group_take_report (driver->options.group, member, report, sent_ms);
   if (tag->member == primary_key (&belief))
     set_suspect (driver, !lives, order_result_name (result));
-  g_free (tag);
+  talloc_free (tag);
   run_step (driver);
 }
 
@@ -562,7 +567,7 @@
     return;
   driver->checking = true;
   driver->checked_ms = now_ms;
-  tag = g_new (OrderTag, 1);
+  tag = talloc (driver, OrderTag);
   *tag = (OrderTag){ driver, member_key (member) };
   order_line_send (member->orders, ORDER_STATUS, 0, on_checked, tag);
 }
--- a/src/pool/order-line.c
+++ b/src/pool/order-line.c
@@ -47,6 +47,15 @@
 
 static int
 order_line_destroy (OrderLine *line)
+{
+  timer_clear (&line->timer);
+  TALLOC_FREE (line->line);
+  g_queue_clear_full (&line->orders, g_free);
+  return 0;
+}
+
+void
+order_line_cancel (OrderLine *line)
 {
   Order *order;
 
@@ -57,7 +66,6 @@
       order->ended (order->data, ORDER_UNREACHED, NULL, line->sent_ms);
       g_free (order);
     }
-  return 0;
 }
 
 static void start_next (OrderLine *line);
--- a/src/pool/order-line.h
+++ b/src/pool/order-line.h
@@ -38,5 +38,8 @@
 void order_line_send (OrderLine *line, OrderKind order, uint64_t term, OrderEnded ended,
                       void *data);
 
+/** order_line_cancel() - Ends all orders as unreached. Freeing the line ends them in silence. */
+void order_line_cancel (OrderLine *line);
+
 /** order_result_name() - Name for logs. */
 const char *order_result_name (OrderResult result);
--- a/src/pool/peer-mesh.c
+++ b/src/pool/peer-mesh.c
@@ -58,6 +58,7 @@
   timer_clear (&mesh->timer);
   TALLOC_FREE (mesh->fde);
   close (mesh->fd);
+  g_ptr_array_set_free_func (mesh->peers, g_free);
   g_ptr_array_free (mesh->peers, true);
   return 0;
 }
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -212,6 +212,7 @@
   group->members[index] = group->members[--group->count];
   instance_pool_shut (member->pool);
   g_ptr_array_add (group->retired, member->pool);
+  order_line_cancel (member->orders);
   talloc_free (member);
 }
 
--- a/tests/mutation.c
+++ b/tests/mutation.c
@@ -6,6 +6,7 @@
 #include "base/sql-text.h"
 #include "link/frame.h"
 #include "pipeline/prepared.h"
+#include "platform/line-codec.h"
 
 #define ROUNDS 20000
 #define SEED 20261204
@@ -162,6 +163,97 @@
 }
 END_TEST
 
+/* What is passed on to an instance must be one line there, whatever the caller sent. */
+static void
+check_forwarded (const CallerMessage *message)
+{
+  GByteArray *out = g_byte_array_new ();
+  const Statement *statement = &message->statement;
+
+  platform_line_codec.write_statement (out, statement->id, NULL, statement->text);
+  ck_assert_ptr_eq (memchr (out->data, '\n', out->len), out->data + out->len - 1);
+  ck_assert_ptr_eq (memchr (out->data, '\r', out->len), out->data + out->len - 2);
+  ck_assert_ptr_null (memchr (out->data, '\0', out->len));
+  if (statement->kind != STATEMENT_MALFORMED)
+    ck_assert_str_ne (statement->id, "-");
+  g_byte_array_free (out, TRUE);
+}
+
+static void
+read_caller_lines (const GByteArray *bytes)
+{
+  size_t at = 0;
+  size_t used;
+
+  do
+    {
+      // A copy of just the rest lets the sanitizer see any read past its end.
+      guint8 *rest = g_memdup2 (bytes->data + at, bytes->len - at);
+      CallerMessage message;
+
+      used = platform_line_codec.read_caller (rest, bytes->len - at, &message);
+      ck_assert_uint_le (used, bytes->len - at);
+      if (message.kind == CALLER_MESSAGE_STATEMENT)
+        check_forwarded (&message);
+      g_free (message.database);
+      statement_done (&message.statement);
+      g_free (rest);
+      at += used;
+    }
+  while (used > 0 && at < bytes->len);
+}
+
+static void
+read_reply_lines (const GByteArray *bytes)
+{
+  size_t at = 0;
+  size_t used;
+
+  do
+    {
+      guint8 *rest = g_memdup2 (bytes->data + at, bytes->len - at);
+      InstanceReport report;
+      Reply reply;
+
+      used = platform_line_codec.read_reply (rest, bytes->len - at, &reply);
+      ck_assert_uint_le (used, bytes->len - at);
+      if (reply.kind == REPLY_ROW)
+        platform_line_codec.read_report (reply.text, &report);
+      reply_done (&reply);
+      g_free (rest);
+      at += used;
+    }
+  while (used > 0 && at < bytes->len);
+}
+
+START_TEST (test_lines)
+{
+  static const char caller_lines[]
+      = "START shop u1\r\nQUERY a1 BEGIN READ\r\nQUERY a2 PREPARE s READ q\r\n"
+        "QUERY a3 EXECUTE s 1a4 data\r\nQUERY a4 SET n v\r\nQUERY a5 WRITE 1 x\r\nTERMINATE\r\n";
+  static const char reply_lines[]
+      = "READY I 3.1207\r\nDATAROW replica 3 3.1209 0 12 2 17\r\nCOMPLETE 7.1f3\r\n"
+        "ERROR LAGGING i-7f\r\nREADY T -\r\n";
+  GRand *random = g_rand_new_with_seed (SEED);
+
+  for (int round = 0; round < ROUNDS; round++)
+    {
+      GByteArray *callers = g_byte_array_new ();
+      GByteArray *replies = g_byte_array_new ();
+
+      g_byte_array_append (callers, (const guint8 *) caller_lines, sizeof caller_lines - 1);
+      g_byte_array_append (replies, (const guint8 *) reply_lines, sizeof reply_lines - 1);
+      mutate (random, callers);
+      mutate (random, replies);
+      read_caller_lines (callers);
+      read_reply_lines (replies);
+      g_byte_array_free (callers, TRUE);
+      g_byte_array_free (replies, TRUE);
+    }
+  g_rand_free (random);
+}
+END_TEST
+
 TCase *
 mutation_case (void)
 {
@@ -171,5 +263,6 @@
   tcase_add_test (tcase, test_caller_messages);
   tcase_add_test (tcase, test_frames);
   tcase_add_test (tcase, test_sql_text);
+  tcase_add_test (tcase, test_lines);
   return tcase;
 }
--- /dev/null
+++ b/tests/script-pool.c
@@ -0,0 +1,530 @@
+/**
+ * DOC: Pooling daemons against a database group that speaks the line protocol: what callers
+ * get, word for word.
+ */
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/stream.h"
+#include "line-world.h"
+#include "platform/line-codec.h"
+#include "pool/pool-server.h"
+#include "script.h"
+
+#define HOSTS_MAX 3
+#define CALLERS_MAX 8
+/* Longest wait for an answer; the script then shows that there was none. */
+#define ANSWER_LIMIT_MS 6000
+#define POLL_MS 10
+#define STATEMENT_MS 600
+
+typedef struct State State;
+
+typedef struct
+{
+  State *state;
+  char name[8];
+  Counters counters;
+  PeerMesh *mesh;
+  PoolServer *server;
+  guint16 port;
+  guint16 peer_port;
+} Host;
+
+typedef struct
+{
+  char name[8];
+  int fd;
+  GString *input;
+  guint next_id;
+} Caller;
+
+struct State
+{
+  struct tevent_context *events;
+  TimerQueue *timers;
+  LineWorld *world;
+  GHashTable *regions;
+  Directory directory;
+  guint64 fence;
+  guint promotes;
+  Host *hosts[HOSTS_MAX];
+  guint host_count;
+  Caller callers[CALLERS_MAX];
+  guint caller_count;
+  Catalog *catalog;
+  Timer wake;
+};
+
+static void
+on_wake (void *data)
+{
+}
+
+static void
+run_once (State *state)
+{
+  state->wake.fired = on_wake;
+  timer_set (state->timers, &state->wake, POLL_MS);
+  tevent_loop_once (state->events);
+}
+
+static void
+run_for (State *state, gint64 duration_ms)
+{
+  const gint64 until_ms = clock_now_ms () + duration_ms;
+
+  while (clock_now_ms () < until_ms)
+    run_once (state);
+}
+
+typedef struct
+{
+  State *state;
+  CallDone done;
+  void *data;
+  CallResult result;
+  Timer timer;
+} PendingPromote;
+
+static void
+on_promoted (void *data)
+{
+  PendingPromote *pending = data;
+
+  pending->done (pending->data, pending->result);
+  g_free (pending);
+}
+
+static void
+promote (void *self, const PromoteOrder *order, CallDone done, void *data)
+{
+  State *state = self;
+  PendingPromote *pending = g_new0 (PendingPromote, 1);
+
+  // What the platform would hold against the hosts.
+  if (order->fence <= state->fence)
+    g_error ("fence %" PRIu64 " after %" PRIu64, order->fence, state->fence);
+  state->fence = order->fence;
+  state->promotes++;
+  pending->state = state;
+  pending->done = done;
+  pending->data = data;
+  pending->result = line_world_promote (state->world, order->instance) ? CALL_DONE : CALL_CONFLICT;
+  pending->timer.fired = on_promoted;
+  pending->timer.data = pending;
+  timer_set (state->timers, &pending->timer, POLL_MS);
+}
+
+static void
+add_database (Catalog *catalog, const char *name, Consistency consistency, Priority priority)
+{
+  const Database database = {
+    .name = (char *) name,
+    .service = (char *) "ledger",
+    .consistency = consistency,
+    .staleness_ms = consistency == CONSISTENCY_PRIMARY ? 0 : 2000,
+    .statement_ms = STATEMENT_MS,
+    .operation_ms = 2 * STATEMENT_MS,
+    .attempts = 2,
+    .priority = priority,
+  };
+
+  catalog_add_database (catalog, &database);
+}
+
+static Catalog *
+make_catalog (guint64 version, bool with_sales)
+{
+  Catalog *catalog = catalog_new (version);
+  const ServiceEntry service
+      = { .name = (char *) "ledger", .connection_limit = 12, .synchronous = 1 };
+
+  catalog_add_service (catalog, &service);
+  if (with_sales)
+    add_database (catalog, "sales", CONSISTENCY_PRIMARY, PRIORITY_URGENT);
+  add_database (catalog, "gate", CONSISTENCY_BOUNDED, PRIORITY_BACKGROUND);
+  add_database (catalog, "desk", CONSISTENCY_SESSION, PRIORITY_NORMAL);
+  catalog->idle_transaction_ms = 2 * STATEMENT_MS;
+  return catalog;
+}
+
+static void *
+start (void)
+{
+  State *state = talloc_zero (NULL, State);
+
+  log_set_level (LOG_LEVEL_ERROR);
+  state->events = tevent_context_init (state);
+  state->timers = timer_queue_new (state, state->events);
+  state->world = line_world_new (state, state->events, state->timers);
+  state->regions = g_hash_table_new (g_str_hash, g_str_equal);
+  g_hash_table_insert (state->regions, "north-1", "north");
+  g_hash_table_insert (state->regions, "north-2", "north");
+  g_hash_table_insert (state->regions, "south-1", "south");
+  state->directory = (Directory){ .self = state, .promote = promote };
+  state->catalog = make_catalog (1, true);
+  return state;
+}
+
+static void
+end (void *data)
+{
+  State *state = data;
+
+  for (guint i = 0; i < state->caller_count; i++)
+    {
+      close (state->callers[i].fd);
+      g_string_free (state->callers[i].input, true);
+    }
+  timer_clear (&state->wake);
+  for (guint i = 0; i < state->host_count; i++)
+    TALLOC_FREE (state->hosts[i]->server);
+  catalog_unref (state->catalog);
+  g_hash_table_destroy (state->regions);
+  talloc_free (state);
+}
+
+static void
+fill_beat (void *data, Pool__Beat *beat)
+{
+  pool_server_fill_beat (((Host *) data)->server, beat);
+}
+
+static void
+take_beat (void *data, uint64_t peer, const Pool__ServiceBeat *beat, int64_t sent_ms)
+{
+  pool_server_take_beat (((Host *) data)->server, peer, beat, sent_ms);
+}
+
+static void
+on_peer_ended (void *data, uint64_t peer)
+{
+  pool_server_forget_peer (((Host *) data)->server, peer);
+}
+
+static void
+list_instances (State *state)
+{
+  GArray *infos = line_world_infos (state->world);
+
+  for (guint i = 0; i < state->host_count; i++)
+    if (state->hosts[i]->server != NULL)
+      pool_server_set_instances (state->hosts[i]->server, infos);
+  g_array_free (infos, true);
+}
+
+static void
+on_lookup (void *data)
+{
+}
+
+static guint16
+free_port (int type)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t length = sizeof address;
+  int fd = socket (AF_INET, type, 0);
+
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  if (bind (fd, (struct sockaddr *) &address, sizeof address) != 0
+      || getsockname (fd, (struct sockaddr *) &address, &length) != 0)
+    g_error ("no free port");
+  close (fd);
+  return ntohs (address.sin_port);
+}
+
+static void
+introduce_hosts (State *state)
+{
+  GArray *entries = g_array_new (false, true, sizeof (HostEntry));
+
+  for (guint i = 0; i < state->host_count; i++)
+    {
+      HostEntry entry = { .port = state->hosts[i]->peer_port };
+
+      g_strlcpy (entry.id, state->hosts[i]->name, sizeof entry.id);
+      g_strlcpy (entry.address, "127.0.0.1", sizeof entry.address);
+      g_array_append_val (entries, entry);
+    }
+  for (guint i = 0; i < state->host_count; i++)
+    {
+      peer_mesh_add_hosts (state->hosts[i]->mesh, entries);
+      pool_server_set_hosts_known (state->hosts[i]->server);
+    }
+  g_array_free (entries, true);
+}
+
+/* host NAME: a daemon in failure domain north-1 */
+static void
+add_host (State *state, const char *name)
+{
+  Host *host = talloc_zero (state, Host);
+  PeerMeshOptions mesh = {
+    .events = state->events,
+    .timers = state->timers,
+    .counters = &host->counters,
+    .host = host->name,
+    .address = "127.0.0.1",
+    .port = free_port (SOCK_DGRAM),
+    .fill = fill_beat,
+    .take = take_beat,
+    .ended = on_peer_ended,
+    .data = host,
+  };
+  PoolServerOptions options = {
+    .host = host->name,
+    .failure_domain = "north-1",
+    .region = "north",
+    .address = "127.0.0.1",
+    .port = free_port (SOCK_STREAM),
+    .domain_region = state->regions,
+    .codec = &platform_line_codec,
+    .counters = &host->counters,
+    .timers = state->timers,
+    .directory = &state->directory,
+    .lookup = on_lookup,
+    .data = host,
+  };
+
+  host->state = state;
+  g_strlcpy (host->name, name, sizeof host->name);
+  host->mesh = options.mesh = peer_mesh_new (host, &mesh, NULL);
+  host->server = pool_server_new (host, state->events, &options, NULL);
+  host->port = options.port;
+  host->peer_port = mesh.port;
+  state->hosts[state->host_count++] = host;
+  pool_server_set_catalog (host->server, state->catalog);
+  list_instances (state);
+  introduce_hosts (state);
+  run_for (state, 50);
+}
+
+static Caller *
+find_caller (State *state, const char *name)
+{
+  for (guint i = 0; i < state->caller_count; i++)
+    if (strcmp (state->callers[i].name, name) == 0)
+      return &state->callers[i];
+  return NULL;
+}
+
+/* Returns false when the connection has ended. */
+static bool
+receive (Caller *caller)
+{
+  char bytes[4096];
+  gssize got = recv (caller->fd, bytes, sizeof bytes, MSG_DONTWAIT);
+
+  if (got > 0)
+    g_string_append_len (caller->input, bytes, got);
+  return got != 0;
+}
+
+/* Moves one line of the input to @line; false if none is whole. */
+static bool
+next_line (Caller *caller, GString *line)
+{
+  char *end = strstr (caller->input->str, "\r\n");
+
+  if (end == NULL)
+    return false;
+  g_string_truncate (line, 0);
+  g_string_append_len (line, caller->input->str, end - caller->input->str);
+  g_string_erase (caller->input, 0, end - caller->input->str + 2);
+  return true;
+}
+
+static void
+print_answer (State *state, Caller *caller, GString *out)
+{
+  const gint64 until_ms = clock_now_ms () + ANSWER_LIMIT_MS;
+  GString *line = g_string_new ("");
+  bool ready = false;
+  bool open = true;
+
+  while (!ready && open && clock_now_ms () < until_ms)
+    {
+      run_once (state);
+      open = receive (caller);
+      while (!ready && next_line (caller, line))
+        {
+          g_string_append_printf (out, "%s\n", line->str);
+          ready = g_str_has_prefix (line->str, "READY ");
+        }
+    }
+  if (!ready)
+    g_string_append (out, open ? "(no answer)\n" : "(closed)\n");
+  g_string_free (line, true);
+}
+
+static void
+send_text (const Caller *caller, const char *text)
+{
+  if (send (caller->fd, text, strlen (text), MSG_NOSIGNAL) < 0)
+    g_error ("cannot send to the host");
+}
+
+/* open CALLER HOST DATABASE */
+static void
+open_caller (State *state, char **words, GString *out)
+{
+  Caller *caller = &state->callers[state->caller_count++];
+  char *text = g_strdup_printf ("START %s user\r\n", script_word (words, 3));
+  guint16 port = 0;
+
+  for (guint i = 0; i < state->host_count; i++)
+    if (strcmp (state->hosts[i]->name, script_word (words, 2)) == 0)
+      port = state->hosts[i]->port;
+  g_strlcpy (caller->name, script_word (words, 1), sizeof caller->name);
+  caller->fd = stream_connect ("127.0.0.1", port);
+  caller->input = g_string_new ("");
+  run_for (state, POLL_MS);
+  send_text (caller, text);
+  g_free (text);
+  print_answer (state, caller, out);
+}
+
+/* CALLER TEXT...: a statement; ids count up, as in "x1" */
+static void
+send_query (State *state, Caller *caller, char **words, GString *out, bool wait)
+{
+  char *text = g_strjoinv (" ", words + (wait ? 1 : 2));
+  char *line = g_strdup_printf ("QUERY %s%u %s\r\n", caller->name, ++caller->next_id, text);
+
+  send_text (caller, line);
+  g_free (line);
+  g_free (text);
+  if (wait)
+    print_answer (state, caller, out);
+  else
+    run_for (state, POLL_MS);
+}
+
+/* fault INSTANCE KIND */
+static void
+set_fault (State *state, char **words)
+{
+  static const char *const kinds[] = { "none", "mute", "lose", "busy", "down", "deaf", "full" };
+
+  for (guint i = 0; i < G_N_ELEMENTS (kinds); i++)
+    if (strcmp (kinds[i], script_word (words, 2)) == 0)
+      {
+        line_world_set_fault (state->world, script_word (words, 1), (LineFault) i);
+        return;
+      }
+  g_error ("no such fault: %s", script_word (words, 2));
+}
+
+static void
+configure (State *state, bool with_sales)
+{
+  const guint64 version = state->catalog->version + 1;
+
+  catalog_unref (state->catalog);
+  state->catalog = make_catalog (version, with_sales);
+  for (guint i = 0; i < state->host_count; i++)
+    pool_server_set_catalog (state->hosts[i]->server, state->catalog);
+}
+
+static Host *
+find_host (State *state, const char *name)
+{
+  for (guint i = 0; i < state->host_count; i++)
+    if (strcmp (state->hosts[i]->name, name) == 0)
+      return state->hosts[i];
+  g_error ("no host %s", name);
+}
+
+/* await INSTANCE: until callers of a database with strict reads are served by it */
+static void
+await_primary (State *state, const char *name, GString *out)
+{
+  const gint64 until_ms = clock_now_ms () + 3 * ANSWER_LIMIT_MS;
+
+  while (clock_now_ms () < until_ms)
+    {
+      ServiceGroup *group = pool_server_group (state->hosts[0]->server, "ledger");
+      const InstancePool *pool = service_group_primary (group);
+      GroupBelief belief;
+
+      service_group_belief (group, &belief);
+      if (pool != NULL && strcmp (instance_pool_info (pool)->id, name) == 0)
+        {
+          g_string_append_printf (out, "primary %s term %" PRIu64 ", promote calls %u\n", name,
+                                  belief.term, state->promotes);
+          return;
+        }
+      run_once (state);
+    }
+  g_string_append (out, "(not within the limit)\n");
+}
+
+static void
+send_raw (State *state, char **words, GString *out)
+{
+  Caller *caller = find_caller (state, script_word (words, 1));
+  char *text = g_strjoinv (" ", words + 2);
+  char *bytes = g_strcompress (text);
+
+  send_text (caller, bytes);
+  g_free (bytes);
+  g_free (text);
+  print_answer (state, caller, out);
+}
+
+static void
+command (void *data, char **words, GString *out)
+{
+  State *state = data;
+  const char *verb = words[0];
+  Caller *caller = find_caller (state, verb);
+
+  if (caller != NULL)
+    send_query (state, caller, words, out, true);
+  else if (strcmp (verb, "host") == 0)
+    add_host (state, script_word (words, 1));
+  else if (strcmp (verb, "open") == 0)
+    open_caller (state, words, out);
+  else if (strcmp (verb, "raw") == 0)
+    send_raw (state, words, out);
+  else if (strcmp (verb, "send") == 0)
+    send_query (state, find_caller (state, script_word (words, 1)), words, out, false);
+  else if (strcmp (verb, "receive") == 0)
+    print_answer (state, find_caller (state, script_word (words, 1)), out);
+  else if (strcmp (verb, "fault") == 0)
+    set_fault (state, words);
+  else if (strcmp (verb, "leaves") == 0)
+    {
+      line_world_set_leaving (state->world, script_word (words, 1));
+      list_instances (state);
+    }
+  else if (strcmp (verb, "replace") == 0)
+    line_world_replace (state->world, script_word (words, 1));
+  else if (strcmp (verb, "list") == 0)
+    list_instances (state);
+  else if (strcmp (verb, "configure") == 0)
+    configure (state, strcmp (script_word (words, 1), "all") == 0);
+  else if (strcmp (verb, "drain") == 0)
+    pool_server_drain (find_host (state, script_word (words, 1))->server, script_number (words, 2));
+  else if (strcmp (verb, "ready") == 0)
+    g_string_append (out, pool_server_is_ready (find_host (state, script_word (words, 1))->server)
+                              ? "ready\n"
+                              : "not ready\n");
+  else if (strcmp (verb, "await") == 0)
+    await_primary (state, script_word (words, 1), out);
+  else if (strcmp (verb, "run") == 0)
+    run_for (state, script_number (words, 1));
+  else if (strcmp (verb, "world") == 0)
+    line_world_print (state->world, out);
+  else
+    g_error ("no such command: %s", verb);
+}
+
+const ScriptKind script_pool = { "pool", start, command, end };
--- a/tests/script.h
+++ b/tests/script.h
@@ -32,3 +32,4 @@
 extern const ScriptKind script_config;
 extern const ScriptKind script_lead;
 extern const ScriptKind script_place;
+extern const ScriptKind script_pool;
