--- a/src/pool/instance-pool.c
+++ b/src/pool/instance-pool.c
@@ -9,8 +9,9 @@
 #define RETRY_OPEN_MS 150
 /* After the instance refused one more connection the pool does not grow for this time. */
 #define GROW_PAUSE_MS 400
-/* A connection unused for this time is closed, so that other hosts may open one. */
-#define IDLE_LIMIT_MS 4000
+/* A connection unused for this time is closed: others may need it, and those that a lost host
+ * leaves behind count against the limit of the instance for seconds. */
+#define IDLE_LIMIT_MS 800
 /* The number of connections wanted falls by one in this time. */
 #define WANTED_DECAY_MS 200
 /* Waiting requests of one rank; more are refused at the door. */
--- a/src/pool/lead-driver.c
+++ b/src/pool/lead-driver.c
@@ -17,8 +17,10 @@
 #define PEER_FRESH_MS 800
 /* A change under way at a host that fell silent is over after this time. */
 #define FENCE_FRESH_MS 1500
-/* A commit that did not end makes the primary suspect for this time. */
-#define UNACKNOWLEDGED_MS 1500
+/* No commit of several has ended for this time. */
+#define STUCK_MS 700
+/* Without new commits nothing is known of whether they would end. */
+#define STUCK_FRESH_MS 1500
 /* Hosts rely on a primary for this long after a proof; see service-group.c. */
 #define PRIMARY_RIGHT_MS 1000
 /* Time for the promote call; what is not sent by then is not sent later. */
@@ -128,11 +130,12 @@
   return at_ms == 0 ? NEVER_AGE : (uint32_t) CLAMP (now_ms - at_ms + 1, 1, INT32_MAX);
 }
 
+/* The primary answers, and yet commits do not end: none of its replicas receives them. */
 static bool
 is_stuck (const GroupBelief *belief, int64_t now_ms)
 {
-  return belief->unacknowledged_ms > 0 && now_ms - belief->unacknowledged_ms < UNACKNOWLEDGED_MS
-         && belief->acknowledged_ms < belief->unacknowledged_ms - PRIMARY_RIGHT_MS;
+  return belief->commit_since_ms > 0 && now_ms - belief->commit_since_ms >= STUCK_MS
+         && now_ms - belief->commit_sent_ms < STUCK_FRESH_MS;
 }
 
 static void
@@ -190,7 +193,29 @@
   return 0;
 }
 
-/* Shares the connections that the instances take among the hosts that are heard. */
+typedef struct
+{
+  const LeadDriver *driver;
+  uint32_t instance;
+  int64_t now_ms;
+  ConnectionDemand *demand;
+} DemandCount;
+
+/* A host that was never heard may be about to open connections. */
+static void
+count_demand (void *data, const PeerState *peer)
+{
+  const DemandCount *count = data;
+  const PeerView *view = g_hash_table_lookup (count->driver->peers, &peer->id);
+
+  if (peer->heard_ms > 0 && count->now_ms - peer->heard_ms > CONNECTIONS_KEPT_MS)
+    return;
+  count->demand->hosts++;
+  if (view != NULL)
+    count->demand->others += wanted_by (view, count->instance);
+}
+
+/* Shares the connections that the instances take among the hosts. */
 static void
 share_connections (LeadDriver *driver, int64_t now_ms)
 {
@@ -204,17 +229,9 @@
         .hosts = 1,
         .own = instance_pool_wanted (members[i]->pool),
       };
-      GHashTableIter iter;
-      void *view;
-
-      g_hash_table_iter_init (&iter, driver->peers);
-      while (g_hash_table_iter_next (&iter, NULL, &view))
-        {
-          if (now_ms - ((const PeerView *) view)->heard_ms > CONNECTIONS_KEPT_MS)
-            continue;
-          demand.hosts++;
-          demand.others += wanted_by (view, member_key (members[i]));
-        }
+      DemandCount counting = { driver, member_key (members[i]), now_ms, &demand };
+
+      peer_mesh_each (driver->options.mesh, count_demand, &counting);
       instance_pool_set_limit (members[i]->pool, connection_share (&demand));
     }
 }
@@ -349,8 +366,8 @@
   talloc_free (tag);
   run_step (driver);
   // Nobody else can have changed the primary while this host did: it leads for sure.
-  if (confirming && lead_change_phase (driver->change) == LEAD_IDLE && result == ORDER_ANSWERED
-      && report->primary)
+  if (confirming && lead_change_phase (driver->change) == LEAD_IDLE && report != NULL
+      && result == ORDER_ANSWERED && report->primary)
     service_group_take_proof (driver->options.group, sent_ms);
 }
 
--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -349,8 +349,6 @@
   log_event (LOG_LEVEL_INFO, "statement_limit", "request=%s instance=%s limit_ms=%" PRId64,
              session->statement.id, instance_pool_info (current_pool (session))->id,
              session->database->statement_ms);
-  if (wrote && (session->transaction == TRANSACTION_NONE || ends_transaction (session)))
-    service_group_note_unacknowledged (session->group);
   drop_line (session);
   if (session->transaction == TRANSACTION_BOUND
       && (session->statement.kind != STATEMENT_COMMIT || !wrote))
@@ -467,6 +465,9 @@
   session->sent_ms = clock_now_ms ();
   if (statement_writes (session))
     session->wrote = true;
+  if (session->wrote
+      && (session->transaction == TRANSACTION_NONE || statement->kind == STATEMENT_COMMIT))
+    service_group_note_commit_sent (session->group, current_pool (session));
   if (statement->kind == STATEMENT_EXECUTE)
     backend_line_execute (line, statement->id, after,
                           session_values_shape (&session->values, statement->name),
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -34,11 +34,11 @@
   GPtrArray *retired; /* InstancePool with connections in use */
   char primary[CATALOG_NAME_BYTES];
   uint64_t term;
-  int64_t acknowledged_ms; /* last commit that ended, by its sending */
-  int64_t proof_ms;        /* the primary led its group then */
+  int64_t proof_ms; /* the primary led its group then */
   bool fenced;
   SessionToken committed;
-  int64_t unacknowledged_ms;
+  int64_t commit_sent_ms;
+  int64_t commit_since_ms;
   PositionHistory history;
   GQueue waiters;
   int64_t probed_ms;
@@ -139,6 +139,7 @@
     {
       memset (&group->history, 0, sizeof group->history);
       group->proof_ms = 0;
+      group->commit_since_ms = 0;
     }
   g_strlcpy (group->primary, id, sizeof group->primary);
   group->term = term;
@@ -367,12 +368,12 @@
   if (result->code == ANSWER_OK && committed)
     {
       session_token_raise (&group->committed, result->position);
-      group->acknowledged_ms = MAX (group->acknowledged_ms, sent_ms);
+      group->commit_since_ms = 0;
     }
   if (result->code == ANSWER_OK && committed && is_primary)
     note_proof (group, sent_ms);
   if (result->code == ANSWER_READ_ONLY && is_primary)
-    group->proof_ms = 0;
+    group->proof_ms = group->commit_since_ms = 0;
   note_position (group, member, result->position, sent_ms);
 }
 
@@ -454,9 +455,13 @@
 }
 
 void
-service_group_note_unacknowledged (ServiceGroup *group)
+service_group_note_commit_sent (ServiceGroup *group, const InstancePool *pool)
 {
-  group->unacknowledged_ms = clock_now_ms ();
+  if (!service_group_is_primary (group, pool))
+    return;
+  group->commit_sent_ms = clock_now_ms ();
+  if (group->commit_since_ms == 0)
+    group->commit_since_ms = group->commit_sent_ms;
 }
 
 GroupMember *const *
@@ -474,8 +479,8 @@
     .term = group->term,
     .proof_ms = group->proof_ms,
     .committed = group->committed,
-    .acknowledged_ms = group->acknowledged_ms,
-    .unacknowledged_ms = group->unacknowledged_ms,
+    .commit_sent_ms = group->commit_sent_ms,
+    .commit_since_ms = group->commit_since_ms,
   };
   position_history_last (&group->history, &belief->position);
 }
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -127,8 +127,8 @@
 /** service_group_distance() - Distance of the instance of @pool. */
 Distance service_group_distance (const ServiceGroup *group, const InstancePool *pool);
 
-/** service_group_note_unacknowledged() - A commit at the primary did not end in its time. */
-void service_group_note_unacknowledged (ServiceGroup *group);
+/** service_group_note_commit_sent() - A commit that writes was sent to the instance of @pool. */
+void service_group_note_commit_sent (ServiceGroup *group, const InstancePool *pool);
 
 /** service_group_members() - The instances; @count of them. */
 GroupMember *const *service_group_members (const ServiceGroup *group, uint32_t *count);
@@ -138,11 +138,11 @@
 {
   const char *primary; /* "" if none is known */
   uint64_t term;
-  int64_t proof_ms;          /* it led its group then; 0 for never */
-  PositionSample position;   /* its last position known; time 0 for none */
-  SessionToken committed;    /* greatest position acknowledged to callers here */
-  int64_t acknowledged_ms;   /* a commit sent then was acknowledged */
-  int64_t unacknowledged_ms; /* a commit last did not end in its time */
+  int64_t proof_ms;        /* it led its group then; 0 for never */
+  PositionSample position; /* its last position known; time 0 for none */
+  SessionToken committed;  /* greatest position acknowledged to callers here */
+  int64_t commit_sent_ms;  /* a commit was last sent; 0 for never */
+  int64_t commit_since_ms; /* none has ended since this one was sent; 0 if the last ended */
 } GroupBelief;
 
 /** service_group_belief() - What this host holds true. */
