--- a/src/base/log.c
+++ b/src/base/log.c
@@ -3,13 +3,16 @@
 #include <fcntl.h>
 #include <stdarg.h>
 #include <stdatomic.h>
+#include <stdbool.h>
 #include <stdio.h>
+#include <time.h>
 #include <unistd.h>
 
 #define LINE_BYTES 1024
 
 static atomic_int max_level = LOG_LEVEL_INFO;
 static atomic_int log_fd = STDERR_FILENO;
+static atomic_bool with_time;
 static _Atomic uint64_t dropped;
 
 void
@@ -24,6 +27,23 @@
   return (int) level <= atomic_load_explicit (&max_level, memory_order_relaxed);
 }
 
+/* Lines of several hosts are put in order by their time. */
+static int
+print_head (char *line, size_t size, LogLevel level, const char *event)
+{
+  struct timespec now;
+  struct tm fields;
+  char text[24];
+
+  if (!atomic_load_explicit (&with_time, memory_order_relaxed))
+    return snprintf (line, size, "<%d>event=%s ", (int) level, event);
+  clock_gettime (CLOCK_REALTIME, &now);
+  gmtime_r (&now.tv_sec, &fields);
+  strftime (text, sizeof text, "%Y-%m-%dT%H:%M:%S", &fields);
+  return snprintf (line, size, "<%d>time=%s.%03ldZ event=%s ", (int) level, text,
+                   now.tv_nsec / 1000000, event);
+}
+
 void
 log_event (LogLevel level, const char *event, const char *format, ...)
 {
@@ -34,7 +54,7 @@
   if (!log_enabled (level))
     return;
 
-  used = snprintf (line, sizeof line, "<%d>event=%s ", (int) level, event);
+  used = print_head (line, sizeof line, level, event);
   va_start (args, format);
   more = vsnprintf (line + used, sizeof line - (size_t) used - 1, format, args);
   va_end (args);
@@ -59,6 +79,7 @@
   if (flags >= 0)
     fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
   atomic_store_explicit (&log_fd, STDOUT_FILENO, memory_order_relaxed);
+  atomic_store_explicit (&with_time, true, memory_order_relaxed);
 }
 
 uint64_t
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -26,7 +26,10 @@
 void log_event (LogLevel level, const char *event, const char *format, ...)
     __attribute__ ((format (printf, 3, 4)));
 
-/** log_use_stdout() - Lines go to standard output; what a full pipe does not take is dropped. */
+/**
+ * log_use_stdout() - Lines go to standard output, with the time of day in UTC; what a full pipe
+ * does not take is dropped.
+ */
 void log_use_stdout (void);
 
 /** log_dropped() - Lines dropped so far. */
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -137,6 +137,51 @@
   return value == NULL ? g_strdup (info->fallback) : value;
 }
 
+static bool check_value (const SettingInfo *info, const char *value, int64_t *number);
+
+static void
+take_line (Settings *settings, char *line, GString *ignored)
+{
+  char *value = strchr (line, '=');
+  int64_t number = 0;
+  int index = 0;
+
+  if (value == NULL)
+    return;
+  *value++ = '\0';
+  g_strstrip (line);
+  g_strstrip (value);
+  while (settings->table[index].name != NULL && strcmp (settings->table[index].name, line) != 0)
+    index++;
+  if (settings->table[index].name == NULL || !check_value (&settings->table[index], value, &number))
+    {
+      g_string_append_printf (ignored, "%s%s", ignored->len == 0 ? "" : ",", line);
+      return;
+    }
+  g_free (settings->values[index]);
+  settings->values[index] = g_strdup (value);
+  settings->numbers[index] = number;
+}
+
+bool
+settings_read_file (Settings *settings, const char *path, GString *ignored)
+{
+  char *text = NULL;
+  char **lines;
+
+  if (!g_file_get_contents (path, &text, NULL, NULL))
+    return false;
+  lines = g_strsplit (text, "\n", -1);
+  for (char **line = lines; *line != NULL; line++)
+    {
+      (*line)[strcspn (*line, "#")] = '\0';
+      take_line (settings, *line, ignored);
+    }
+  g_strfreev (lines);
+  g_free (text);
+  return true;
+}
+
 static bool
 check_value (const SettingInfo *info, const char *value, int64_t *number)
 {
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -49,6 +49,13 @@
 SettingsResult settings_parse (const char *command, const char *summary, const SettingInfo *table,
                                int argc, char **argv, Settings **settings);
 
+/**
+ * settings_read_file() - Takes the settings of the file @path, lines of "name = value"; "#" begins
+ * a comment. They go before what @settings held. Names that are not settings, and values out of
+ * range, change nothing and are appended to @ignored. False if the file can't be read.
+ */
+bool settings_read_file (Settings *settings, const char *path, GString *ignored);
+
 /** settings_free() - Frees the values. */
 void settings_free (Settings *settings);
 
--- a/src/cli/command.h
+++ b/src/cli/command.h
@@ -22,6 +22,7 @@
 
 extern const Command command_serve;
 extern const Command command_pool;
+extern const Command command_explain;
 extern const Command command_demo;
 extern const Command command_standin;
 extern const Command command_apply;
--- a/src/cli/pool.c
+++ b/src/cli/pool.c
@@ -5,6 +5,7 @@
 #include <signal.h>
 #include <string.h>
 #include <sys/signalfd.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <jansson.h>
@@ -31,17 +32,24 @@
   { "listen", SETTING_TEXT, NULL, 0, 0, "IP:PORT for callers" },
   { "status-listen", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the readiness and metrics pages" },
   { "peer-port", SETTING_NUMBER, "7440", 0, 65535, "UDP port for the other hosts" },
+  { "descriptor-limit", SETTING_NUMBER, "4096", 300, 1000000, "descriptors the process may open" },
   { "store", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the platform's store" },
   { "promoter", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the platform's promote call" },
   { "drain-limit", SETTING_NUMBER, "6", 1, 3600, "seconds that a graceful shutdown may take" },
   { "pool-log-level", SETTING_NUMBER, "6", 3, 7, "syslog severity up to which lines are written" },
-  { "node-file", SETTING_TEXT, "", 0, 0, "settings file that the platform writes; not read" },
+  { "metrics-listen", SETTING_TEXT, "", 0, 0, "IP:PORT of a second metrics page; empty for none" },
+  { "node-file", SETTING_TEXT, "", 0, 0,
+    "settings file, \"name = value\" lines; read again when it changes; empty for none" },
   { NULL, SETTING_FLAG, NULL, 0, 0, NULL },
 };
 
 /* Kept free of the time that the platform gives a shutdown. */
 #define DRAIN_RESERVE_MS 400
 #define SIGNAL_POLL_MS 100
+/* The settings file is looked at this often. */
+#define FILE_POLL_MS 2000
+/* Descriptors kept for connections to instances, to the store, and files. */
+#define DESCRIPTOR_RESERVE 250
 
 typedef struct
 {
@@ -55,6 +63,11 @@
   PeerMesh *mesh;
   PoolServer *server;
   StatusHttp *status;
+  StatusHttp *metrics_page;
+  PoolMetrics metrics;
+  Settings *settings;
+  struct timespec file_time;
+  Timer file_timer;
   int signal_fd;
   int64_t drain_limit_ms;
   Timer drain_timer;
@@ -99,6 +112,9 @@
   PoolDaemon *daemon = data;
 
   counters_print (&daemon->counters, out);
+  pool_metrics_print (&daemon->metrics, out);
+  g_string_append_printf (out, "peridotstep_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
+                          log_dropped ());
 }
 
 static void
@@ -148,6 +164,55 @@
     timer_set (daemon->timers, &daemon->drain_timer, SIGNAL_POLL_MS);
 }
 
+/* Settings that may change while the daemon runs; others wait for its next start. */
+static void
+apply_settings (PoolDaemon *daemon)
+{
+  log_set_level ((LogLevel) settings_number (daemon->settings, "pool-log-level"));
+  daemon->drain_limit_ms = settings_number (daemon->settings, "drain-limit") * 1000;
+}
+
+static void
+read_settings_file (PoolDaemon *daemon, const char *why)
+{
+  const char *path = settings_text (daemon->settings, "node-file");
+  GString *ignored;
+  struct stat status;
+
+  if (*path == '\0')
+    return;
+  if (stat (path, &status) == 0)
+    daemon->file_time = status.st_mtim;
+  ignored = g_string_new ("");
+  if (settings_read_file (daemon->settings, path, ignored))
+    {
+      apply_settings (daemon);
+      log_event (LOG_LEVEL_NOTICE, "settings_read",
+                 "file=%s reason=%s log_level=%" G_GINT64_FORMAT " drain_limit_ms=%" G_GINT64_FORMAT
+                 " ignored=%s",
+                 path, why, settings_number (daemon->settings, "pool-log-level"),
+                 daemon->drain_limit_ms, ignored->str);
+    }
+  else
+    log_event (LOG_LEVEL_WARNING, "settings_unreadable", "file=%s reason=%s", path, why);
+  g_string_free (ignored, true);
+}
+
+/* The file may change without a signal. */
+static void
+on_file_timer (void *data)
+{
+  PoolDaemon *daemon = data;
+  struct stat status;
+
+  timer_set (daemon->timers, &daemon->file_timer, FILE_POLL_MS);
+  if (stat (settings_text (daemon->settings, "node-file"), &status) != 0)
+    return;
+  if (status.st_mtim.tv_sec != daemon->file_time.tv_sec
+      || status.st_mtim.tv_nsec != daemon->file_time.tv_nsec)
+    read_settings_file (daemon, "changed");
+}
+
 static void
 on_signal (struct tevent_context *events, struct tevent_fd *fde, uint16_t flags, void *data)
 {
@@ -158,7 +223,7 @@
     return;
   if (info.ssi_signo == SIGHUP)
     {
-      log_event (LOG_LEVEL_NOTICE, "reloaded", "changed=none");
+      read_settings_file (daemon, "signal");
       return;
     }
   pool_server_drain (daemon->server, daemon->drain_limit_ms - DRAIN_RESERVE_MS);
@@ -195,6 +260,27 @@
   return domains;
 }
 
+static bool
+start_metrics_page (PoolDaemon *daemon, const Settings *settings, const StatusHttpOptions *status,
+                    GError **error)
+{
+  const char *listen = settings_text (settings, "metrics-listen");
+  char address[CATALOG_NAME_BYTES];
+  StatusHttpOptions options = *status;
+
+  if (*listen == '\0')
+    return true;
+  options.address = address;
+  if (!platform_format_address (listen, address, &options.port))
+    {
+      g_set_error (error, PERIDOTSTEP_ERROR, PERIDOTSTEP_ERROR_SETTING,
+                   "metrics-listen must be IP:PORT");
+      return false;
+    }
+  daemon->metrics_page = status_http_new (daemon, daemon->events, daemon->timers, &options, error);
+  return daemon->metrics_page != NULL;
+}
+
 static bool
 start_server (PoolDaemon *daemon, const Settings *settings, GHashTable *domains, GError **error)
 {
@@ -205,9 +291,11 @@
     .failure_domain = settings_text (settings, "failure-domain"),
     .region = settings_text (settings, "region"),
     .address = address,
+    .session_limit = (uint32_t) settings_number (settings, "descriptor-limit") - DESCRIPTOR_RESERVE,
     .domain_region = domains,
     .codec = &platform_line_codec,
     .counters = &daemon->counters,
+    .metrics = &daemon->metrics,
     .timers = daemon->timers,
     .directory = daemon->directory,
     .lookup = on_lookup,
@@ -248,7 +336,7 @@
   if (daemon->server == NULL)
     return false;
   daemon->status = status_http_new (daemon, daemon->events, daemon->timers, &status, error);
-  return daemon->status != NULL;
+  return daemon->status != NULL && start_metrics_page (daemon, settings, &status, error);
 }
 
 static void
@@ -257,6 +345,7 @@
   const DiscoveryOptions options = {
     .directory = daemon->directory,
     .timers = daemon->timers,
+    .metrics = &daemon->metrics,
     .catalog = on_catalog,
     .instances = on_instances,
     .data = daemon,
@@ -288,14 +377,18 @@
   };
   GError *error = NULL;
 
-  log_set_level ((LogLevel) settings_number (settings, "pool-log-level"));
+  daemon->settings = (Settings *) settings;
   log_use_stdout ();
+  apply_settings (daemon);
+  read_settings_file (daemon, "start");
   daemon->events = tevent_context_init (daemon);
   daemon->timers = timer_queue_new (daemon, daemon->events);
   daemon->http = http_client_new (daemon, daemon->events, daemon->timers);
   api.http = daemon->http;
   daemon->directory = platform_api_new (daemon, &api);
-  daemon->drain_limit_ms = settings_number (settings, "drain-limit") * 1000;
+  daemon->file_timer.fired = on_file_timer;
+  daemon->file_timer.data = daemon;
+  timer_set (daemon->timers, &daemon->file_timer, FILE_POLL_MS);
   daemon->drain_timer.fired = on_drain_timer;
   daemon->drain_timer.data = daemon;
   watch_signals (daemon);
--- a/src/main.c
+++ b/src/main.c
@@ -11,9 +11,9 @@
 #define VERSION "0.1.0"
 
 static const Command *const commands[] = {
-  &command_serve, &command_pool, &command_demo,    &command_standin,
-  &command_apply, &command_show, &command_history, &command_status,
-  &command_fault, &command_load, &command_replay,  &command_bench,
+  &command_serve, &command_explain, &command_pool,    &command_demo,   &command_standin,
+  &command_apply, &command_show,    &command_history, &command_status, &command_fault,
+  &command_load,  &command_replay,  &command_bench,
 };
 
 static void
--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -104,6 +104,7 @@
   const DiscoveryOptions *options = &discovery->options;
 
   discovery->reading = false;
+  pool_metrics_add (options->metrics, POOL_LATENCY_STORE, clock_now_ms () - discovery->read_ms);
   if (result != CALL_DONE)
     {
       timer_set (options->timers, &discovery->instances_timer,
--- a/src/pool/discovery.h
+++ b/src/pool/discovery.h
@@ -7,6 +7,7 @@
 
 #include "base/timer-queue.h"
 #include "pool/directory.h"
+#include "pool/pool-metrics.h"
 
 typedef struct Discovery Discovery;
 
@@ -19,6 +20,7 @@
 {
   const Directory *directory;
   TimerQueue *timers;
+  PoolMetrics *metrics;
   void (*catalog) (void *data, Catalog *catalog);
   void (*instances) (void *data, const GArray *infos);
   void *data;
--- a/src/pool/lead-driver.c
+++ b/src/pool/lead-driver.c
@@ -60,6 +60,7 @@
   bool checking;
   int64_t checked_ms;
   LeadPhase logged_phase;
+  int64_t started_ms;
   bool stepping;
 };
 
@@ -368,7 +369,11 @@
   // Nobody else can have changed the primary while this host did: it leads for sure.
   if (confirming && lead_change_phase (driver->change) == LEAD_IDLE && report != NULL
       && result == ORDER_ANSWERED && report->primary)
-    service_group_take_proof (driver->options.group, sent_ms);
+    {
+      service_group_take_proof (driver->options.group, sent_ms);
+      pool_metrics_add (driver->options.metrics, POOL_LATENCY_CHANGE,
+                        clock_now_ms () - driver->started_ms);
+    }
 }
 
 static void
@@ -467,6 +472,8 @@
 
   if (phase == driver->logged_phase)
     return;
+  if (driver->logged_phase == LEAD_IDLE)
+    driver->started_ms = situation->now_ms;
   driver->logged_phase = phase;
   log_event (LOG_LEVEL_NOTICE, "lead_change",
              "service=%s phase=%s fence=%" G_GUINT64_FORMAT " term=%" G_GUINT64_FORMAT
--- a/src/pool/lead-driver.h
+++ b/src/pool/lead-driver.h
@@ -9,6 +9,7 @@
 #include "pool/beat.pb-c.h"
 #include "pool/directory.h"
 #include "pool/peer-mesh.h"
+#include "pool/pool-metrics.h"
 #include "pool/service-group.h"
 
 typedef struct LeadDriver LeadDriver;
@@ -20,6 +21,7 @@
   const Directory *directory;
   PeerMesh *mesh;
   Counters *counters;
+  PoolMetrics *metrics;
   const char *host;
 } LeadDriverOptions;
 
--- /dev/null
+++ b/src/pool/pool-metrics.c
@@ -0,0 +1,55 @@
+#include "pool/pool-metrics.h"
+
+#include <inttypes.h>
+
+static const char *const latency_names[POOL_LATENCY_COUNT] = {
+  [POOL_LATENCY_CONNECTION] = "peridotstep_connection_wait_ms",
+  [POOL_LATENCY_SERVICE] = "peridotstep_service_ms",
+  [POOL_LATENCY_STORE] = "peridotstep_store_call_ms",
+  [POOL_LATENCY_CHANGE] = "peridotstep_primary_change_ms",
+};
+
+void
+pool_metrics_add_statement (PoolMetrics *metrics, Priority priority, Verdict verdict,
+                            int64_t took_ms)
+{
+  histogram_add (&metrics->statements[priority], took_ms);
+  metrics->outcomes[priority][verdict]++;
+}
+
+void
+pool_metrics_add (PoolMetrics *metrics, PoolLatency latency, int64_t took_ms)
+{
+  histogram_add (&metrics->latencies[latency], took_ms);
+}
+
+static void
+print_outcomes (const PoolMetrics *metrics, GString *out)
+{
+  g_string_append (out, "# TYPE peridotstep_outcomes_total counter\n");
+  for (int priority = 0; priority < PRIORITY_COUNT; priority++)
+    for (int verdict = 0; verdict < VERDICTS; verdict++)
+      g_string_append_printf (
+          out, "peridotstep_outcomes_total{priority=\"%s\",verdict=\"%s\"} %" PRIu64 "\n",
+          priority_name ((Priority) priority), verdict_name ((Verdict) verdict),
+          metrics->outcomes[priority][verdict]);
+}
+
+void
+pool_metrics_print (const PoolMetrics *metrics, GString *out)
+{
+  char labels[32];
+
+  print_outcomes (metrics, out);
+  g_string_append (out, "# TYPE peridotstep_statement_ms histogram\n");
+  for (int priority = 0; priority < PRIORITY_COUNT; priority++)
+    {
+      g_snprintf (labels, sizeof labels, "priority=\"%s\"", priority_name ((Priority) priority));
+      histogram_print (&metrics->statements[priority], "peridotstep_statement_ms", labels, out);
+    }
+  for (int latency = 0; latency < POOL_LATENCY_COUNT; latency++)
+    {
+      g_string_append_printf (out, "# TYPE %s histogram\n", latency_names[latency]);
+      histogram_print (&metrics->latencies[latency], latency_names[latency], "", out);
+    }
+}
--- a/src/pool/pool-server.c
+++ b/src/pool/pool-server.c
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include "base/clock.h"
+#include "base/log-budget.h"
 #include "base/log.h"
 #include "base/stream.h"
 #include "base/verdict.h"
@@ -18,6 +19,9 @@
 #define DRAIN_TRANSACTION_PART 2
 /* Kept free of the time that a shutdown may take. */
 #define DRAIN_MARGIN_MS 700
+/* Lines a second on statements that ran, and on statements that did not. */
+#define RAN_LINES_PER_S 10
+#define NOT_RUN_LINES_PER_S 30
 
 typedef struct
 {
@@ -38,6 +42,7 @@
   GArray *instances; /* InstanceInfo */
   Timer tick;
   uint64_t next_id;
+  LogBudget log_budgets[VERDICTS];
   int64_t drain_started_ms;
   int64_t drain_limit_ms;
 };
@@ -49,6 +54,7 @@
   void *session;
 
   timer_clear (&server->tick);
+  TALLOC_FREE (server->listen_fde);
   g_hash_table_iter_init (&iter, server->sessions);
   while (g_hash_table_iter_next (&iter, &session, NULL))
     {
@@ -60,7 +66,6 @@
   g_array_free (server->instances, true);
   if (server->catalog != NULL)
     catalog_unref (server->catalog);
-  TALLOC_FREE (server->listen_fde);
   close (server->listen_fd);
   return 0;
 }
@@ -71,8 +76,12 @@
   PoolServer *server = data;
   int fd;
 
-  while ((fd = stream_accept (server->listen_fd)) >= 0)
+  while (g_hash_table_size (server->sessions) < server->options.session_limit
+         && (fd = stream_accept (server->listen_fd)) >= 0)
     pool_session_new (server, fd);
+  // Others wait in the system's queue until a session ends.
+  if (g_hash_table_size (server->sessions) >= server->options.session_limit)
+    tevent_fd_set_flags (server->listen_fde, 0);
 }
 
 static void
@@ -132,6 +141,8 @@
   server->events = events;
   server->options = *options;
   server->listen_fd = fd;
+  server->log_budgets[VERDICT_RAN].lines_per_s = RAN_LINES_PER_S;
+  server->log_budgets[VERDICT_NOT_RUN].lines_per_s = NOT_RUN_LINES_PER_S;
   server->sessions = g_hash_table_new (NULL, NULL);
   server->groups = g_hash_table_new (g_str_hash, g_str_equal);
   server->instances = g_array_new (false, true, sizeof (InstanceInfo));
@@ -191,6 +202,7 @@
     .directory = options->directory,
     .mesh = options->mesh,
     .counters = options->counters,
+    .metrics = options->metrics,
     .host = options->host,
   };
   Service *service = talloc_zero (server, Service);
@@ -313,6 +325,14 @@
     lead_driver_forget (((const Service *) service)->driver, peer);
 }
 
+bool
+pool_server_may_log (PoolServer *server, Verdict verdict, int64_t now_ms, uint32_t *dropped)
+{
+  *dropped = 0;
+  return verdict == VERDICT_MAY_HAVE_RUN
+         || log_budget_take (&server->log_budgets[verdict], now_ms, dropped);
+}
+
 uint64_t
 pool_server_next_id (PoolServer *server)
 {
@@ -329,6 +349,8 @@
 pool_server_remove_session (PoolServer *server, void *session)
 {
   g_hash_table_remove (server->sessions, session);
+  if (server->listen_fde != NULL)
+    tevent_fd_set_flags (server->listen_fde, TEVENT_FD_READ);
 }
 
 bool
--- a/src/pool/pool-server.h
+++ b/src/pool/pool-server.h
@@ -16,6 +16,7 @@
 #include "pool/codec.h"
 #include "pool/directory.h"
 #include "pool/peer-mesh.h"
+#include "pool/pool-metrics.h"
 #include "pool/service-group.h"
 
 typedef struct PoolServer PoolServer;
@@ -23,7 +24,7 @@
 /**
  * struct PoolServerOptions - Settings of the daemon. Text must outlive it.
  * @host: unique name. @failure_domain, @region: where it stands.
- * @address, @port: where callers connect.
+ * @address, @port: where callers connect. @session_limit: sessions open at once.
  * @domain_region: table failure domain to region, of the whole deployment.
  * @directory: where primaries are changed. @mesh: the other hosts.
  * @lookup: the list of instances may be out of date.
@@ -35,9 +36,11 @@
   const char *region;
   const char *address;
   uint16_t port;
+  uint32_t session_limit;
   GHashTable *domain_region;
   const Codec *codec;
   Counters *counters;
+  PoolMetrics *metrics;
   TimerQueue *timers;
   const Directory *directory;
   PeerMesh *mesh;
@@ -80,6 +83,12 @@
 /** pool_server_forget_peer() - @peer has ended. */
 void pool_server_forget_peer (PoolServer *server, uint64_t peer);
 
+/**
+ * pool_server_may_log() - Whether the outcome of a statement may be logged. Those in doubt
+ * always are; @dropped lines of the same verdict were left out before.
+ */
+bool pool_server_may_log (PoolServer *server, Verdict verdict, int64_t now_ms, uint32_t *dropped);
+
 /** pool_server_next_id() - Number for a session. */
 uint64_t pool_server_next_id (PoolServer *server);
 
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -18,6 +18,8 @@
 #define BEHIND_LIMIT_MS 480
 /* An instance that owes answers and said nothing for this time is asked for a sign of life. */
 #define SILENCE_MS 350
+/* A leaving primary that nobody has replaced by then gets no new work all the same. */
+#define LEAVING_LIMIT_MS 4000
 /* It is asked again at this pace while it gives none. */
 #define CHECK_INTERVAL_MS 250
 /* An instance that was full is not asked for this time. */
@@ -227,6 +229,18 @@
   return NULL;
 }
 
+static void
+update_member (GroupMember *member, const InstanceInfo *info)
+{
+  if (info->leaving && member->leaving_ms == 0)
+    {
+      member->leaving_ms = clock_now_ms ();
+      log_event (LOG_LEVEL_NOTICE, "instance_leaving", "service=%s instance=%s",
+                 member->group->name, info->id);
+    }
+  instance_pool_update (member->pool, info);
+}
+
 void
 service_group_set_instances (ServiceGroup *group, const InstanceInfo *infos, uint32_t count)
 {
@@ -237,15 +251,10 @@
     {
       GroupMember *member = find_member (group, infos[i].id);
 
+      if (member == NULL && group->count < GROUP_MEMBERS_MAX)
+        member = add_member (group, &infos[i]);
       if (member != NULL)
-        {
-          if (instance_pool_info (member->pool)->leaving != infos[i].leaving)
-            log_event (LOG_LEVEL_NOTICE, "instance_leaving", "service=%s instance=%s leaving=%d",
-                       group->name, infos[i].id, infos[i].leaving);
-          instance_pool_update (member->pool, &infos[i]);
-        }
-      else if (group->count < GROUP_MEMBERS_MAX)
-        add_member (group, &infos[i]);
+        update_member (member, &infos[i]);
     }
   wake_waiters (group);
 }
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -30,6 +30,7 @@
  * @behind_streak: times in a row that it lacked a position.
  * @displaced: another instance stands at its address.
  * @silent: it owes answers, and gave no sign of life when asked.
+ * @leaving_ms: when it was first seen to leave; 0 if it does not.
  * @report: what it last said of itself, asked at @report_ms; 0 for never.
  * @asked: a report is due.
  */
@@ -47,6 +48,7 @@
   int64_t refused_until_ms;
   bool displaced;
   bool silent;
+  int64_t leaving_ms;
   bool checking;
   int64_t checked_ms;
   InstanceReport report;
--- /dev/null
+++ b/src/pool/session-answer.c
@@ -0,0 +1,218 @@
+#include "pool/session-state.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+InstancePool *
+session_current_pool (const PoolSession *session)
+{
+  return instance_pool_of (session->line);
+}
+
+GByteArray *
+session_output (PoolSession *session)
+{
+  return stream_output (session->stream);
+}
+
+void
+session_release_catalog (PoolSession *session)
+{
+  if (session->catalog != NULL)
+    catalog_unref (session->catalog);
+  session->catalog = NULL;
+  session->database = NULL;
+  session->group = NULL;
+}
+
+void
+session_drop_line (PoolSession *session)
+{
+  if (session->line == NULL)
+    return;
+  instance_pool_drop (session->line);
+  session->line = NULL;
+}
+
+void
+session_give_line_back (PoolSession *session)
+{
+  PooledLine *line = session->line;
+
+  session->line = NULL;
+  if (line != NULL)
+    instance_pool_give_back (line, clock_now_us () - session->line_us);
+}
+
+char
+session_caller_state (const PoolSession *session)
+{
+  switch (session->transaction)
+    {
+    case TRANSACTION_NONE:
+      return 'I';
+    case TRANSACTION_BEGUN:
+    case TRANSACTION_BOUND:
+    case TRANSACTION_LOST:
+      return 'T';
+    case TRANSACTION_FAILED:
+      return 'E';
+    }
+  return 'E';
+}
+
+static void
+on_idle_transaction (void *data)
+{
+  PoolSession *session = data;
+
+  log_event (LOG_LEVEL_INFO, "transaction_idle", "session=%" PRIu64 " database=%s begin=%s",
+             session->id, session->database_name, session->begin.id);
+  session_drop_line (session);
+  session->transaction = TRANSACTION_LOST;
+}
+
+/* The caller has its answer; the next statement may come. */
+void
+session_end_statement (PoolSession *session)
+{
+  timer_clear (&session->timer);
+  statement_done (&session->statement);
+  session->active = false;
+  session->step = STEP_NONE;
+  session->idle_since_ms = clock_now_ms ();
+  if (session->transaction == TRANSACTION_BOUND && session->catalog->idle_transaction_ms > 0)
+    {
+      session->timer.fired = on_idle_transaction;
+      timer_set (session->options->timers, &session->timer, session->catalog->idle_transaction_ms);
+    }
+  if (session->transaction == TRANSACTION_NONE)
+    {
+      statement_done (&session->begin);
+      session_release_catalog (session);
+    }
+  stream_pause (session->stream, false);
+  stream_flush (session->stream);
+}
+
+static int64_t
+age_ms (int64_t at_ms)
+{
+  return at_ms == 0 ? -1 : clock_now_ms () - at_ms;
+}
+
+/* What decided the outcome, and how old that knowledge was. */
+static void
+log_outcome (const PoolSession *session, AnswerCode code, const char *text, uint32_t dropped)
+{
+  const InstanceInfo *info
+      = session->line == NULL ? NULL : instance_pool_info (session_current_pool (session));
+  const Database *database = session->database;
+  GroupBelief belief = { .primary = "" };
+
+  if (session->group != NULL)
+    service_group_belief (session->group, &belief);
+  log_event (LOG_LEVEL_INFO, "statement",
+             "request=%s session=%" PRIu64 " database=%s service=%s priority=%s kind=%s code=%s "
+             "verdict=\"%s\" instance=%s primary=%s term=%" PRIu64 " proof_age_ms=%" PRId64
+             " after=%" PRIu64 ".%" PRIu64 " position_age_ms=%" PRId64 " config=%" PRIu64
+             " attempts=%u took_ms=%" PRId64 " text=\"%s\" left_out=%u",
+             session->statement.id, session->id, session->database_name,
+             database == NULL ? "-" : database->service,
+             database == NULL ? "-" : priority_name (database->priority),
+             statement_kind_name (session->statement.kind), answer_code_name (code),
+             verdict_name (answer_code_verdict (code)), info == NULL ? "-" : info->id,
+             belief.primary, belief.term, age_ms (belief.proof_ms), session->after.term,
+             session->after.position, age_ms (belief.position.at_ms),
+             session->catalog == NULL ? 0 : session->catalog->version, session->attempts,
+             clock_now_ms () - session->started_ms, text, dropped);
+}
+
+void
+session_note_outcome (PoolSession *session, AnswerCode code, const char *text)
+{
+  static const CounterId counters[] = {
+    [VERDICT_RAN] = COUNTER_STATEMENTS_RAN,
+    [VERDICT_NOT_RUN] = COUNTER_STATEMENTS_NOT_RUN,
+    [VERDICT_MAY_HAVE_RUN] = COUNTER_STATEMENTS_IN_DOUBT,
+  };
+  const Verdict verdict = answer_code_verdict (code);
+  const int64_t now_ms = clock_now_ms ();
+  uint32_t dropped;
+
+  counter_add (session->options->counters, counters[verdict], 1);
+  if (session->database != NULL)
+    pool_metrics_add_statement (session->options->metrics, session->database->priority, verdict,
+                                now_ms - session->started_ms);
+  if (!log_enabled (LOG_LEVEL_INFO))
+    return;
+  if (pool_server_may_log (session->server, verdict, now_ms, &dropped))
+    log_outcome (session, code, text, dropped);
+}
+
+void
+session_answer_complete (PoolSession *session, const char *receipt, SessionToken position)
+{
+  session_note_outcome (session, ANSWER_OK, receipt);
+  session->options->codec->write_complete (session_output (session), receipt);
+  session->options->codec->write_ready (session_output (session), session_caller_state (session),
+                                        position);
+  session_end_statement (session);
+}
+
+void
+session_answer_error (PoolSession *session, AnswerCode code, const char *text)
+{
+  session_note_outcome (session, code, text);
+  session->options->codec->write_error (session_output (session), code, text);
+  session->options->codec->write_ready (session_output (session), session_caller_state (session),
+                                        (SessionToken){ 0 });
+  session_end_statement (session);
+}
+
+bool
+session_ends_transaction (const PoolSession *session)
+{
+  return session->statement.kind == STATEMENT_COMMIT
+         || session->statement.kind == STATEMENT_ROLLBACK;
+}
+
+/* A failed statement fails its transaction, which the caller then ends. */
+void
+session_fail_transaction (PoolSession *session)
+{
+  if (session->transaction == TRANSACTION_NONE)
+    return;
+  session->transaction = session_ends_transaction (session) ? TRANSACTION_NONE : TRANSACTION_FAILED;
+}
+
+/* Nothing of the statement ran, nor of its transaction after the connection is dropped. */
+void
+session_refuse (PoolSession *session, AnswerCode code)
+{
+  service_group_forget (&session->waiter);
+  instance_pool_cancel (&session->request);
+  session_drop_line (session);
+  session_fail_transaction (session);
+  session_answer_error (session, code, "not run");
+}
+
+bool
+session_statement_writes (const PoolSession *session)
+{
+  const PreparedShape *shape;
+
+  switch (session->statement.kind)
+    {
+    case STATEMENT_WRITE:
+      return true;
+    case STATEMENT_EXECUTE:
+      shape = session_values_shape (&session->values, session->statement.name);
+      return shape != NULL && !shape->read_only;
+    default:
+      return false;
+    }
+}
--- /dev/null
+++ b/src/pool/session-route.c
@@ -0,0 +1,211 @@
+#include "pool/session-state.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+
+/* A request without a route is refused after this part of the time its operation should take:
+ * the caller gains more from coming back than from waiting. */
+#define ROUTE_WAIT_PART 4
+/* A statement that has not got a connection after this part of that time is refused: what is
+ * left of it has to do for the work. */
+#define QUEUE_WAIT_PART 2
+/* A statement that every instance was too busy for is tried again after this time. */
+#define BUSY_RETRY_MS 25
+/* Times that a statement that did not run is tried, in all. */
+#define ATTEMPTS_MAX 6
+/* Margin by which data is fresher than a class asks for. */
+#define STALENESS_MARGIN_MS 200
+
+static bool
+needs_primary (const PoolSession *session)
+{
+  if (session->database->consistency == CONSISTENCY_PRIMARY)
+    return true;
+  if (session->transaction == TRANSACTION_BEGUN)
+    return !session->read_only;
+  return session_statement_writes (session);
+}
+
+static void
+set_deadline_timer (PoolSession *session)
+{
+  session->timer.fired = session_on_timer;
+  timer_set (session->options->timers, &session->timer, session->deadline_ms - clock_now_ms ());
+}
+
+void
+session_pause (PoolSession *session, int64_t delay_ms)
+{
+  session->step = STEP_PAUSING;
+  session->timer.fired = session_on_timer;
+  timer_set (session->options->timers, &session->timer, delay_ms);
+}
+
+static InstancePool *
+choose_pool (PoolSession *session)
+{
+  const Database *database = session->database;
+  SessionToken token = { 0 };
+  InstancePool *pool;
+  int64_t since_ms;
+
+  session->after = (SessionToken){ 0 };
+  if (needs_primary (session))
+    return service_group_primary (session->group);
+  if (database->consistency == CONSISTENCY_SESSION
+      && strcmp (session->token_service, database->service) == 0)
+    token = session->token;
+  since_ms = session->started_ms - MAX (database->staleness_ms - STALENESS_MARGIN_MS, 0);
+  pool = service_group_place (session->group, since_ms, token, database->priority, session->tried,
+                              &session->after);
+  if (pool != NULL || session->tried == 0)
+    return pool;
+  session->tried = 0;
+  return service_group_place (session->group, since_ms, token, database->priority, 0,
+                              &session->after);
+}
+
+static bool
+has_untried_pool (PoolSession *session)
+{
+  const InstancePool *pool = choose_pool (session);
+
+  return pool != NULL && (service_group_bit (session->group, pool) & session->tried) == 0;
+}
+
+static void
+wait_for_route (PoolSession *session)
+{
+  const int64_t limit_ms
+      = MIN (session->deadline_ms,
+             session->started_ms + session->database->operation_ms / ROUTE_WAIT_PART);
+  const int64_t left_ms = limit_ms - clock_now_ms ();
+
+  if (left_ms <= 0)
+    {
+      session_refuse (session, ANSWER_OVERLOADED);
+      return;
+    }
+  session->step = STEP_ROUTING;
+  session->timer.fired = session_on_timer;
+  timer_set (session->options->timers, &session->timer, left_ms);
+  service_group_wait (session->group, &session->waiter);
+}
+
+/* The statement did not run, with @code; another try follows if it may help. */
+void
+session_retry (PoolSession *session, AnswerCode code)
+{
+  if (++session->attempts >= ATTEMPTS_MAX || !session_can_wait_for_slot (session))
+    {
+      session_refuse (session, code);
+      return;
+    }
+  counter_add (session->options->counters, COUNTER_RETRIES, 1);
+  if (has_untried_pool (session) || code != ANSWER_OVERLOADED)
+    {
+      session_dispatch (session);
+      return;
+    }
+  session->tried = 0;
+  session_pause (session, BUSY_RETRY_MS);
+}
+
+static void
+on_granted (void *data, PooledLine *line)
+{
+  PoolSession *session = data;
+  BackendLine *backend = instance_pool_line (line);
+
+  session->line = line;
+  session->line_us = clock_now_us ();
+  pool_metrics_add (session->options->metrics, POOL_LATENCY_CONNECTION,
+                    clock_now_ms () - session->asked_ms);
+  // The wait may have outlasted the proof that this is the primary.
+  if (needs_primary (session) && service_group_primary (session->group) != instance_pool_of (line))
+    {
+      session_give_line_back (session);
+      session_dispatch (session);
+      return;
+    }
+  backend_line_synchronize (backend, &session->values);
+  if (session->transaction == TRANSACTION_NONE)
+    {
+      session_run (session);
+      return;
+    }
+  session->step = STEP_BEGINNING;
+  session->sent_ms = clock_now_ms ();
+  backend_line_run (backend, session->begin.id, session->read_only ? &session->after : NULL,
+                    session->begin.text, session_on_begin_ended, session);
+}
+
+/* No connection in time: another instance may have one, else the caller had better come back. */
+static void
+on_refused (void *data, AnswerCode code)
+{
+  PoolSession *session = data;
+
+  session->tried |= service_group_bit (session->group, session->asked);
+  session->attempts++;
+  if (session->attempts < ATTEMPTS_MAX && has_untried_pool (session))
+    session_dispatch (session);
+  else if (session->attempts < ATTEMPTS_MAX && code == ANSWER_UNREACHED)
+    wait_for_route (session);
+  else
+    session_refuse (session, code);
+  if (!session->active)
+    session_process_input (session);
+}
+
+static void
+on_woken (void *data)
+{
+  PoolSession *session = data;
+
+  session->tried = 0;
+  session_dispatch (session);
+}
+
+void
+session_dispatch (PoolSession *session)
+{
+  InstancePool *pool;
+
+  set_deadline_timer (session);
+  if (session->transaction == TRANSACTION_BOUND)
+    {
+      session_run (session);
+      return;
+    }
+  pool = choose_pool (session);
+  if (pool == NULL)
+    {
+      wait_for_route (session);
+      return;
+    }
+  session->step = STEP_CONNECTING;
+  session->asked = pool;
+  session->asked_ms = clock_now_ms ();
+  session->request.priority = session->database->priority;
+  session->request.deadline_ms
+      = MIN (session->deadline_ms,
+             session->started_ms + session->database->operation_ms / QUEUE_WAIT_PART);
+  session->request.restartable
+      = session->transaction == TRANSACTION_NONE && !session_statement_writes (session);
+  session->request.source = session->id;
+  session->request.values = &session->values;
+  instance_pool_request (pool, &session->request);
+}
+
+void
+session_init_route (PoolSession *session)
+{
+  session->request.granted = on_granted;
+  session->request.refused = on_refused;
+  session->request.lost = session_on_lost;
+  session->request.data = session;
+  session->waiter.woken = on_woken;
+  session->waiter.data = session;
+}
--- /dev/null
+++ b/src/pool/session-run.c
@@ -0,0 +1,275 @@
+#include "pool/session-state.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/log.h"
+
+/* A statement that an instance had no slot for is sent again after this time. */
+#define BUSY_RETRY_MS 25
+
+static void on_ended (void *data, const LineResult *result);
+
+void
+session_on_timer (void *data)
+{
+  PoolSession *session = data;
+  const bool wrote = session->wrote || session_statement_writes (session);
+
+  switch (session->step)
+    {
+    case STEP_PAUSING:
+      session_dispatch (session);
+      return;
+    case STEP_NONE:
+    case STEP_ROUTING:
+    case STEP_CONNECTING:
+    case STEP_BEGINNING:
+      session_refuse (session, ANSWER_OVERLOADED);
+      session_process_input (session);
+      return;
+    case STEP_RUNNING:
+      break;
+    }
+  log_event (LOG_LEVEL_INFO, "statement_limit", "request=%s instance=%s limit_ms=%" PRId64,
+             session->statement.id, instance_pool_info (session_current_pool (session))->id,
+             session->database->statement_ms);
+  session_drop_line (session);
+  if (session->transaction == TRANSACTION_BOUND
+      && (session->statement.kind != STATEMENT_COMMIT || !wrote))
+    {
+      session_fail_transaction (session);
+      session_answer_error (session, ANSWER_ROLLED_BACK, "statement time limit");
+    }
+  else
+    {
+      session_fail_transaction (session);
+      session_answer_error (session, ANSWER_TIMEOUT, "statement time limit");
+    }
+  session_process_input (session);
+}
+
+void
+session_run (PoolSession *session)
+{
+  BackendLine *line = instance_pool_line (session->line);
+  const Statement *statement = &session->statement;
+  const SessionToken *after = session->transaction == TRANSACTION_NONE
+                                      && !session_statement_writes (session)
+                                      && session->after.position > 0
+                                  ? &session->after
+                                  : NULL;
+
+  session->step = STEP_RUNNING;
+  session->sent_ms = clock_now_ms ();
+  if (session_statement_writes (session))
+    session->wrote = true;
+  if (session->wrote
+      && (session->transaction == TRANSACTION_NONE || statement->kind == STATEMENT_COMMIT))
+    service_group_note_commit_sent (session->group, session_current_pool (session));
+  if (statement->kind == STATEMENT_EXECUTE)
+    backend_line_execute (line, statement->id, after,
+                          session_values_shape (&session->values, statement->name),
+                          statement->argument, on_ended, session);
+  else
+    backend_line_run (line, statement->id, after, statement->text, on_ended, session);
+}
+
+static void
+note_answer (PoolSession *session, const LineResult *result, bool committed)
+{
+  pool_metrics_add (session->options->metrics, POOL_LATENCY_SERVICE,
+                    clock_now_ms () - session->sent_ms);
+  service_group_note_answer (session->group, session_current_pool (session), result,
+                             session->sent_ms, committed);
+}
+
+void
+session_on_begin_ended (void *data, const LineResult *result)
+{
+  PoolSession *session = data;
+
+  note_answer (session, result, false);
+  if (result->code == ANSWER_OK && result->state == 'T')
+    {
+      session->transaction = TRANSACTION_BOUND;
+      session_run (session);
+      return;
+    }
+  session->tried |= service_group_bit (session->group, session_current_pool (session));
+  session_give_line_back (session);
+  session_retry (session, result->code == ANSWER_OK ? ANSWER_OVERLOADED : result->code);
+  if (!session->active)
+    session_process_input (session);
+}
+
+static bool
+is_not_run (AnswerCode code)
+{
+  return answer_code_verdict (code) == VERDICT_NOT_RUN && code != ANSWER_MALFORMED;
+}
+
+/* A commit that wrote, or a write outside a transaction, succeeded. */
+static bool
+has_committed (const PoolSession *session, const LineResult *result)
+{
+  if (result->code != ANSWER_OK || result->state != 'I')
+    return false;
+  return session->wrote && session->statement.kind != STATEMENT_ROLLBACK;
+}
+
+static void
+raise_token (PoolSession *session, SessionToken position)
+{
+  const char *service = service_group_name (session->group);
+
+  if (strcmp (session->token_service, service) != 0)
+    {
+      g_strlcpy (session->token_service, service, sizeof session->token_service);
+      session->token = (SessionToken){ 0 };
+    }
+  session_token_raise (&session->token, position);
+}
+
+static void
+count_read (const PoolSession *session)
+{
+  CounterId counter = COUNTER_READS_REPLICA;
+
+  if (service_group_is_primary (session->group, session_current_pool (session)))
+    counter = COUNTER_READS_PRIMARY;
+  counter_add (session->options->counters, counter, 1);
+  if (service_group_distance (session->group, session_current_pool (session)) == DISTANCE_REMOTE)
+    counter_add (session->options->counters, COUNTER_READS_REMOTE, 1);
+}
+
+static void
+relay_result (PoolSession *session, const LineResult *result)
+{
+  const Codec *codec = session->options->codec;
+
+  session_note_outcome (session, result->code, result->text);
+  if (result->code != ANSWER_OK)
+    {
+      codec->write_error (session_output (session), result->code, result->text);
+      return;
+    }
+  for (guint i = 0; i < result->rows->len; i++)
+    codec->write_row (session_output (session), result->rows->pdata[i]);
+  codec->write_complete (session_output (session), result->text);
+}
+
+static void
+take_transaction_state (PoolSession *session, char state)
+{
+  if (state == 'I')
+    session->transaction = TRANSACTION_NONE;
+  else if (state == 'E' && session->transaction != TRANSACTION_NONE)
+    session->transaction = TRANSACTION_FAILED;
+}
+
+static void
+finish_at_instance (PoolSession *session, const LineResult *result)
+{
+  const bool committed = has_committed (session, result);
+
+  note_answer (session, result, committed);
+  if (result->code == ANSWER_OK && !committed && session->transaction == TRANSACTION_NONE)
+    count_read (session);
+  if (committed)
+    raise_token (session, result->position);
+  relay_result (session, result);
+  take_transaction_state (session, result->state);
+  session->options->codec->write_ready (session_output (session), session_caller_state (session),
+                                        result->position);
+  if (session->transaction == TRANSACTION_NONE)
+    {
+      session->wrote = false;
+      session_give_line_back (session);
+    }
+  session_end_statement (session);
+  session_process_input (session);
+}
+
+static void
+on_ended (void *data, const LineResult *result)
+{
+  PoolSession *session = data;
+
+  // Without a slot a transaction's statement has not run, and the transaction goes on.
+  if (result->code == ANSWER_OVERLOADED && result->state == 'T'
+      && session_can_wait_for_slot (session))
+    {
+      session_pause (session, BUSY_RETRY_MS);
+      return;
+    }
+  if (session->transaction != TRANSACTION_NONE || !is_not_run (result->code))
+    {
+      finish_at_instance (session, result);
+      return;
+    }
+  session->wrote = false;
+  note_answer (session, result, false);
+  session->tried |= service_group_bit (session->group, session_current_pool (session));
+  session_give_line_back (session);
+  session_retry (session, result->code);
+  if (!session->active)
+    session_process_input (session);
+}
+
+static void
+end_lost_statement (PoolSession *session)
+{
+  const bool in_transaction = session->transaction == TRANSACTION_BOUND;
+  const bool doubtful = session->wrote && (!in_transaction || session_ends_transaction (session));
+  AnswerCode code = ANSWER_IN_DOUBT;
+
+  // An open transaction whose commit was not sent is rolled back with its connection.
+  if (in_transaction && (!doubtful || session->statement.kind == STATEMENT_ROLLBACK))
+    code = ANSWER_ROLLED_BACK;
+  session->wrote = false;
+  session_fail_transaction (session);
+  if (session->statement.kind == STATEMENT_ROLLBACK && code == ANSWER_ROLLED_BACK)
+    session_answer_complete (session, "-", (SessionToken){ 0 });
+  else
+    session_answer_error (session, code, "connection lost");
+}
+
+void
+session_on_lost (void *data)
+{
+  PoolSession *session = data;
+
+  session->line = NULL;
+  switch (session->step)
+    {
+    case STEP_BEGINNING:
+      session_retry (session, ANSWER_OVERLOADED);
+      break;
+    case STEP_RUNNING:
+      if (session->transaction == TRANSACTION_NONE && !session->wrote
+          && session->attempts + 1 < session->database->attempts)
+        session_retry (session, ANSWER_IN_DOUBT);
+      else
+        end_lost_statement (session);
+      break;
+    case STEP_PAUSING:
+      end_lost_statement (session);
+      break;
+    case STEP_NONE:
+    case STEP_ROUTING:
+    case STEP_CONNECTING:
+      timer_clear (&session->timer);
+      session->transaction = TRANSACTION_LOST;
+      return;
+    }
+  if (!session->active)
+    session_process_input (session);
+}
+
+bool
+session_can_wait_for_slot (const PoolSession *session)
+{
+  return clock_now_ms () + BUSY_RETRY_MS < session->deadline_ms;
+}
--- a/src/pool/statement.h
+++ b/src/pool/statement.h
@@ -17,9 +17,13 @@
   STATEMENT_PREPARE,
   STATEMENT_EXECUTE,
   STATEMENT_DEALLOCATE,
-  STATEMENT_MALFORMED
+  STATEMENT_MALFORMED,
+  STATEMENT_KIND_COUNT
 } StatementKind;
 
+/** statement_kind_name() - Name for logs. */
+const char *statement_kind_name (StatementKind kind);
+
 /**
  * struct Statement - One statement; filled by a codec, freed by statement_done().
  * @id: the caller's name for it, which answers are checked against.
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -31,6 +31,7 @@
   State *state;
   char name[8];
   Counters counters;
+  PoolMetrics metrics;
   PeerMesh *mesh;
   PoolServer *server;
   guint16 port;
@@ -284,9 +285,11 @@
     .region = "north",
     .address = "127.0.0.1",
     .port = free_port (SOCK_STREAM),
+    .session_limit = CALLERS_MAX,
     .domain_region = state->regions,
     .codec = &platform_line_codec,
     .counters = &host->counters,
+    .metrics = &host->metrics,
     .timers = state->timers,
     .directory = &state->directory,
     .lookup = on_lookup,
