--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -20,6 +20,9 @@
 #define SILENCE_MS 350
 /* A leaving primary that nobody has replaced by then gets no new work all the same. */
 #define LEAVING_LIMIT_MS 4000
+/* A statement whose answer did not come, while one sent this much later was answered, has
+ * probably lost it: an instance takes statements in order. */
+#define OVERTAKEN_MS 150
 /* It is asked again at this pace while it gives none. */
 #define CHECK_INTERVAL_MS 250
 /* An instance that was full is not asked for this time. */
@@ -357,6 +360,7 @@
 
   if (member == NULL)
     return;
+  member->answered_sent_ms = MAX (member->answered_sent_ms, sent_ms);
   switch (result->code)
     {
     case ANSWER_OK:
@@ -386,6 +390,14 @@
   note_position (group, member, result->position, sent_ms);
 }
 
+bool
+service_group_has_overtaken (const ServiceGroup *group, const InstancePool *pool, int64_t sent_ms)
+{
+  const GroupMember *member = member_of (group, pool);
+
+  return member != NULL && member->answered_sent_ms - sent_ms >= OVERTAKEN_MS;
+}
+
 bool
 service_group_is_primary (const ServiceGroup *group, const InstancePool *pool)
 {
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -31,6 +31,7 @@
  * @displaced: another instance stands at its address.
  * @silent: it owes answers, and gave no sign of life when asked.
  * @leaving_ms: when it was first seen to leave; 0 if it does not.
+ * @answered_sent_ms: when the last sent of the statements that it answered was sent.
  * @report: what it last said of itself, asked at @report_ms; 0 for never.
  * @asked: a report is due.
  */
@@ -49,6 +50,7 @@
   bool displaced;
   bool silent;
   int64_t leaving_ms;
+  int64_t answered_sent_ms;
   bool checking;
   int64_t checked_ms;
   InstanceReport report;
@@ -123,6 +125,10 @@
 void service_group_note_answer (ServiceGroup *group, const InstancePool *pool,
                                 const LineResult *result, int64_t sent_ms, bool committed);
 
+/** service_group_has_overtaken() - The answer to a statement sent at @sent_ms is probably lost. */
+bool service_group_has_overtaken (const ServiceGroup *group, const InstancePool *pool,
+                                  int64_t sent_ms);
+
 /** service_group_is_primary() - Whether the instance of @pool is taken for the primary. */
 bool service_group_is_primary (const ServiceGroup *group, const InstancePool *pool);
 
--- a/src/pool/session-run.c
+++ b/src/pool/session-run.c
@@ -6,11 +6,46 @@
 #include "base/clock.h"
 #include "base/log.h"
 
+/* An answer that has not come by this part of the time limit, in percent, may be lost. */
+#define LOST_ANSWER_PERCENT 40
 /* A statement that an instance had no slot for is sent again after this time. */
 #define BUSY_RETRY_MS 25
 
 static void on_ended (void *data, const LineResult *result);
 
+static void
+set_run_timer (PoolSession *session, int64_t due_ms)
+{
+  session->timer.fired = session_on_timer;
+  timer_set (session->options->timers, &session->timer, due_ms - clock_now_ms ());
+}
+
+/* A write outside a transaction, or a commit, may have run: nothing can be told before it ends. */
+static bool
+may_be_given_up (const PoolSession *session)
+{
+  if (session->transaction == TRANSACTION_BOUND)
+    return !session_ends_transaction (session);
+  return !session->wrote;
+}
+
+static void
+look_for_lost_answer (PoolSession *session)
+{
+  if (!may_be_given_up (session)
+      || !service_group_has_overtaken (session->group, session_current_pool (session),
+                                       session->sent_ms))
+    {
+      set_run_timer (session, session->deadline_ms);
+      return;
+    }
+  log_event (LOG_LEVEL_INFO, "answer_lost", "request=%s instance=%s waited_ms=%" PRId64,
+             session->statement.id, instance_pool_info (session_current_pool (session))->id,
+             clock_now_ms () - session->sent_ms);
+  instance_pool_drop (session->line);
+  session_on_lost (session);
+}
+
 void
 session_on_timer (void *data)
 {
@@ -32,6 +67,11 @@
     case STEP_RUNNING:
       break;
     }
+  if (clock_now_ms () < session->deadline_ms)
+    {
+      look_for_lost_answer (session);
+      return;
+    }
   log_event (LOG_LEVEL_INFO, "statement_limit", "request=%s instance=%s limit_ms=%" PRId64,
              session->statement.id, instance_pool_info (session_current_pool (session))->id,
              session->database->statement_ms);
@@ -63,6 +103,9 @@
 
   session->step = STEP_RUNNING;
   session->sent_ms = clock_now_ms ();
+  set_run_timer (session, MIN (session->deadline_ms,
+                               session->sent_ms
+                                   + session->database->statement_ms * LOST_ANSWER_PERCENT / 100));
   if (session_statement_writes (session))
     session->wrote = true;
   if (session->wrote
