--- a/src/policy/lead-change.c
+++ b/src/policy/lead-change.c
@@ -54,6 +54,7 @@
   uint64_t foreign_pause;
   int64_t foreign_pause_ms;
   bool planned;
+  bool stuck; /* the primary answers; it was stuck when the change began */
   bool announced;
   bool promote_again;
   uint64_t fence;
@@ -263,7 +264,7 @@
 {
   if (situation->primary == 0 || situation->leaving)
     return true;
-  return situation->suspect && situation->votes * 2 >= situation->hosts;
+  return situation->votes > 0 && situation->votes * 2 >= situation->hosts;
 }
 
 static void
@@ -287,6 +288,7 @@
     return;
   change->started_ms = now_ms;
   change->old_primary = situation->primary;
+  change->stuck = situation->stuck;
   start_looking (change, now_ms);
 }
 
@@ -376,7 +378,7 @@
   for (uint32_t i = 0; i < change->count; i++)
     replicas += change->members[i].answered && !change->members[i].report.primary;
   return replicas + situation->synchronous >= change->size
-         || (replicas > 0 && situation->hosts > 1 && !situation->stuck);
+         || (replicas > 0 && situation->hosts > 1 && !change->stuck);
 }
 
 static void
@@ -411,7 +413,7 @@
       return;
     }
   change->planned = false;
-  if (leader != NULL && !situation->stuck)
+  if (leader != NULL && !change->stuck)
     {
       end_change (change, true, now_ms);
       return;
@@ -579,7 +581,7 @@
       return;
     }
   leader = leading_member (change, change->term);
-  if ((leader != NULL && (!situation->stuck || leader->report.term > change->term))
+  if ((leader != NULL && (!change->stuck || leader->report.term > change->term))
       || now_ms - change->started_ms > WAIT_LIMIT_MS)
     {
       end_change (change, true, now_ms);
--- a/src/policy/lead-change.h
+++ b/src/policy/lead-change.h
@@ -46,7 +46,7 @@
  * struct LeadSituation - What the host knows as it looks at a change.
  * @primary: key of the primary; 0 if none is known. @term: its term.
  * @leaving: the primary is leaving. @suspect: it does not serve this host.
- * @stuck: it answers, but its commits do not end.
+ * @stuck: it answers, but its commits do not end, here or for most hosts.
  * @votes: hosts that it does not serve, this one included. @hosts: hosts alive.
  * @rank: hosts that would make the change before this one.
  * @foreign_fence: greatest number of another host's change that is under way; 0 for none.
--- a/src/pool/beat.pb-c.c
+++ b/src/pool/beat.pb-c.c
@@ -97,7 +97,7 @@
   assert(message->base.descriptor == &pool__beat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor pool__service_beat__field_descriptors[14] =
+static const ProtobufCFieldDescriptor pool__service_beat__field_descriptors[15] =
 {
   {
     "service",
@@ -267,6 +267,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "stuck",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pool__ServiceBeat, stuck),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool__service_beat__field_indices_by_name[] = {
   11,   /* field[11] = committed */
@@ -280,6 +292,7 @@
   1,   /* field[1] = primary */
   3,   /* field[3] = proof_age */
   0,   /* field[0] = service */
+  14,   /* field[14] = stuck */
   7,   /* field[7] = suspect */
   2,   /* field[2] = term */
   13,   /* field[13] = wanted */
@@ -287,7 +300,7 @@
 static const ProtobufCIntRange pool__service_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor pool__service_beat__descriptor =
 {
@@ -297,7 +310,7 @@
   "Pool__ServiceBeat",
   "pool",
   sizeof(Pool__ServiceBeat),
-  14,
+  15,
   pool__service_beat__field_descriptors,
   pool__service_beat__field_indices_by_name,
   1,  pool__service_beat__number_ranges,
--- a/src/pool/beat.pb-c.h
+++ b/src/pool/beat.pb-c.h
@@ -68,6 +68,10 @@
    */
   size_t n_instances;
   uint32_t *instances;
+  /*
+   * suspect because its commits do not end
+   */
+  protobuf_c_boolean stuck;
   /*
    * ... and the connections that it wants to each
    */
@@ -76,7 +80,7 @@
 };
 #define POOL__SERVICE_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool__service_beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL }
 
 
 struct  Pool__Beat
--- a/src/pool/lead-driver.c
+++ b/src/pool/lead-driver.c
@@ -21,8 +21,8 @@
 #define STUCK_MS 700
 /* Without new commits nothing is known of whether they would end. */
 #define STUCK_FRESH_MS 1500
-/* Hosts rely on a primary for this long after a proof; see service-group.c. */
-#define PRIMARY_RIGHT_MS 1000
+/* A host that has just started does not know enough of the others to judge a primary. */
+#define START_MS 800
 /* Time for the promote call; what is not sent by then is not sent later. */
 #define PROMOTE_LIMIT_MS 700
 /* The connections of a host that fell silent are closed at the instance after this time. */
@@ -39,6 +39,7 @@
 {
   int64_t heard_ms;
   bool suspect;
+  bool stuck;
   uint32_t primary;
   uint64_t fence;
   uint64_t fence_obeyed;
@@ -60,6 +61,7 @@
   bool checking;
   int64_t checked_ms;
   LeadPhase logged_phase;
+  int64_t created_ms;
   int64_t started_ms;
   bool stepping;
 };
@@ -88,6 +90,7 @@
   };
 
   driver->options = *options;
+  driver->created_ms = clock_now_ms ();
   driver->change = lead_change_new (&lead);
   driver->peers = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   talloc_set_destructor (driver, driver_destroy);
@@ -169,7 +172,8 @@
   beat->position_term = belief.position.position.term;
   beat->position = belief.position.position.position;
   beat->position_age = age_of (belief.position.at_ms, now_ms);
-  beat->suspect = driver->suspect || is_stuck (&belief, now_ms);
+  beat->stuck = is_stuck (&belief, now_ms);
+  beat->suspect = driver->suspect || beat->stuck;
   beat->fence = lead_change_fence (driver->change);
   beat->fence_obeyed = driver->obeyed;
   beat->committed_term = belief.committed.term;
@@ -277,6 +281,7 @@
   LeadDriver *driver;
   LeadSituation *situation;
   int64_t now_ms;
+  uint32_t stuck_votes;
 } PeerCount;
 
 static void
@@ -305,6 +310,8 @@
   situation->hosts++;
   if (view->suspect && view->primary == situation->primary)
     situation->votes++;
+  if (view->stuck && view->primary == situation->primary)
+    count->stuck_votes++;
   if (XXH64 (&service, sizeof service, state->id) < own)
     situation->rank++;
 }
@@ -313,7 +320,7 @@
 assess (LeadDriver *driver, LeadSituation *situation)
 {
   const int64_t now_ms = clock_now_ms ();
-  PeerCount count = { driver, situation, now_ms };
+  PeerCount count = { driver, situation, now_ms, 0 };
   const GroupMember *member;
   GroupBelief belief;
 
@@ -334,7 +341,15 @@
   situation->suspect
       = driver->suspect || situation->stuck || (situation->primary != 0 && member == NULL);
   situation->votes = situation->suspect;
+  count.stuck_votes = situation->stuck;
   peer_mesh_each (driver->options.mesh, count_peer, &count);
+  // A host with little work of its own may reach what the others do not.
+  situation->stuck |= count.stuck_votes * 2 >= situation->hosts && count.stuck_votes > 0;
+  if (now_ms - driver->created_ms < START_MS)
+    {
+      situation->votes = 0;
+      situation->leaving = false;
+    }
 }
 
 static void run_step (LeadDriver *driver);
@@ -527,6 +542,7 @@
 
   view->heard_ms = clock_now_ms ();
   view->suspect = beat->suspect;
+  view->stuck = beat->stuck;
   view->primary = beat->primary;
   view->fence = beat->fence;
   view->fence_obeyed = beat->fence_obeyed;
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -5,9 +5,6 @@
 #include "base/clock.h"
 #include "base/log.h"
 
-/* This host relies on a primary for this long after the last proof that it led its group.
- * Whoever replaces a primary waits for as long. */
-#define PRIMARY_RIGHT_MS 1000
 /* Connections that a host may hold to an instance before it knows of the others. */
 #define FIRST_LIMIT 3
 /* The group is asked anew when a proof is needed and the last attempt is this old. */
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -20,6 +20,12 @@
 
 typedef struct ServiceGroup ServiceGroup;
 
+/**
+ * A host relies on a primary for this long after the last proof that it led its group; whoever
+ * replaces a primary waits as long for hosts that it does not hear. Several beats, in milliseconds.
+ */
+#define PRIMARY_RIGHT_MS 800
+
 /** Instances of a group that are looked at; a group has three, and more while one is replaced. */
 #define GROUP_MEMBERS_MAX 16
 
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -23,6 +23,8 @@
 #define ANSWER_LIMIT_MS 6000
 #define POLL_MS 10
 #define STATEMENT_MS 600
+/* Longer than a change of primary takes. */
+#define IDLE_TRANSACTION_MS 4000
 
 typedef struct State State;
 
@@ -152,7 +154,7 @@
     add_database (catalog, "sales", CONSISTENCY_PRIMARY, PRIORITY_URGENT);
   add_database (catalog, "gate", CONSISTENCY_BOUNDED, PRIORITY_BACKGROUND);
   add_database (catalog, "desk", CONSISTENCY_SESSION, PRIORITY_NORMAL);
-  catalog->idle_transaction_ms = 2 * STATEMENT_MS;
+  catalog->idle_transaction_ms = IDLE_TRANSACTION_MS;
   return catalog;
 }
 
