--- /dev/null
+++ b/src/policy/instance-list.c
@@ -0,0 +1,56 @@
+#include "policy/instance-list.h"
+
+#include <string.h>
+
+/* Instances that live are listed again within two seconds after the store is back. */
+#define LATE_MS 2500
+
+void
+instance_list_done (InstanceList *list)
+{
+  if (list->infos != NULL)
+    g_array_free (list->infos, true);
+  list->infos = NULL;
+}
+
+void
+instance_list_failed (InstanceList *list)
+{
+  list->failed = true;
+}
+
+static bool
+holds (const GArray *infos, const char *id)
+{
+  for (guint i = 0; i < infos->len; i++)
+    if (strcmp (g_array_index (infos, InstanceInfo, i).id, id) == 0)
+      return true;
+  return false;
+}
+
+static void
+add_missing (GArray *infos, const GArray *known)
+{
+  for (guint i = 0; i < known->len; i++)
+    {
+      const InstanceInfo *info = &g_array_index (known, InstanceInfo, i);
+
+      if (!holds (infos, info->id))
+        g_array_append_vals (infos, info, 1);
+    }
+}
+
+void
+instance_list_take (InstanceList *list, const GArray *listed, int64_t now_ms)
+{
+  GArray *infos = g_array_new (false, true, sizeof (InstanceInfo));
+
+  if (list->failed)
+    list->regained_ms = now_ms;
+  list->failed = false;
+  g_array_append_vals (infos, listed->data, listed->len);
+  if (list->infos != NULL && list->regained_ms > 0 && now_ms - list->regained_ms < LATE_MS)
+    add_missing (infos, list->infos);
+  instance_list_done (list);
+  list->infos = infos;
+}
--- /dev/null
+++ b/src/policy/instance-list.h
@@ -0,0 +1,33 @@
+/**
+ * DOC: Which instances are there, when their list comes from a store that forgets those that
+ * could not reach it: an entry that is missing right after an outage may only be late.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "pool/catalog.h"
+
+/**
+ * struct InstanceList - The instances taken to be there. Zeroed is empty.
+ * @infos: &struct InstanceInfo.
+ * @failed: the last reading failed. @regained_ms: first reading after a failure; 0 for none.
+ */
+typedef struct
+{
+  GArray *infos;
+  bool failed;
+  int64_t regained_ms;
+} InstanceList;
+
+/** instance_list_done() - Frees what it holds. */
+void instance_list_done (InstanceList *list);
+
+/** instance_list_failed() - The store could not be read. */
+void instance_list_failed (InstanceList *list);
+
+/** instance_list_take() - The store's list, read at @now_ms; the result is @list->infos. */
+void instance_list_take (InstanceList *list, const GArray *listed, int64_t now_ms);
--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "policy/instance-list.h"
 
 /* A long poll ends by itself after this time: a connection that went silent is found out soon
  * enough for a new configuration to be in force within its limit. */
@@ -27,6 +28,7 @@
   int64_t instances_retry_ms;
   int64_t read_ms;
   bool reading;
+  InstanceList list;
   bool store_lost;
 };
 
@@ -35,6 +37,7 @@
 {
   timer_clear (&discovery->config_timer);
   timer_clear (&discovery->instances_timer);
+  instance_list_done (&discovery->list);
   return 0;
 }
 
@@ -107,13 +110,15 @@
   pool_metrics_add (options->metrics, POOL_LATENCY_STORE, clock_now_ms () - discovery->read_ms);
   if (result != CALL_DONE)
     {
+      instance_list_failed (&discovery->list);
       timer_set (options->timers, &discovery->instances_timer,
                  next_retry_ms (&discovery->instances_retry_ms));
       return;
     }
   discovery->instances_retry_ms = RETRY_MS;
   timer_set (options->timers, &discovery->instances_timer, INSTANCES_INTERVAL_MS);
-  options->instances (options->data, infos);
+  instance_list_take (&discovery->list, infos, clock_now_ms ());
+  options->instances (options->data, discovery->list.infos);
 }
 
 static void
--- a/tests/script-place.c
+++ b/tests/script-place.c
@@ -1,10 +1,12 @@
 /**
- * DOC: Placement of reads, the history of positions, the share of connections.
+ * DOC: Placement of reads, the history of positions, the share of connections, and the list
+ * of instances.
  */
 #include <inttypes.h>
 #include <string.h>
 
 #include "policy/connection-share.h"
+#include "policy/instance-list.h"
 #include "policy/placement.h"
 #include "policy/position-history.h"
 #include "script.h"
@@ -15,6 +17,7 @@
 {
   PlacementView views[VIEWS];
   PositionHistory history;
+  InstanceList list;
 } State;
 
 static void *
@@ -30,7 +33,31 @@
 static void
 end (void *data)
 {
-  g_free (data);
+  State *state = data;
+
+  instance_list_done (&state->list);
+  g_free (state);
+}
+
+/* listed TIME NAME...: the store's list */
+static void
+take_list (State *state, char **words, GString *out)
+{
+  GArray *listed = g_array_new (false, true, sizeof (InstanceInfo));
+
+  for (guint i = 2; words[i] != NULL; i++)
+    {
+      InstanceInfo info = { .slots = 5 };
+
+      g_strlcpy (info.id, words[i], sizeof info.id);
+      g_array_append_val (listed, info);
+    }
+  instance_list_take (&state->list, listed, script_number (words, 1));
+  for (guint i = 0; i < state->list.infos->len; i++)
+    g_string_append_printf (out, "%s%s", i == 0 ? "" : " ",
+                            g_array_index (state->list.infos, InstanceInfo, i).id);
+  g_string_append (out, "\n");
+  g_array_free (listed, true);
 }
 
 /* view INSTANCE KEY VALUE */
@@ -97,6 +124,10 @@
     }
   else if (strcmp (verb, "since") == 0)
     print_since (state, words, out);
+  else if (strcmp (verb, "listed") == 0)
+    take_list (state, words, out);
+  else if (strcmp (verb, "unread") == 0)
+    instance_list_failed (&state->list);
   else if (strcmp (verb, "share") == 0)
     {
       demand = (ConnectionDemand){
--- a/tests/script.h
+++ b/tests/script.h
@@ -33,3 +33,4 @@
 extern const ScriptKind script_lead;
 extern const ScriptKind script_place;
 extern const ScriptKind script_pool;
+extern const ScriptKind script_store;
