--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,7 @@
 	printf '%s\n' $(filter-out $(GEN),$(SRCS)) src/main.c | \
 	  xargs -P 6 -n 8 sh -c 'clang-tidy --quiet "$$@" -- $(CPPFLAGS_ALL) -std=gnu11 2>/dev/null' clang-tidy
 	tests/check-links
+	tests/check-names
 
 format:
 	clang-format -i $(FORMATTED)
--- a/src/pool/instance-pool.c
+++ b/src/pool/instance-pool.c
@@ -205,8 +205,8 @@
   InstancePool *pool = line->pool;
   const int64_t now_ms = clock_now_ms ();
 
-  log_event (LOG_LEVEL_NOTICE, "connection_refused", "instance=%s code=%s lines=%u", pool->info.id,
-             answer_code_name (code), pool->lines.length - 1);
+  log_event (LOG_LEVEL_NOTICE, "connection_refused", "service=%s instance=%s code=%s lines=%u",
+             pool->info.service, pool->info.id, answer_code_name (code), pool->lines.length - 1);
   forget_line (line);
   pool->heard_ms = now_ms;
   if (code == ANSWER_WRONG_INSTANCE)
--- a/src/pool/session-answer.c
+++ b/src/pool/session-answer.c
@@ -81,6 +81,8 @@
 {
   timer_clear (&session->timer);
   statement_done (&session->statement);
+  if (session->line == NULL)
+    *session->instance = '\0';
   session->active = false;
   session->step = STEP_NONE;
   session->idle_since_ms = clock_now_ms ();
@@ -108,8 +110,6 @@
 static void
 log_outcome (const PoolSession *session, AnswerCode code, const char *text, uint32_t dropped)
 {
-  const InstanceInfo *info
-      = session->line == NULL ? NULL : instance_pool_info (session_current_pool (session));
   const Database *database = session->database;
   GroupBelief belief = { .primary = "" };
 
@@ -124,9 +124,10 @@
              database == NULL ? "-" : database->service,
              database == NULL ? "-" : priority_name (database->priority),
              statement_kind_name (session->statement.kind), answer_code_name (code),
-             verdict_name (answer_code_verdict (code)), info == NULL ? "-" : info->id,
-             belief.primary, belief.term, age_ms (belief.proof_ms), session->after.term,
-             session->after.position, age_ms (belief.position.at_ms),
+             verdict_name (answer_code_verdict (code)),
+             *session->instance == '\0' ? "-" : session->instance, belief.primary, belief.term,
+             age_ms (belief.proof_ms), session->after.term, session->after.position,
+             age_ms (belief.position.at_ms),
              session->catalog == NULL ? 0 : session->catalog->version, session->attempts,
              clock_now_ms () - session->started_ms, text, dropped);
 }
--- a/src/pool/session-route.c
+++ b/src/pool/session-route.c
@@ -120,6 +120,8 @@
 
   session->line = line;
   session->line_us = clock_now_us ();
+  g_strlcpy (session->instance, instance_pool_info (instance_pool_of (line))->id,
+             sizeof session->instance);
   pool_metrics_add (session->options->metrics, POOL_LATENCY_CONNECTION,
                     clock_now_ms () - session->asked_ms);
   // The wait may have outlasted the proof that this is the primary.
--- a/src/pool/session-state.h
+++ b/src/pool/session-state.h
@@ -53,6 +53,7 @@
 
   PooledLine *line;
   int64_t line_us;
+  char instance[CATALOG_NAME_BYTES]; /* last one that it had a connection to, for logs */
 
   Statement statement;
   Step step;
--- a/tests/line-world.c
+++ b/tests/line-world.c
@@ -375,11 +375,13 @@
   char **words = g_strsplit (query[1], " ", -1);
   bool answered = true;
   bool lost = false;
+  bool hidden = false;
 
   if (strcmp (query[0], "-") != 0)
     {
       instance->statements++;
       lost = instance->fault == LINE_FAULT_LOSE;
+      hidden = instance->fault == LINE_FAULT_HIDE;
     }
   if (instance->fault == LINE_FAULT_BUSY && !is_own (words))
     say (session, "ERROR RETRY %s", instance->name);
@@ -389,6 +391,11 @@
     say_ready (session);
   g_strfreev (words);
   g_strfreev (query);
+  if (hidden)
+    {
+      instance->fault = LINE_FAULT_NONE;
+      g_byte_array_set_size (stream_output (session->stream), 0);
+    }
   if (!lost)
     return true;
   instance->fault = LINE_FAULT_NONE;
--- a/tests/line-world.h
+++ b/tests/line-world.h
@@ -22,6 +22,7 @@
   LINE_FAULT_NONE,
   LINE_FAULT_MUTE, /* takes what is sent, and answers nothing */
   LINE_FAULT_LOSE, /* runs the next statement, and closes without an answer */
+  LINE_FAULT_HIDE, /* runs the next statement without an answer; the connection stays */
   LINE_FAULT_BUSY, /* has no slot */
   LINE_FAULT_DOWN, /* nobody listens */
   LINE_FAULT_DEAF, /* a replica that receives nothing */
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -416,7 +416,8 @@
 static void
 set_fault (State *state, char **words)
 {
-  static const char *const kinds[] = { "none", "mute", "lose", "busy", "down", "deaf", "full" };
+  static const char *const kinds[]
+      = { "none", "mute", "lose", "hide", "busy", "down", "deaf", "full" };
 
   for (guint i = 0; i < G_N_ELEMENTS (kinds); i++)
     if (strcmp (kinds[i], script_word (words, 2)) == 0)
