--- a/src/policy/connection-share.c
+++ b/src/policy/connection-share.c
@@ -1,10 +1,17 @@
 #include "policy/connection-share.h"
 
-/* Each host needs one more at times, for orders to the instance. */
-#define ORDERS_PER_HOST 1
+/* Hosts need one more at times, for orders to the instance: not all at once, and never more
+ * than this part of the limit. */
+#define ORDER_PART 6
 /* A host that wants nothing now may start with this many. */
 #define LEAST_SHARE 2
 
+static uint32_t
+smaller (uint32_t a, uint32_t b)
+{
+  return a < b ? a : b;
+}
+
 static uint32_t
 larger (uint32_t a, uint32_t b)
 {
@@ -15,9 +22,8 @@
 connection_share (const ConnectionDemand *demand)
 {
   const uint32_t hosts = larger (demand->hosts, 1);
-  const uint32_t reserve = hosts * ORDERS_PER_HOST;
-  const uint32_t limit
-      = demand->limit > 2 * reserve ? demand->limit - reserve : larger (demand->limit / 2, 1);
+  const uint32_t reserve = smaller (hosts, demand->limit / ORDER_PART);
+  const uint32_t limit = larger (demand->limit - reserve, 1);
   const uint32_t own = larger (demand->own, 1);
   const uint32_t wanted = own + demand->others;
 
@@ -26,3 +32,9 @@
     return own + (limit - wanted) / hosts;
   return larger (limit * own / wanted, limit / hosts < LEAST_SHARE ? 1 : LEAST_SHARE);
 }
+
+bool
+connection_share_is_scarce (const ConnectionDemand *demand)
+{
+  return demand->hosts * LEAST_SHARE > demand->limit;
+}
--- a/src/policy/connection-share.h
+++ b/src/policy/connection-share.h
@@ -4,6 +4,7 @@
  */
 #pragma once
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /**
@@ -22,3 +23,6 @@
 
 /** connection_share() - Connections that this host may hold; at least one. */
 uint32_t connection_share (const ConnectionDemand *demand);
+
+/** connection_share_is_scarce() - Whether hosts must not keep connections that they do not use. */
+bool connection_share_is_scarce (const ConnectionDemand *demand);
--- a/src/pool/instance-pool.c
+++ b/src/pool/instance-pool.c
@@ -9,9 +9,13 @@
 #define RETRY_OPEN_MS 150
 /* After the instance refused one more connection the pool does not grow for this time. */
 #define GROW_PAUSE_MS 400
+/* A host without any connection to a full instance tries again after this time. */
+#define FULL_RETRY_MS 60
 /* A connection unused for this time is closed: others may need it, and those that a lost host
  * leaves behind count against the limit of the instance for seconds. */
 #define IDLE_LIMIT_MS 800
+/* The same where there are more hosts than connections. */
+#define SCARCE_IDLE_LIMIT_MS 100
 /* The number of connections wanted falls by one in this time. */
 #define WANTED_DECAY_MS 200
 /* Waiting requests of one rank; more are refused at the door. */
@@ -50,6 +54,7 @@
   int64_t heard_ms;
   uint32_t wanted;
   int64_t wanted_ms;
+  bool scarce;
   bool shut;
   bool pumping;
 };
@@ -218,9 +223,11 @@
   pool->open_after_ms = now_ms + RETRY_OPEN_MS;
   if (code == ANSWER_CONNECTION_LIMIT)
     {
-      // The queue orders the work by rank, so it must know how much may run.
-      pool->open_after_ms = now_ms + GROW_PAUSE_MS;
+      // The queue orders the work by rank, so it must know how much may run. Without any
+      // connection the waiting may hope for one that another host closes.
+      pool->open_after_ms = now_ms + (pool->lines.length == 0 ? FULL_RETRY_MS : GROW_PAUSE_MS);
       set_limit (pool, pool->lines.length);
+      return;
     }
   if (pool->lines.length == 0)
     refuse_waiting (pool, code);
@@ -310,7 +317,8 @@
         pool->open_after_ms = now_ms + RETRY_OPEN_MS;
         break;
       }
-  if (pool->lines.length == 0 && pool->waiting.length > 0 && now_ms < pool->open_after_ms)
+  if (pool->failures > 0 && pool->lines.length == 0 && pool->waiting.length > 0
+      && now_ms < pool->open_after_ms)
     refuse_waiting (pool, ANSWER_UNREACHED);
 }
 
@@ -346,9 +354,10 @@
 }
 
 void
-instance_pool_set_limit (InstancePool *pool, uint32_t limit)
+instance_pool_set_limit (InstancePool *pool, uint32_t limit, bool scarce)
 {
   pool->allowed = MAX (limit, 1);
+  pool->scarce = scarce;
   // After a refusal the pool grows step by step, see instance_pool_tick().
   if (pool->limit > pool->allowed || clock_now_ms () >= pool->open_after_ms)
     set_limit (pool, pool->allowed);
@@ -559,10 +568,12 @@
 static void
 close_idle (InstancePool *pool, int64_t now_ms)
 {
+  const int64_t limit_ms = pool->scarce ? SCARCE_IDLE_LIMIT_MS : IDLE_LIMIT_MS;
+  const guint kept = pool->scarce ? 0 : 1;
   PooledLine *oldest;
 
-  while (pool->lines.length > 1 && (oldest = g_queue_peek_tail (&pool->idle)) != NULL
-         && now_ms - backend_line_used_ms (oldest->line) > IDLE_LIMIT_MS)
+  while (pool->lines.length > kept && (oldest = g_queue_peek_tail (&pool->idle)) != NULL
+         && now_ms - backend_line_used_ms (oldest->line) > limit_ms)
     forget_line (oldest);
 }
 
--- a/src/pool/instance-pool.h
+++ b/src/pool/instance-pool.h
@@ -95,8 +95,11 @@
 /** instance_pool_wanted() - Connections that the work of the last second or so could use. */
 uint32_t instance_pool_wanted (const InstancePool *pool);
 
-/** instance_pool_set_limit() - Connections that may be open from now on. */
-void instance_pool_set_limit (InstancePool *pool, uint32_t limit);
+/**
+ * instance_pool_set_limit() - Connections that may be open from now on. With @scarce those
+ * that are not in use are closed almost at once.
+ */
+void instance_pool_set_limit (InstancePool *pool, uint32_t limit, bool scarce);
 
 /** instance_pool_line() - The connection itself. */
 BackendLine *instance_pool_line (PooledLine *line);
--- a/src/pool/lead-driver.c
+++ b/src/pool/lead-driver.c
@@ -13,10 +13,10 @@
 #define SILENCE_MS 350
 /* It is asked again at this pace while it gives none. */
 #define CHECK_INTERVAL_MS 200
-/* What a host said counts for this time: several beats. */
-#define PEER_FRESH_MS 800
-/* A change under way at a host that fell silent is over after this time. */
-#define FENCE_FRESH_MS 1500
+/* What a host said counts for two turns of its beats, and this time. */
+#define PEER_FRESH_MS 300
+/* A change under way at a host that fell silent is over after two turns, and this time. */
+#define FENCE_FRESH_MS 1000
 /* No commit of several has ended for this time. */
 #define STUCK_MS 700
 /* Without new commits nothing is known of whether they would end. */
@@ -25,7 +25,8 @@
 #define START_MS 800
 /* Time for the promote call; what is not sent by then is not sent later. */
 #define PROMOTE_LIMIT_MS 700
-/* The connections of a host that fell silent are closed at the instance after this time. */
+/* The connections of a host that fell silent are closed at the instance after this time, and
+ * a turn. */
 #define CONNECTIONS_KEPT_MS 3000
 #define NEVER_AGE 0
 
@@ -198,6 +199,12 @@
   return 0;
 }
 
+static int64_t
+turn_ms (const LeadDriver *driver)
+{
+  return peer_mesh_period_ms (driver->options.mesh);
+}
+
 typedef struct
 {
   const LeadDriver *driver;
@@ -213,7 +220,8 @@
   const DemandCount *count = data;
   const PeerView *view = g_hash_table_lookup (count->driver->peers, &peer->id);
 
-  if (peer->heard_ms > 0 && count->now_ms - peer->heard_ms > CONNECTIONS_KEPT_MS)
+  if (peer->heard_ms > 0
+      && count->now_ms - peer->heard_ms > CONNECTIONS_KEPT_MS + turn_ms (count->driver))
     return;
   count->demand->hosts++;
   if (view != NULL)
@@ -237,7 +245,8 @@
       DemandCount counting = { driver, member_key (members[i]), now_ms, &demand };
 
       peer_mesh_each (driver->options.mesh, count_demand, &counting);
-      instance_pool_set_limit (members[i]->pool, connection_share (&demand));
+      instance_pool_set_limit (members[i]->pool, connection_share (&demand),
+                               connection_share_is_scarce (&demand));
     }
 }
 
@@ -293,9 +302,10 @@
   const PeerView *view = g_hash_table_lookup (driver->peers, &state->id);
   const uint32_t service = peer_mesh_hash (service_group_name (driver->options.group));
   const uint64_t own = XXH64 (&service, sizeof service, peer_mesh_self (driver->options.mesh));
+  const int64_t fresh_ms = PEER_FRESH_MS + 2 * turn_ms (driver);
   int64_t silent_ms;
 
-  if (view == NULL || count->now_ms - view->heard_ms >= PEER_FRESH_MS
+  if (view == NULL || count->now_ms - view->heard_ms >= fresh_ms
       || view->fence_obeyed < lead_change_fence (driver->change))
     situation->all_obey = false;
   if (view == NULL)
@@ -303,9 +313,10 @@
   if (session_token_compare (view->committed, situation->committed) > 0)
     situation->committed = view->committed;
   silent_ms = count->now_ms - view->heard_ms;
-  if (silent_ms < FENCE_FRESH_MS && lead_change_fence_term (view->fence) > situation->term)
+  if (silent_ms < FENCE_FRESH_MS + 2 * turn_ms (driver)
+      && lead_change_fence_term (view->fence) > situation->term)
     situation->foreign_fence = MAX (situation->foreign_fence, view->fence);
-  if (silent_ms >= PEER_FRESH_MS)
+  if (silent_ms >= fresh_ms)
     return;
   situation->hosts++;
   if (view->suspect && view->primary == situation->primary)
--- a/src/pool/order-line.c
+++ b/src/pool/order-line.c
@@ -5,8 +5,8 @@
 
 /* Time for an order, with connecting; a busy instance answers at once that it is busy. */
 #define ORDER_LIMIT_MS 400
-/* An order connection unused for this time is closed. */
-#define ORDER_IDLE_MS 6000
+/* An order connection unused for this time is closed: it counts against the instance's limit. */
+#define ORDER_IDLE_MS 600
 
 typedef struct
 {
--- a/src/pool/peer-mesh.c
+++ b/src/pool/peer-mesh.c
@@ -12,14 +12,16 @@
 #include "base/log.h"
 #include "base/verdict.h"
 
-/* Pace of beats to each host. */
+/* Pace of beats; each goes to the next so many hosts in turn, which bounds what a host sends
+ * whatever the size of the fleet. */
 #define BEAT_INTERVAL_MS 250
+#define HOSTS_PER_BEAT 8
 /* Beats out of turn are at least this far apart. */
 #define BEAT_SPACING_MS 4
 /* A host not heard for this time is given up. */
 #define FORGET_MS 30000
-/* Not heard for this time, a host is called lost in the log. */
-#define LOST_MS 1200
+/* Not heard for this time, and two turns, a host is called lost in the log. */
+#define LOST_MS 700
 #define DATAGRAM_BYTES 8192
 
 typedef struct
@@ -42,6 +44,8 @@
   uint64_t self;
   uint64_t boot;
   int64_t beat_ms;
+  guint turn;
+  bool all_due; /* something changed: the next beat goes to all */
   bool leaving;
   Timer timer;
 };
@@ -122,8 +126,9 @@
 }
 
 static void
-send_beats (PeerMesh *mesh)
+send_beats (PeerMesh *mesh, bool to_all)
 {
+  const guint count = to_all ? mesh->peers->len : MIN (mesh->peers->len, HOSTS_PER_BEAT);
   Pool__Beat beat = POOL__BEAT__INIT;
 
   mesh->beat_ms = clock_now_ms ();
@@ -131,8 +136,8 @@
   beat.boot = mesh->boot;
   beat.leaving = mesh->leaving;
   mesh->options.fill (mesh->options.data, &beat);
-  for (guint i = 0; i < mesh->peers->len; i++)
-    send_beat (mesh, mesh->peers->pdata[i], &beat);
+  for (guint i = 0; i < count; i++)
+    send_beat (mesh, mesh->peers->pdata[mesh->turn++ % mesh->peers->len], &beat);
   for (size_t i = 0; i < beat.n_services; i++)
     {
       g_free (beat.services[i]->instances);
@@ -150,7 +155,8 @@
       Peer *peer = mesh->peers->pdata[i - 1];
       const int64_t silent_ms = now_ms - MAX (peer->state.heard_ms, peer->state.known_ms);
 
-      if (!peer->lost && peer->state.heard_ms > 0 && silent_ms > LOST_MS)
+      if (!peer->lost && peer->state.heard_ms > 0
+          && silent_ms > LOST_MS + 2 * peer_mesh_period_ms (mesh))
         {
           peer->lost = true;
           log_event (LOG_LEVEL_NOTICE, "peer_lost", "peer=%016" G_GINT64_MODIFIER "x",
@@ -170,7 +176,8 @@
 
   timer_set (mesh->options.timers, &mesh->timer, BEAT_INTERVAL_MS);
   forget_silent (mesh, clock_now_ms ());
-  send_beats (mesh);
+  send_beats (mesh, mesh->all_due);
+  mesh->all_due = false;
 }
 
 static void
@@ -292,17 +299,27 @@
   if (since_ms >= BEAT_SPACING_MS)
     {
       timer_set (mesh->options.timers, &mesh->timer, BEAT_INTERVAL_MS);
-      send_beats (mesh);
+      mesh->all_due = false;
+      send_beats (mesh, true);
+      return;
     }
-  else
-    timer_set (mesh->options.timers, &mesh->timer, BEAT_SPACING_MS - since_ms);
+  mesh->all_due = true;
+  timer_set (mesh->options.timers, &mesh->timer, BEAT_SPACING_MS - since_ms);
+}
+
+int64_t
+peer_mesh_period_ms (const PeerMesh *mesh)
+{
+  const guint turns = (mesh->peers->len + HOSTS_PER_BEAT - 1) / HOSTS_PER_BEAT;
+
+  return MAX (turns, 1) * BEAT_INTERVAL_MS;
 }
 
 void
 peer_mesh_leave (PeerMesh *mesh)
 {
   mesh->leaving = true;
-  send_beats (mesh);
+  send_beats (mesh, true);
 }
 
 uint64_t
--- a/src/pool/peer-mesh.h
+++ b/src/pool/peer-mesh.h
@@ -1,6 +1,6 @@
 /**
- * DOC: What pooling daemons tell each other: small datagrams at a steady pace, and at once
- * when something changed.
+ * DOC: What pooling daemons tell each other: small datagrams at a steady pace, to a few hosts at
+ * a time in turn, and to all at once when something changed. What a host has heard it tells on.
  */
 #pragma once
 
@@ -49,6 +49,9 @@
 /** peer_mesh_beat() - Says now what is new. */
 void peer_mesh_beat (PeerMesh *mesh);
 
+/** peer_mesh_period_ms() - Time in which each host is told, while nothing happens. */
+int64_t peer_mesh_period_ms (const PeerMesh *mesh);
+
 /** peer_mesh_leave() - Tells the others that this host ends. */
 void peer_mesh_leave (PeerMesh *mesh);
 
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -446,6 +446,16 @@
   wake_waiters (group);
 }
 
+/* Whether reports of the instances can help those who wait. */
+static bool
+lacks_knowledge (const ServiceGroup *group, int64_t now_ms)
+{
+  PositionSample last;
+
+  position_history_last (&group->history, &last);
+  return !right_is_valid (group, now_ms) || now_ms - last.at_ms > PRIMARY_RIGHT_MS;
+}
+
 /* Asks every instance that is not being asked already, not more often than needed. */
 static void
 probe (ServiceGroup *group, int64_t now_ms)
@@ -469,7 +479,8 @@
 {
   waiter->group = group;
   g_queue_push_tail (&group->waiters, waiter);
-  probe (group, clock_now_ms ());
+  if (lacks_knowledge (group, clock_now_ms ()))
+    probe (group, clock_now_ms ());
 }
 
 void
@@ -602,6 +613,6 @@
       check_member (group->members[i], now_ms);
     }
   free_retired (group);
-  if (group->waiters.length > 0)
+  if (group->waiters.length > 0 && lacks_knowledge (group, now_ms))
     probe (group, now_ms);
 }
