--- a/src/cli/pool.c
+++ b/src/cli/pool.c
@@ -46,6 +46,8 @@
 /* Kept free of the time that the platform gives a shutdown. */
 #define DRAIN_RESERVE_MS 400
 #define SIGNAL_POLL_MS 100
+/* Hosts that read the store often; more than one, as each may be out of its reach. */
+#define STORE_READERS 3
 /* The settings file is looked at this often. */
 #define FILE_POLL_MS 2000
 /* Descriptors kept for connections to instances, to the store, and files. */
@@ -71,6 +73,7 @@
   int signal_fd;
   int64_t drain_limit_ms;
   Timer drain_timer;
+  uint32_t instances_hash;
   bool ended;
 } PoolDaemon;
 
@@ -78,16 +81,24 @@
 on_catalog (void *data, Catalog *catalog)
 {
   PoolDaemon *daemon = data;
+  const Catalog *old = pool_server_catalog (daemon->server);
+  const bool is_new = old == NULL || catalog->version > old->version;
 
   pool_server_set_catalog (daemon->server, catalog);
+  if (is_new)
+    peer_mesh_beat (daemon->mesh);
 }
 
 static void
 on_instances (void *data, const GArray *infos)
 {
   PoolDaemon *daemon = data;
+  const uint32_t hash = discovery_instances_hash (daemon->discovery);
 
   pool_server_set_instances (daemon->server, infos);
+  if (hash != daemon->instances_hash)
+    peer_mesh_beat (daemon->mesh);
+  daemon->instances_hash = hash;
 }
 
 static void
@@ -132,6 +143,18 @@
   PoolDaemon *daemon = data;
 
   pool_server_fill_beat (daemon->server, beat);
+  if (daemon->discovery == NULL)
+    return;
+  beat->instances_hash = discovery_instances_hash (daemon->discovery);
+  discovery_set_reader (daemon->discovery, peer_mesh_rank (daemon->mesh) < STORE_READERS);
+}
+
+static void
+on_heard (void *data, const Pool__Beat *beat)
+{
+  PoolDaemon *daemon = data;
+
+  discovery_hear (daemon->discovery, beat->config_version, beat->instances_hash);
 }
 
 static void
@@ -309,6 +332,7 @@
     .address = address,
     .port = (uint16_t) settings_number (settings, "peer-port"),
     .fill = fill_beat,
+    .heard = on_heard,
     .take = take_beat,
     .ended = on_peer_ended,
     .data = daemon,
--- a/src/policy/instance-list.c
+++ b/src/policy/instance-list.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <xxhash.h>
+
 /* Instances that live are listed again within two seconds after the store is back. */
 #define LATE_MS 2500
 
@@ -54,3 +56,22 @@
   instance_list_done (list);
   list->infos = infos;
 }
+
+uint32_t
+instance_list_hash (const InstanceList *list)
+{
+  uint32_t sum = 0;
+
+  if (list->infos == NULL)
+    return 0;
+  // A sum, since the store's order means nothing.
+  for (guint i = 0; i < list->infos->len; i++)
+    {
+      const InstanceInfo *info = &g_array_index (list->infos, InstanceInfo, i);
+      const uint32_t life = XXH32 (info->id, strlen (info->id), (uint32_t) info->started_ms);
+
+      sum += XXH32 (info->address, strlen (info->address),
+                    life + info->port + (info->leaving ? 1u : 0u));
+    }
+  return sum == 0 ? 1 : sum;
+}
--- a/src/policy/instance-list.h
+++ b/src/policy/instance-list.h
@@ -31,3 +31,6 @@
 
 /** instance_list_take() - The store's list, read at @now_ms; the result is @list->infos. */
 void instance_list_take (InstanceList *list, const GArray *listed, int64_t now_ms);
+
+/** instance_list_hash() - Tells two lists apart; 0 for a list that was never read. */
+uint32_t instance_list_hash (const InstanceList *list);
--- a/src/pool/beat.pb-c.c
+++ b/src/pool/beat.pb-c.c
@@ -317,7 +317,7 @@
   (ProtobufCMessageInit) pool__service_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool__beat__field_descriptors[8] =
+static const ProtobufCFieldDescriptor pool__beat__field_descriptors[9] =
 {
   {
     "sender",
@@ -415,12 +415,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "instances_hash",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Pool__Beat, instances_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool__beat__field_indices_by_name[] = {
   1,   /* field[1] = boot */
   6,   /* field[6] = config_version */
   3,   /* field[3] = echo */
   4,   /* field[4] = echo_age */
+  8,   /* field[8] = instances_hash */
   5,   /* field[5] = leaving */
   0,   /* field[0] = sender */
   2,   /* field[2] = sent */
@@ -429,7 +442,7 @@
 static const ProtobufCIntRange pool__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor pool__beat__descriptor =
 {
@@ -439,7 +452,7 @@
   "Pool__Beat",
   "pool",
   sizeof(Pool__Beat),
-  8,
+  9,
   pool__beat__field_descriptors,
   pool__beat__field_indices_by_name,
   1,  pool__beat__number_ranges,
--- a/src/pool/beat.pb-c.h
+++ b/src/pool/beat.pb-c.h
@@ -98,10 +98,14 @@
   uint64_t config_version;
   size_t n_services;
   Pool__ServiceBeat **services;
+  /*
+   * of the list of instances that the sender read; 0 for none
+   */
+  uint32_t instances_hash;
 };
 #define POOL__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /* Pool__ServiceBeat methods */
--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -7,12 +7,20 @@
 /* A long poll ends by itself after this time: a connection that went silent is found out soon
  * enough for a new configuration to be in force within its limit. */
 #define WATCH_WAIT_MS 4000
+/* The same for a host that hears of news from others. */
+#define WATCH_WAIT_LONG_MS 20000
 /* The list of instances is read this often; instances leave seconds after they said so. */
 #define INSTANCES_INTERVAL_MS 2000
+#define INSTANCES_INTERVAL_LONG_MS 12000
 /* Readings asked for out of turn are this far apart. */
 #define INSTANCES_SPACING_MS 300
 /* Time for a call, with connecting. */
 #define CALL_LIMIT_MS 1500
+/* A list is told to others while it is this fresh, and a host that hears of none for as long
+ * reads often itself. */
+#define NEWS_FRESH_MS 4500
+/* Configurations are fetched on hearsay at most this often. */
+#define FETCH_SPACING_MS 800
 /* First and longest pause after a failed call. */
 #define RETRY_MS 200
 #define RETRY_LIMIT_MS 1000
@@ -30,6 +38,13 @@
   bool reading;
   InstanceList list;
   bool store_lost;
+  bool reader;
+  int64_t read_done_ms;  /* the list was last read with success */
+  int64_t heard_news_ms; /* another host told of a list that it had just read */
+  int64_t fetched_ms;
+  bool fetching; /* the configuration, because another host has a newer one */
+  uint64_t version;
+  uint32_t heard_hash; /* last list of another host that was looked for */
 };
 
 static int
@@ -60,6 +75,15 @@
   return delay_ms;
 }
 
+static void
+take_catalog (Discovery *discovery, Catalog *catalog)
+{
+  if (catalog == NULL)
+    return;
+  discovery->version = MAX (discovery->version, catalog->version);
+  discovery->options.catalog (discovery->options.data, catalog);
+}
+
 static void
 on_configuration (void *data, CallResult result, Catalog *catalog, uint64_t revision)
 {
@@ -82,8 +106,7 @@
   discovery->config_retry_ms = RETRY_MS;
   discovery->revision = MAX (discovery->revision, revision);
   discovery->synced = true;
-  if (catalog != NULL)
-    options->catalog (options->data, catalog);
+  take_catalog (discovery, catalog);
   timer_set (options->timers, &discovery->config_timer, 0);
 }
 
@@ -94,7 +117,8 @@
   const Directory *directory = discovery->options.directory;
 
   if (discovery->synced)
-    directory->watch_configuration (directory->self, discovery->revision, WATCH_WAIT_MS,
+    directory->watch_configuration (directory->self, discovery->revision,
+                                    discovery->reader ? WATCH_WAIT_MS : WATCH_WAIT_LONG_MS,
                                     on_configuration, discovery);
   else
     directory->get_configuration (directory->self, CALL_LIMIT_MS, on_configuration, discovery);
@@ -116,8 +140,10 @@
       return;
     }
   discovery->instances_retry_ms = RETRY_MS;
-  timer_set (options->timers, &discovery->instances_timer, INSTANCES_INTERVAL_MS);
-  instance_list_take (&discovery->list, infos, clock_now_ms ());
+  timer_set (options->timers, &discovery->instances_timer,
+             discovery->reader ? INSTANCES_INTERVAL_MS : INSTANCES_INTERVAL_LONG_MS);
+  discovery->read_done_ms = clock_now_ms ();
+  instance_list_take (&discovery->list, infos, discovery->read_done_ms);
   options->instances (options->data, discovery->list.infos);
 }
 
@@ -140,6 +166,7 @@
   Discovery *discovery = talloc_zero (parent, Discovery);
 
   discovery->options = *options;
+  discovery->reader = true;
   discovery->config_retry_ms = discovery->instances_retry_ms = RETRY_MS;
   discovery->config_timer.fired = on_config_timer;
   discovery->config_timer.data = discovery;
@@ -160,3 +187,59 @@
     timer_set (discovery->options.timers, &discovery->instances_timer,
                MAX (due_ms - clock_now_ms (), 0));
 }
+
+void
+discovery_set_reader (Discovery *discovery, bool reader)
+{
+  const int64_t now_ms = clock_now_ms ();
+
+  // The hosts that should read may be out of reach of the store, or of this host.
+  reader = reader || now_ms - discovery->heard_news_ms > NEWS_FRESH_MS;
+  if (discovery->reader == reader)
+    return;
+  discovery->reader = reader;
+  log_event (LOG_LEVEL_INFO, "reader", "value=%d", reader);
+  if (reader)
+    discovery_look (discovery);
+}
+
+static void
+on_fetched (void *data, CallResult result, Catalog *catalog, uint64_t revision)
+{
+  Discovery *discovery = data;
+
+  // The watch goes on from where it was; it may show the same version again.
+  discovery->fetching = false;
+  if (result == CALL_DONE)
+    take_catalog (discovery, catalog);
+}
+
+void
+discovery_hear (Discovery *discovery, uint64_t version, uint32_t hash)
+{
+  const Directory *directory = discovery->options.directory;
+  const int64_t now_ms = clock_now_ms ();
+
+  if (hash != 0)
+    discovery->heard_news_ms = now_ms;
+  if (version > discovery->version && !discovery->fetching
+      && now_ms - discovery->fetched_ms >= FETCH_SPACING_MS)
+    {
+      discovery->fetching = true;
+      discovery->fetched_ms = now_ms;
+      directory->get_configuration (directory->self, CALL_LIMIT_MS, on_fetched, discovery);
+    }
+  // A list that stays different after it was looked for is the other host's to read again.
+  if (hash == 0 || hash == discovery->heard_hash || hash == instance_list_hash (&discovery->list))
+    return;
+  discovery->heard_hash = hash;
+  discovery_look (discovery);
+}
+
+uint32_t
+discovery_instances_hash (const Discovery *discovery)
+{
+  if (clock_now_ms () - discovery->read_done_ms > NEWS_FRESH_MS)
+    return 0;
+  return instance_list_hash (&discovery->list);
+}
--- a/src/pool/discovery.h
+++ b/src/pool/discovery.h
@@ -3,6 +3,9 @@
  */
 #pragma once
 
+#include <stdbool.h>
+#include <stdint.h>
+
 #include <talloc.h>
 
 #include "base/timer-queue.h"
@@ -29,5 +32,17 @@
 /** discovery_new() - Starts reading at once. */
 Discovery *discovery_new (TALLOC_CTX *parent, const DiscoveryOptions *options);
 
+/**
+ * discovery_set_reader() - Whether this host is one of the few that read often; the others read
+ * when they hear of news.
+ */
+void discovery_set_reader (Discovery *discovery, bool reader);
+
+/** discovery_hear() - Another host has configuration @version and a list with @hash. */
+void discovery_hear (Discovery *discovery, uint64_t version, uint32_t hash);
+
+/** discovery_instances_hash() - Of the list, if it was read lately; 0 else. */
+uint32_t discovery_instances_hash (const Discovery *discovery);
+
 /** discovery_look() - The list of instances may be out of date: read it soon. */
 void discovery_look (Discovery *discovery);
--- a/src/pool/peer-mesh.c
+++ b/src/pool/peer-mesh.c
@@ -216,6 +216,7 @@
   // It was sent after the beat that it echoes, so this is no later than its sending.
   if (beat->echo != 0)
     sent_ms = (int64_t) beat->echo + beat->echo_age;
+  mesh->options.heard (mesh->options.data, beat);
   for (size_t i = 0; i < beat->n_services; i++)
     mesh->options.take (mesh->options.data, beat->sender, beat->services[i],
                         sent_ms <= now_ms ? sent_ms : 0);
@@ -328,6 +329,20 @@
   return mesh->self;
 }
 
+uint32_t
+peer_mesh_rank (const PeerMesh *mesh)
+{
+  uint32_t rank = 0;
+
+  for (guint i = 0; i < mesh->peers->len; i++)
+    {
+      const Peer *peer = mesh->peers->pdata[i];
+
+      rank += peer->state.id != 0 && !peer->lost && peer->state.id < mesh->self;
+    }
+  return rank;
+}
+
 void
 peer_mesh_each (const PeerMesh *mesh, void (*each) (void *data, const PeerState *peer), void *data)
 {
--- a/src/pool/peer-mesh.h
+++ b/src/pool/peer-mesh.h
@@ -22,6 +22,7 @@
  * struct PeerMeshOptions - Where to listen and what to say.
  * @host: unique name of this host.
  * @fill: adds the services to a beat that is about to be sent.
+ * @heard: what a host said of the store.
  * @take: what @peer said of one service. @sent_ms is the earliest time on this host's clock
  *   at which it may have said so; 0 while that is not known.
  * @ended: nothing more will be heard of @peer in this life.
@@ -35,6 +36,7 @@
   const char *address;
   uint16_t port;
   void (*fill) (void *data, Pool__Beat *beat);
+  void (*heard) (void *data, const Pool__Beat *beat);
   void (*take) (void *data, uint64_t peer, const Pool__ServiceBeat *beat, int64_t sent_ms);
   void (*ended) (void *data, uint64_t peer);
   void *data;
@@ -58,6 +60,9 @@
 /** peer_mesh_self() - How this host is named in beats. */
 uint64_t peer_mesh_self (const PeerMesh *mesh);
 
+/** peer_mesh_rank() - Hosts heard lately whose names come before this one's in beats. */
+uint32_t peer_mesh_rank (const PeerMesh *mesh);
+
 /** struct PeerState - Another host. @heard_ms: when it was last heard; 0 for never. */
 typedef struct
 {
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -200,6 +200,11 @@
   pool_server_fill_beat (((Host *) data)->server, beat);
 }
 
+static void
+on_heard (void *data, const Pool__Beat *beat)
+{
+}
+
 static void
 take_beat (void *data, uint64_t peer, const Pool__ServiceBeat *beat, int64_t sent_ms)
 {
@@ -277,6 +282,7 @@
     .address = "127.0.0.1",
     .port = free_port (SOCK_DGRAM),
     .fill = fill_beat,
+    .heard = on_heard,
     .take = take_beat,
     .ended = on_peer_ended,
     .data = host,
