No commit is told once the primary is given up; what hosts tell bounds it only if all know a position

Two ways to that, both closed: a list that lacked an instance made the group look smaller; and hosts that had just started told that they had acknowledged nothing. And a commit that ended after its host had obeyed was still told.

--- a/src/policy/lead-change.c
+++ b/src/policy/lead-change.c
@@ -4,6 +4,8 @@
 
 #include <glib.h>
 
+/* Instances that a group has at least, listed or not: a list may lack one that holds commits. */
+#define GROUP_SIZE_LEAST 3
 /* Extra wait for each host that would make the change before this one. */
 #define RANK_DELAY_MS 350
 /* A host that knows of no primary looks for one after this time. */
@@ -44,7 +46,7 @@
   LeadPhase phase;
   Member members[LEAD_MEMBERS_MAX];
   uint32_t count;
-  uint32_t size; /* most members ever listed */
+  uint32_t size; /* most members ever listed, or the least that a group has */
   int64_t reason_ms;
   int64_t phase_ms;
   int64_t started_ms;
@@ -88,6 +90,7 @@
   LeadChange *change = g_new0 (LeadChange, 1);
 
   change->options = *options;
+  change->size = GROUP_SIZE_LEAST;
   return change;
 }
 
@@ -549,7 +552,7 @@
 {
   if (paused_count (change) + situation->synchronous >= change->size)
     return true;
-  return situation->all_obey
+  return situation->all_obey && situation->all_tell
          && session_token_compare (best->report.received, situation->committed) >= 0;
 }
 
--- a/src/policy/lead-change.h
+++ b/src/policy/lead-change.h
@@ -52,7 +52,8 @@
  * @foreign_fence: greatest number of another host's change that is under way; 0 for none.
  * @seen_fence: greatest number ever seen.
  * @all_obey: every other host has said that it relies on the primary no more.
- * @committed: greatest position that any of them acknowledged; valid with @all_obey.
+ * @all_tell: they all know a position of the primary in its reign, so that @committed holds.
+ * @committed: no commit beyond it was acknowledged by any of them, or will be.
  * @synchronous: replicas that hold a commit before it is acknowledged.
  */
 typedef struct
@@ -69,6 +70,7 @@
   uint64_t foreign_fence;
   uint64_t seen_fence;
   bool all_obey;
+  bool all_tell;
   SessionToken committed;
   uint32_t synchronous;
 } LeadSituation;
--- a/src/pool/lead-driver.c
+++ b/src/pool/lead-driver.c
@@ -45,6 +45,7 @@
   uint64_t fence;
   uint64_t fence_obeyed;
   SessionToken committed;
+  bool tells; /* it knows a position of the primary */
   uint32_t use_count;
   InstanceUse uses[GROUP_MEMBERS_MAX];
 } PeerView;
@@ -310,6 +311,7 @@
     situation->all_obey = false;
   if (view == NULL)
     return;
+  situation->all_tell &= view->tells && view->primary == situation->primary;
   if (session_token_compare (view->committed, situation->committed) > 0)
     situation->committed = view->committed;
   silent_ms = count->now_ms - view->heard_ms;
@@ -346,6 +348,7 @@
     .hosts = 1,
     .seen_fence = driver->seen_fence,
     .all_obey = true,
+    .all_tell = belief.position.at_ms > 0,
     .committed = belief.committed,
     .synchronous = driver->synchronous,
   };
@@ -558,6 +561,7 @@
   view->fence = beat->fence;
   view->fence_obeyed = beat->fence_obeyed;
   view->committed = (SessionToken){ beat->committed_term, beat->committed };
+  view->tells = beat->position_age != NEVER_AGE;
   take_uses (view, beat);
   driver->seen_fence = MAX (driver->seen_fence, beat->fence);
   take_belief (driver, beat, sent_ms);
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -395,6 +395,12 @@
   return member != NULL && member->answered_sent_ms - sent_ms >= OVERTAKEN_MS;
 }
 
+bool
+service_group_may_acknowledge (const ServiceGroup *group, const InstancePool *pool)
+{
+  return !group->fenced && service_group_is_primary (group, pool);
+}
+
 bool
 service_group_is_primary (const ServiceGroup *group, const InstancePool *pool)
 {
@@ -512,6 +518,8 @@
     .commit_since_ms = group->commit_since_ms,
   };
   position_history_last (&group->history, &belief->position);
+  // What a host that is gone acknowledged lies before a position seen after its end.
+  session_token_raise (&belief->committed, belief->position.position);
 }
 
 void
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -135,6 +135,12 @@
 bool service_group_has_overtaken (const ServiceGroup *group, const InstancePool *pool,
                                   int64_t sent_ms);
 
+/**
+ * service_group_may_acknowledge() - Whether a commit at the instance of @pool may be told to its
+ * caller: not once this host has said that it does not rely on that primary.
+ */
+bool service_group_may_acknowledge (const ServiceGroup *group, const InstancePool *pool);
+
 /** service_group_is_primary() - Whether the instance of @pool is taken for the primary. */
 bool service_group_is_primary (const ServiceGroup *group, const InstancePool *pool);
 
@@ -154,7 +160,7 @@
   uint64_t term;
   int64_t proof_ms;        /* it led its group then; 0 for never */
   PositionSample position; /* its last position known; time 0 for none */
-  SessionToken committed;  /* greatest position acknowledged to callers here */
+  SessionToken committed;  /* nothing beyond it was acknowledged, as far as is known here */
   int64_t commit_sent_ms;  /* a commit was last sent; 0 for never */
   int64_t commit_since_ms; /* none has ended since this one was sent; 0 if the last ended */
 } GroupBelief;
--- a/src/pool/session-run.c
+++ b/src/pool/session-run.c
@@ -212,11 +212,27 @@
     session->transaction = TRANSACTION_FAILED;
 }
 
+/* The commit ended after this host gave the primary up: whether it lasts is not known. */
+static void
+finish_unacknowledged (PoolSession *session)
+{
+  session->transaction = TRANSACTION_NONE;
+  session->wrote = false;
+  session_give_line_back (session);
+  session_answer_error (session, ANSWER_IN_DOUBT, "the primary is being replaced");
+  session_process_input (session);
+}
+
 static void
 finish_at_instance (PoolSession *session, const LineResult *result)
 {
   const bool committed = has_committed (session, result);
 
+  if (committed && !service_group_may_acknowledge (session->group, session_current_pool (session)))
+    {
+      finish_unacknowledged (session);
+      return;
+    }
   note_answer (session, result, committed);
   if (result->code == ANSWER_OK && !committed && session->transaction == TRANSACTION_NONE)
     count_read (session);
--- a/tests/script-lead.c
+++ b/tests/script-lead.c
@@ -92,7 +92,9 @@
 
   g_strlcpy (host->name, script_word (words, 1), sizeof host->name);
   host->change = lead_change_new (&options);
-  host->situation = (LeadSituation){ .hosts = 1, .votes = 1, .all_obey = true, .synchronous = 1 };
+  host->situation = (LeadSituation){
+    .hosts = 1, .votes = 1, .all_obey = true, .all_tell = true, .synchronous = 1
+  };
 }
 
 /* instance NAME primary|replica TERM POSITION */
@@ -134,6 +136,8 @@
     situation->rank = (guint32) value;
   else if (strcmp (key, "obey") == 0)
     situation->all_obey = value != 0;
+  else if (strcmp (key, "tell") == 0)
+    situation->all_tell = value != 0;
   else if (strcmp (key, "committed") == 0)
     situation->committed = (SessionToken){ situation->term, (guint64) value };
   else
