A connection that was made and closed before its session began met a live, full instance

Cause: instances beyond their limit reset new connections, which looked like nobody listening; after a loss of power of all hosts, whose old connections count for three seconds, that made primaries suspect and had them replaced.

--- a/src/base/stream.c
+++ b/src/base/stream.c
@@ -30,6 +30,7 @@
   guint output_sent;
   bool paused;
   bool above_low_mark;
+  int error;
 };
 
 static int
@@ -54,6 +55,14 @@
   tevent_fd_set_flags (stream->fde, flags);
 }
 
+/* The first error is the cause; the system reports it only once. */
+static void
+note_error (Stream *stream, int error)
+{
+  if (stream->error == 0)
+    stream->error = error;
+}
+
 /* Returns false when the stream was reported closed. */
 static bool
 read_some (Stream *stream)
@@ -78,6 +87,7 @@
     }
   if (got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR))
     {
+      note_error (stream, got == 0 ? 0 : errno);
       stream->events->closed (stream->data);
       return false;
     }
@@ -93,7 +103,12 @@
                          stream_pending (stream), MSG_NOSIGNAL);
 
       if (put < 0)
-        return errno == EAGAIN || errno == EINTR;
+        {
+          if (errno == EAGAIN || errno == EINTR)
+            return true;
+          note_error (stream, errno);
+          return false;
+        }
       stream->output_sent += (guint) put;
     }
   return true;
@@ -187,6 +202,12 @@
   update_interest (stream);
 }
 
+int
+stream_error (const Stream *stream)
+{
+  return stream->error;
+}
+
 guint
 stream_pending (const Stream *stream)
 {
--- a/src/base/stream.h
+++ b/src/base/stream.h
@@ -44,6 +44,9 @@
 /** stream_pause() - Stops or resumes reading. */
 void stream_pause (Stream *stream, bool paused);
 
+/** stream_error() - Why the stream closed, as in errno; 0 if the other end closed it. */
+int stream_error (const Stream *stream);
+
 /** stream_pending() - Bytes not yet given to the socket. */
 guint stream_pending (const Stream *stream);
 
--- a/src/pool/backend-line.c
+++ b/src/pool/backend-line.c
@@ -1,5 +1,7 @@
 #include "pool/backend-line.h"
 
+#include <errno.h>
+
 #include "base/clock.h"
 #include "base/stream.h"
 
@@ -183,10 +185,21 @@
 {
 }
 
+/* A connection that was made and then closed before the session began met a live instance that
+ * takes no more; one that was refused met nobody. */
 static void
 on_closed (void *data)
 {
-  fail (data);
+  BackendLine *line = data;
+  const int error = stream_error (line->stream);
+
+  if (line->state != LINE_OPENING || (error != 0 && error != ECONNRESET && error != EPIPE))
+    {
+      fail (line);
+      return;
+    }
+  die (line);
+  line->options.refused (line->options.data, ANSWER_CONNECTION_LIMIT);
 }
 
 static const StreamEvents line_events = { on_readable, on_drained, on_closed };
--- a/tests/line-world.c
+++ b/tests/line-world.c
@@ -466,12 +466,17 @@
 on_accept (struct tevent_context *context, struct tevent_fd *fde, uint16_t flags, void *data)
 {
   Instance *instance = data;
+  Session *session;
   int fd;
 
   while ((fd = stream_accept (instance->fd)) >= 0)
     {
-      Session *session = talloc_zero (instance->world, Session);
-
+      if (instance->fault == LINE_FAULT_RESET)
+        {
+          close (fd);
+          continue;
+        }
+      session = talloc_zero (instance->world, Session);
       session->instance = instance;
       session->writes = g_ptr_array_new_with_free_func (entry_free);
       session->values = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
--- a/tests/line-world.h
+++ b/tests/line-world.h
@@ -26,7 +26,8 @@
   LINE_FAULT_BUSY, /* has no slot */
   LINE_FAULT_DOWN, /* nobody listens */
   LINE_FAULT_DEAF, /* a replica that receives nothing */
-  LINE_FAULT_FULL  /* takes no new connections */
+  LINE_FAULT_FULL, /* says that it takes no new connections */
+  LINE_FAULT_RESET /* closes new connections without a word */
 } LineFault;
 
 /** line_world_new() - Group "ledger": p, the primary, r and s. */
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -423,7 +423,7 @@
 set_fault (State *state, char **words)
 {
   static const char *const kinds[]
-      = { "none", "mute", "lose", "hide", "busy", "down", "deaf", "full" };
+      = { "none", "mute", "lose", "hide", "busy", "down", "deaf", "full", "reset" };
 
   for (guint i = 0; i < G_N_ELEMENTS (kinds); i++)
     if (strcmp (kinds[i], script_word (words, 2)) == 0)
