--- a/src/pool/peer-mesh.c
+++ b/src/pool/peer-mesh.c
@@ -114,7 +114,11 @@
   beat->echo = peer->sent;
   beat->echo_age = (uint32_t) (peer->sent == 0 ? 0 : now_ms - peer->taken_ms);
   if (pool__beat__get_packed_size (beat) > sizeof bytes)
-    return;
+    {
+      log_event (LOG_LEVEL_ERROR, "beat_too_large", "services=%zu limit_bytes=%zu",
+                 beat->n_services, sizeof bytes);
+      return;
+    }
   size = pool__beat__pack (beat, bytes);
   // A datagram that the system does not take is like one that was lost.
   if (sendto (mesh->fd, bytes, size, MSG_NOSIGNAL, (const struct sockaddr *) &peer->address,
