A read that every instance refused is refused or pauses, not asked six times in a loop

Cause: the choice of an instance forgot by itself which had refused, so has_untried_pool was always true (attempts=6 took_ms=0 in inc-3abd).

--- a/src/pool/session-route.c
+++ b/src/pool/session-route.c
@@ -47,7 +47,6 @@
 {
   const Database *database = session->database;
   SessionToken token = { 0 };
-  InstancePool *pool;
   int64_t since_ms;
 
   session->after = (SessionToken){ 0 };
@@ -57,12 +56,7 @@
       && strcmp (session->token_service, database->service) == 0)
     token = session->token;
   since_ms = session->started_ms - MAX (database->staleness_ms - STALENESS_MARGIN_MS, 0);
-  pool = service_group_place (session->group, since_ms, token, database->priority, session->tried,
-                              &session->after);
-  if (pool != NULL || session->tried == 0)
-    return pool;
-  session->tried = 0;
-  return service_group_place (session->group, since_ms, token, database->priority, 0,
+  return service_group_place (session->group, since_ms, token, database->priority, session->tried,
                               &session->after);
 }
 
