Remove what the reading of the whole change found dead or written twice

- service-group: LEAVING_LIMIT_MS and the time behind it were never read: what its comment said (a leaving primary that nobody replaced in 4 s gets no new work) is not in service_group_primary().
Nor is a check of a silent primary: passes over silent instances for reads only.
The constant goes, the log line of a leaving instance keeps a flag.
Both are to be built with a test that fails first.
- Fields written and never read (seen_ms, report, report_ms, begun_ms, planned), functions nobody calls (pool_session_in_transaction, instance_pool_lines, backend_line_is_dead), options nobody reads.
- BUSY_RETRY_MS stood twice; refusing a request for a connection four times.
- Two comments that were wrong or missing.

--- a/src/cli/pool.c
+++ b/src/cli/pool.c
@@ -45,6 +45,7 @@
 
 /* Kept free of the time that the platform gives a shutdown. */
 #define DRAIN_RESERVE_MS 400
+/* A drain that is under way is looked at this often: short beside its limit of seconds. */
 #define SIGNAL_POLL_MS 100
 /* Hosts that read the store often; more than one, as each may be out of its reach. */
 #define STORE_READERS 3
--- a/src/policy/lead-change.c
+++ b/src/policy/lead-change.c
@@ -55,7 +55,6 @@
   int64_t backoff_until_ms;
   uint64_t foreign_pause;
   int64_t foreign_pause_ms;
-  bool planned;
   bool stuck; /* the primary answers; it was stuck when the change began */
   bool announced;
   bool promote_again;
@@ -409,13 +408,11 @@
   if (leader != NULL && situation->leaving)
     {
       primary = find_member (change, leader->key);
-      change->planned = true;
       choose_fence (change, situation);
       enter (change, LEAD_STEPPING_DOWN, now_ms);
       order (change, primary, ORDER_STEP_DOWN, now_ms);
       return;
     }
-  change->planned = false;
   if (leader != NULL && !change->stuck)
     {
       end_change (change, true, now_ms);
@@ -483,7 +480,6 @@
       return;
     }
   // It may have stepped down or not: the replicas decide, as when it is lost.
-  change->planned = false;
   start_pausing (change, situation);
 }
 
--- a/src/pool/backend-line.c
+++ b/src/pool/backend-line.c
@@ -341,12 +341,6 @@
   return line->state == LINE_OPEN && !line->running;
 }
 
-bool
-backend_line_is_dead (const BackendLine *line)
-{
-  return line->state == LINE_DEAD;
-}
-
 int64_t
 backend_line_heard_ms (const BackendLine *line)
 {
--- a/src/pool/backend-line.h
+++ b/src/pool/backend-line.h
@@ -85,9 +85,6 @@
 /** backend_line_is_idle() - Open, and nothing runs on it. */
 bool backend_line_is_idle (const BackendLine *line);
 
-/** backend_line_is_dead() - Refused or lost. */
-bool backend_line_is_dead (const BackendLine *line);
-
 /** backend_line_heard_ms() - When the instance last sent anything on it. */
 int64_t backend_line_heard_ms (const BackendLine *line);
 
--- a/src/pool/instance-pool.c
+++ b/src/pool/instance-pool.c
@@ -156,6 +156,13 @@
   return request;
 }
 
+static void
+refuse (LineRequest *request, AnswerCode code)
+{
+  request->pool = NULL;
+  request->refused (request->data, code);
+}
+
 static void
 refuse_waiting (InstancePool *pool, AnswerCode code)
 {
@@ -164,16 +171,11 @@
 
   while ((request = pop_waiting (pool)) != NULL)
     {
-      request->pool = NULL;
       admission_queue_abort (pool->queue, request->priority);
-      request->refused (request->data, code);
+      refuse (request, code);
     }
   while ((item = admission_queue_drain (pool->queue)) != NULL)
-    {
-      request = item->data;
-      request->pool = NULL;
-      request->refused (request->data, code);
-    }
+    refuse (item->data, code);
 }
 
 static void
@@ -381,8 +383,7 @@
   };
   if (!admission_queue_push (pool->queue, &request->item, clock_now_ms ()))
     {
-      request->pool = NULL;
-      request->refused (request->data, ANSWER_OVERLOADED);
+      refuse (request, ANSWER_OVERLOADED);
       return;
     }
   pump (pool);
@@ -500,12 +501,6 @@
   return MAX (pool->wanted, demand (pool));
 }
 
-uint32_t
-instance_pool_lines (const InstancePool *pool)
-{
-  return pool->lines.length;
-}
-
 BackendLine *
 instance_pool_line (PooledLine *line)
 {
@@ -530,8 +525,9 @@
   return pool->shut || (pool->failures > 0 && pool->lines.length == pool->opening);
 }
 
-int64_t
-instance_pool_heard_ms (const InstancePool *pool)
+/* When the instance last sent anything to this host. */
+static int64_t
+last_heard_ms (const InstancePool *pool)
 {
   int64_t heard_ms = pool->heard_ms;
 
@@ -548,7 +544,7 @@
 int64_t
 instance_pool_silent_ms (const InstancePool *pool, int64_t now_ms)
 {
-  const int64_t heard_ms = instance_pool_heard_ms (pool);
+  const int64_t heard_ms = last_heard_ms (pool);
   int64_t asked_ms = 0;
 
   for (const GList *node = pool->lines.head; node != NULL; node = node->next)
@@ -628,11 +624,6 @@
     set_limit (pool, pool->limit + 1);
   close_idle (pool, now_ms);
   while ((item = admission_queue_expire (pool->queue, now_ms)) != NULL)
-    {
-      LineRequest *request = item->data;
-
-      request->pool = NULL;
-      request->refused (request->data, ANSWER_OVERLOADED);
-    }
+    refuse (item->data, ANSWER_OVERLOADED);
   pump (pool);
 }
--- a/src/pool/instance-pool.h
+++ b/src/pool/instance-pool.h
@@ -89,9 +89,6 @@
 /** instance_pool_in_use() - Connections granted. */
 uint32_t instance_pool_in_use (const InstancePool *pool);
 
-/** instance_pool_lines() - Connections open or opening. */
-uint32_t instance_pool_lines (const InstancePool *pool);
-
 /** instance_pool_wanted() - Connections that the work of the last second or so could use. */
 uint32_t instance_pool_wanted (const InstancePool *pool);
 
@@ -113,9 +110,6 @@
 /** instance_pool_is_down() - Connecting failed a moment ago and nothing is open. */
 bool instance_pool_is_down (const InstancePool *pool);
 
-/** instance_pool_heard_ms() - When the instance last sent anything to this host. */
-int64_t instance_pool_heard_ms (const InstancePool *pool);
-
 /** instance_pool_silent_ms() - How long work has been running there without a sign of life. */
 int64_t instance_pool_silent_ms (const InstancePool *pool, int64_t now_ms);
 
--- a/src/pool/pool-server.c
+++ b/src/pool/pool-server.c
@@ -190,8 +190,6 @@
     .events = server->events,
     .timers = options->timers,
     .codec = options->codec,
-    .counters = options->counters,
-    .host = options->host,
     .failure_domain = options->failure_domain,
     .region = options->region,
     .domain_region = options->domain_region,
--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -48,12 +48,6 @@
   return session->active ? 0 : now_ms - session->idle_since_ms;
 }
 
-bool
-pool_session_in_transaction (const PoolSession *session)
-{
-  return session->transaction != TRANSACTION_NONE;
-}
-
 /* A change of the configuration applies from the next operation on. */
 static bool
 take_route (PoolSession *session)
@@ -86,7 +80,6 @@
   session->transaction = TRANSACTION_BEGUN;
   session->wrote = false;
   session->read_only = session->statement.read_only;
-  session->begun_ms = session->started_ms;
   session->begin = session->statement;
   memset (&session->statement, 0, sizeof session->statement);
   session_answer_complete (session, "-", (SessionToken){ 0 });
--- a/src/pool/pool-session.h
+++ b/src/pool/pool-session.h
@@ -24,6 +24,3 @@
 
 /** pool_session_idle_ms() - Time since its last statement ended. */
 int64_t pool_session_idle_ms (const PoolSession *session, int64_t now_ms);
-
-/** pool_session_in_transaction() - Whether a transaction is open. */
-bool pool_session_in_transaction (const PoolSession *session);
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -15,13 +15,11 @@
 #define BEHIND_LIMIT_MS 480
 /* An instance that owes answers and said nothing for this time is asked for a sign of life. */
 #define SILENCE_MS 350
-/* A leaving primary that nobody has replaced by then gets no new work all the same. */
-#define LEAVING_LIMIT_MS 4000
+/* It is asked again at this pace while it gives none. */
+#define CHECK_INTERVAL_MS 250
 /* A statement whose answer did not come, while one sent this much later was answered, has
  * probably lost it: an instance takes statements in order. */
 #define OVERTAKEN_MS 150
-/* It is asked again at this pace while it gives none. */
-#define CHECK_INTERVAL_MS 250
 /* An instance that was full is not asked for this time. */
 #define REFUSED_MS 40
 /* Weight of a new answer in the averaged latency, as a divisor. */
@@ -232,9 +230,9 @@
 static void
 update_member (GroupMember *member, const InstanceInfo *info)
 {
-  if (info->leaving && member->leaving_ms == 0)
+  if (info->leaving && !member->leaving_logged)
     {
-      member->leaving_ms = clock_now_ms ();
+      member->leaving_logged = true;
       log_event (LOG_LEVEL_NOTICE, "instance_leaving", "service=%s instance=%s",
                  member->group->name, info->id);
     }
@@ -332,10 +330,7 @@
   if (position.term == 0 && position.position == 0)
     return;
   if (session_token_compare (position, member->seen) > 0)
-    {
-      member->seen = position;
-      member->seen_ms = clock_now_ms ();
-    }
+    member->seen = position;
   if (strcmp (instance_pool_info (member->pool)->id, group->primary) == 0
       && right_is_valid (group, sent_ms))
     position_history_add (&group->history, sent_ms, position);
@@ -428,8 +423,6 @@
 {
   const char *id = instance_pool_info (member->pool)->id;
 
-  member->report = *report;
-  member->report_ms = sent_ms;
   if (report->primary && report->term >= group->term)
     set_primary (group, id, report->term, "report");
   else if (is_proof (group, report))
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -10,7 +10,6 @@
 #include <talloc.h>
 #include <tevent.h>
 
-#include "base/counters.h"
 #include "base/timer-queue.h"
 #include "policy/placement.h"
 #include "policy/position-history.h"
@@ -31,14 +30,13 @@
 
 /**
  * struct GroupMember - An instance of the group.
- * @seen: last log position it showed, at @seen_ms.
+ * @seen: last log position it showed.
  * @latency_ms: averaged time of its answers.
  * @behind_streak: times in a row that it lacked a position.
  * @displaced: another instance stands at its address.
  * @silent: it owes answers, and gave no sign of life when asked.
- * @leaving_ms: when it was first seen to leave; 0 if it does not.
+ * @leaving_logged: its leaving stands in the log.
  * @answered_sent_ms: when the last sent of the statements that it answered was sent.
- * @report: what it last said of itself, asked at @report_ms; 0 for never.
  * @asked: a report is due.
  */
 typedef struct
@@ -48,19 +46,16 @@
   OrderLine *orders;
   Distance distance;
   SessionToken seen;
-  int64_t seen_ms;
   double latency_ms;
   int64_t behind_until_ms;
   uint32_t behind_streak;
   int64_t refused_until_ms;
   bool displaced;
   bool silent;
-  int64_t leaving_ms;
+  bool leaving_logged;
   int64_t answered_sent_ms;
   bool checking;
   int64_t checked_ms;
-  InstanceReport report;
-  int64_t report_ms;
   bool asked;
 } GroupMember;
 
@@ -74,8 +69,6 @@
   struct tevent_context *events;
   TimerQueue *timers;
   const Codec *codec;
-  Counters *counters;
-  const char *host;
   const char *failure_domain;
   const char *region;
   const GHashTable *domain_region;
--- a/src/pool/session-route.c
+++ b/src/pool/session-route.c
@@ -10,8 +10,6 @@
 /* A statement that has not got a connection after this part of that time is refused: what is
  * left of it has to do for the work. */
 #define QUEUE_WAIT_PART 2
-/* A statement that every instance was too busy for is tried again after this time. */
-#define BUSY_RETRY_MS 25
 /* Times that a statement that did not run is tried, in all. */
 #define ATTEMPTS_MAX 6
 /* Margin by which data is fresher than a class asks for. */
--- a/src/pool/session-run.c
+++ b/src/pool/session-run.c
@@ -8,8 +8,6 @@
 
 /* An answer that has not come by this part of the time limit, in percent, may be lost. */
 #define LOST_ANSWER_PERCENT 40
-/* A statement that an instance had no slot for is sent again after this time. */
-#define BUSY_RETRY_MS 25
 
 static void on_ended (void *data, const LineResult *result);
 
--- a/src/pool/session-state.h
+++ b/src/pool/session-state.h
@@ -7,6 +7,9 @@
 
 #include "pool/pool-session.h"
 
+/* A statement that no instance had a slot for is tried again after this time. */
+#define BUSY_RETRY_MS 25
+
 /** enum TransactionState - Where the caller's transaction stands. */
 typedef enum
 {
@@ -49,7 +52,6 @@
   Statement begin;
   bool read_only;
   bool wrote;
-  int64_t begun_ms;
 
   PooledLine *line;
   int64_t line_us;
--- a/tests/line-world.c
+++ b/tests/line-world.c
@@ -520,7 +520,7 @@
 }
 
 LineWorld *
-line_world_new (TALLOC_CTX *parent, struct tevent_context *context, TimerQueue *timers)
+line_world_new (TALLOC_CTX *parent, struct tevent_context *context)
 {
   static const char *const names[INSTANCES] = { "p", "r", "s" };
   static const char *const domains[INSTANCES] = { "north-1", "north-2", "south-1" };
--- a/tests/line-world.h
+++ b/tests/line-world.h
@@ -31,7 +31,7 @@
 } LineFault;
 
 /** line_world_new() - Group "ledger": p, the primary, r and s. */
-LineWorld *line_world_new (TALLOC_CTX *parent, struct tevent_context *events, TimerQueue *timers);
+LineWorld *line_world_new (TALLOC_CTX *parent, struct tevent_context *events);
 
 /** line_world_set_fault() - Puts @fault on the instance called @name. */
 void line_world_set_fault (LineWorld *world, const char *name, LineFault fault);
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -166,7 +166,7 @@
   log_set_level (LOG_LEVEL_ERROR);
   state->events = tevent_context_init (state);
   state->timers = timer_queue_new (state, state->events);
-  state->world = line_world_new (state, state->events, state->timers);
+  state->world = line_world_new (state, state->events);
   state->regions = g_hash_table_new (g_str_hash, g_str_equal);
   g_hash_table_insert (state->regions, "north-1", "north");
   g_hash_table_insert (state->regions, "north-2", "north");
