A leaving primary leads on while nobody can succeed it, and gets no new work after 3 s

Cause: a leaving primary was told to step down whoever could take its place, so that a group whose replicas were silent or left too lost its primary at once; and service_group_primary() passed over neither a leaving nor a silent primary, so that writes went on to one that leaves for as long as no change of primary began.

Now a change is begun only with a replica that answers and stays; new work goes to a leaving instance only when no other can serve, and not at all 3 s after it was heard of; a silent primary is refused for at once.

Tests: lead-planned-alone and pool-leaving-alone failed before (step down at once; every statement refused after 0.9 s); place-leaving is new; pool-primary-silent passed before too (the refusal now comes earlier).

--- a/src/policy/lead-change.c
+++ b/src/policy/lead-change.c
@@ -383,6 +383,28 @@
          || (replicas > 0 && situation->hosts > 1 && !change->stuck);
 }
 
+/* A replica that stays can take over. */
+static bool
+has_successor (const LeadChange *change)
+{
+  for (uint32_t i = 0; i < change->count; i++)
+    {
+      const Member *member = &change->members[i];
+
+      if (member->answered && !member->report.primary && !member->leaving)
+        return true;
+    }
+  return false;
+}
+
+/* This host can't complete a change now: others may try. */
+static void
+give_up (LeadChange *change, int64_t now_ms)
+{
+  end_change (change, true, now_ms);
+  change->backoff_until_ms = now_ms + UNABLE_BACKOFF_MS;
+}
+
 static void
 step_looking (LeadChange *change, const LeadSituation *situation)
 {
@@ -405,6 +427,12 @@
         ask_all (change, now_ms);
       return;
     }
+  if (leader != NULL && situation->leaving && !change->stuck && !has_successor (change))
+    {
+      // It leads on as long as it can: without it nobody would.
+      give_up (change, now_ms);
+      return;
+    }
   if (leader != NULL && situation->leaving)
     {
       primary = find_member (change, leader->key);
@@ -420,8 +448,7 @@
     }
   if (!enough_answer (change, situation))
     {
-      end_change (change, true, now_ms);
-      change->backoff_until_ms = now_ms + UNABLE_BACKOFF_MS;
+      give_up (change, now_ms);
       return;
     }
   choose_fence (change, situation);
--- a/src/policy/placement.c
+++ b/src/policy/placement.c
@@ -9,6 +9,8 @@
 /* A refusal means another round trip, at least. */
 #define BEHIND_PENALTY_MS 60
 #define REFUSED_PENALTY_MS 400
+/* An instance that leaves is asked only when no other can serve. */
+#define LEAVING_PENALTY_MS 100000
 /* Replicas usually have a commit after this time. */
 #define USUAL_LAG_MS 250
 
@@ -46,6 +48,8 @@
 {
   int64_t cost = view->latency_ms + view->wait_ms + distance_cost (view->distance);
 
+  if (view->leaving)
+    cost += LEAVING_PENALTY_MS;
   if (view->primary)
     cost += PRIMARY_PENALTY_MS;
   if (is_probably_behind (view, need))
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -12,7 +12,7 @@
 
 /**
  * struct PlacementView - What this host knows of an instance.
- * @usable: takes new work. @primary: leads the group.
+ * @usable: takes new work. @leaving: not for long. @primary: leads the group.
  * @distance: from this host.
  * @seen: last log position it showed.
  * @latency_ms: averaged time of its recent answers.
@@ -23,6 +23,7 @@
 typedef struct
 {
   bool usable;
+  bool leaving;
   bool primary;
   Distance distance;
   SessionToken seen;
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -230,9 +230,9 @@
 static void
 update_member (GroupMember *member, const InstanceInfo *info)
 {
-  if (info->leaving && !member->leaving_logged)
+  if (info->leaving && member->leaving_since_ms == 0)
     {
-      member->leaving_logged = true;
+      member->leaving_since_ms = clock_now_ms ();
       log_event (LOG_LEVEL_NOTICE, "instance_leaving", "service=%s instance=%s",
                  member->group->name, info->id);
     }
@@ -263,18 +263,28 @@
   return group->proof_ms > 0 && at_ms - group->proof_ms < PRIMARY_RIGHT_MS;
 }
 
+/* Whether new work may be given to it. */
+static bool
+takes_work (const GroupMember *member, int64_t now_ms)
+{
+  if (member->displaced || member->silent || instance_pool_is_down (member->pool))
+    return false;
+  return member->leaving_since_ms == 0 || now_ms - member->leaving_since_ms < LEAVING_WORK_MS;
+}
+
 InstancePool *
 service_group_primary (ServiceGroup *group)
 {
-  GroupMember *member = find_member (group, group->primary);
+  const GroupMember *member = find_member (group, group->primary);
+  const int64_t now_ms = clock_now_ms ();
 
-  if (member == NULL || member->displaced || group->fenced || instance_pool_is_down (member->pool))
+  if (member == NULL || group->fenced || !takes_work (member, now_ms))
     return NULL;
-  return right_is_valid (group, clock_now_ms ()) ? member->pool : NULL;
+  return right_is_valid (group, now_ms) ? member->pool : NULL;
 }
 
 static void
-fill_views (const ServiceGroup *group, Priority priority, PlacementView *views)
+fill_views (const ServiceGroup *group, Priority priority, int64_t now_ms, PlacementView *views)
 {
   for (uint32_t i = 0; i < group->count; i++)
     {
@@ -283,9 +293,9 @@
       const bool primary = strcmp (info->id, group->primary) == 0;
 
       views[i] = (PlacementView){
-        .usable = !info->leaving && !member->displaced && !member->silent
-                  && !instance_pool_is_down (member->pool),
+        .usable = takes_work (member, now_ms),
         .primary = primary,
+        .leaving = info->leaving,
         .distance = member->distance,
         .seen = member->seen,
         .latency_ms = (int64_t) member->latency_ms,
@@ -315,7 +325,7 @@
       need.after = session;
       need.after_age_ms = 0;
     }
-  fill_views (group, priority, views);
+  fill_views (group, priority, now_ms, views);
   index = placement_read (views, group->count, &need, tried, now_ms);
   if (index < 0)
     return NULL;
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -25,6 +25,12 @@
  */
 #define PRIMARY_RIGHT_MS 800
 
+/**
+ * A leaving instance gets no new work after this time, whether another can do it or not; less
+ * than instances stay after they have announced it. In milliseconds.
+ */
+#define LEAVING_WORK_MS 3000
+
 /** Instances of a group that are looked at; a group has three, and more while one is replaced. */
 #define GROUP_MEMBERS_MAX 16
 
@@ -35,7 +41,7 @@
  * @behind_streak: times in a row that it lacked a position.
  * @displaced: another instance stands at its address.
  * @silent: it owes answers, and gave no sign of life when asked.
- * @leaving_logged: its leaving stands in the log.
+ * @leaving_since_ms: this host knows since then that it leaves; 0 while it stays.
  * @answered_sent_ms: when the last sent of the statements that it answered was sent.
  * @asked: a report is due.
  */
@@ -52,7 +58,7 @@
   int64_t refused_until_ms;
   bool displaced;
   bool silent;
-  bool leaving_logged;
+  int64_t leaving_since_ms;
   int64_t answered_sent_ms;
   bool checking;
   int64_t checked_ms;
--- a/tests/script-place.c
+++ b/tests/script-place.c
@@ -68,6 +68,8 @@
 
   if (strcmp (key, "usable") == 0)
     view->usable = number != 0;
+  else if (strcmp (key, "leaving") == 0)
+    view->leaving = number != 0;
   else if (strcmp (key, "primary") == 0)
     view->primary = number != 0;
   else if (strcmp (key, "seen") == 0)
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -478,6 +478,21 @@
   g_string_append (out, "(not within the limit)\n");
 }
 
+/* prove HOST DURATION: other hosts tell it all the while that the primary leads */
+static void
+prove (State *state, char **words)
+{
+  const gint64 until_ms = clock_now_ms () + script_number (words, 2);
+  ServiceGroup *group
+      = pool_server_group (find_host (state, script_word (words, 1))->server, "ledger");
+
+  while (clock_now_ms () < until_ms)
+    {
+      service_group_take_proof (group, clock_now_ms ());
+      run_once (state);
+    }
+}
+
 static void
 send_raw (State *state, char **words, GString *out)
 {
@@ -533,6 +548,8 @@
     await_primary (state, script_word (words, 1), out);
   else if (strcmp (verb, "run") == 0)
     run_for (state, script_number (words, 1));
+  else if (strcmp (verb, "prove") == 0)
+    prove (state, words);
   else if (strcmp (verb, "world") == 0)
     line_world_print (state->world, out);
   else
