Statements at work at an instance are limited: what waits, waits at the hosts, most urgent first

Cause: hosts sent as many statements to an instance as they had connections, 30 to 50 together before 5 slots. An instance serves in order of arrival, so in a flood, or with replicas too far behind for reads, urgent statements stood behind 25 others: 165 ms for each statement of an order, which has several. Besides, a transaction held its slot while its caller paused, and the pause counted as service time.

Now all hosts together have three statements at work for each slot of an instance, shared as the connections are; an open transaction holds its connection between statements, but no slot, and its next one never waits. When connections run short, the last one is kept for urgent work.

Test: load-one-instance-for-all plays the load on a manual clock: urgent p50 185 -> 75 ms with the primary alone, 164 -> 74 ms in a burst of urgent work. load-calm: no difference when calm. place-window: the parts.

--- a/src/pool/instance-pool.c
+++ b/src/pool/instance-pool.c
@@ -32,6 +32,7 @@
   BackendLine *line;
   LineRequest holder; /* copy of the callbacks */
   bool granted;
+  bool resting; /* granted, and between two statements of a transaction */
   bool opening;
   int64_t opened_ms;
   Priority priority;
@@ -49,6 +50,7 @@
   uint32_t in_use;
   uint32_t limit;   /* connections in force */
   uint32_t allowed; /* connections by configuration */
+  uint32_t window;  /* statements at work at once */
   uint32_t failures;
   int64_t open_after_ms;
   int64_t heard_ms;
@@ -76,9 +78,10 @@
 static AdmissionOptions
 queue_options (const InstancePool *pool)
 {
+  const uint32_t slots = MIN (pool->limit, pool->window);
   AdmissionOptions options = {
-    .slots = pool->limit,
-    .reserved_slots = pool->limit > 2 ? 1 : 0,
+    .slots = slots,
+    .reserved_slots = slots > 2 ? 1 : 0,
     .queue_limit = QUEUE_LIMIT,
   };
 
@@ -88,16 +91,21 @@
 }
 
 static void
-set_limit (InstancePool *pool, uint32_t limit)
+configure_queue (InstancePool *pool)
 {
-  AdmissionOptions options;
+  const AdmissionOptions options = queue_options (pool);
+
+  admission_queue_configure (pool->queue, &options);
+}
 
+static void
+set_limit (InstancePool *pool, uint32_t limit)
+{
   limit = MAX (limit, 1);
   if (pool->limit == limit)
     return;
   pool->limit = limit;
-  options = queue_options (pool);
-  admission_queue_configure (pool->queue, &options);
+  configure_queue (pool);
 }
 
 InstancePool *
@@ -109,7 +117,7 @@
   pool->options = *options;
   pool->info = *options->info;
   pool->options.info = &pool->info;
-  pool->limit = pool->allowed = MAX (options->limit, 1);
+  pool->limit = pool->allowed = pool->window = MAX (options->limit, 1);
   g_queue_init (&pool->lines);
   g_queue_init (&pool->idle);
   g_queue_init (&pool->waiting);
@@ -141,7 +149,8 @@
   if (line->granted)
     {
       pool->in_use--;
-      admission_queue_abort (pool->queue, line->priority);
+      if (!line->resting)
+        admission_queue_abort (pool->queue, line->priority);
     }
   talloc_free (line);
 }
@@ -324,6 +333,27 @@
     refuse_waiting (pool, ANSWER_UNREACHED);
 }
 
+/* Connections that those with a slot can have, less those for whom they are there already. */
+static uint32_t
+connections_left (const InstancePool *pool)
+{
+  const uint32_t room = pool->limit > pool->lines.length ? pool->limit - pool->lines.length : 0;
+  const uint32_t coming = pool->idle.length + pool->opening + room;
+
+  return coming > pool->waiting.length ? coming - pool->waiting.length : 0;
+}
+
+/* The next request to be served. Open transactions hold connections without a slot, so there
+ * may be slots and no connection; the last one is kept for urgent work. */
+static AdmissionItem *
+next_item (InstancePool *pool)
+{
+  const uint32_t left = connections_left (pool);
+  const bool urgent_only = left <= 1 && pool->limit > 2;
+
+  return left == 0 ? NULL : admission_queue_next (pool->queue, urgent_only, clock_now_ms ());
+}
+
 static void
 pump (InstancePool *pool)
 {
@@ -332,7 +362,7 @@
   if (pool->pumping || pool->shut)
     return;
   pool->pumping = true;
-  while ((item = admission_queue_next (pool->queue, false, clock_now_ms ())) != NULL)
+  while ((item = next_item (pool)) != NULL)
     {
       LineRequest *request = item->data;
 
@@ -356,10 +386,15 @@
 }
 
 void
-instance_pool_set_limit (InstancePool *pool, uint32_t limit, bool scarce)
+instance_pool_set_limits (InstancePool *pool, const InstancePoolLimits *limits)
 {
-  pool->allowed = MAX (limit, 1);
-  pool->scarce = scarce;
+  pool->allowed = MAX (limits->connections, 1);
+  pool->scarce = limits->scarce;
+  if (pool->window != MAX (limits->statements, 1))
+    {
+      pool->window = MAX (limits->statements, 1);
+      configure_queue (pool);
+    }
   // After a refusal the pool grows step by step, see instance_pool_tick().
   if (pool->limit > pool->allowed || clock_now_ms () >= pool->open_after_ms)
     set_limit (pool, pool->allowed);
@@ -425,6 +460,25 @@
   pump (pool);
 }
 
+void
+instance_pool_rest (PooledLine *line, int64_t service_us)
+{
+  if (line->resting)
+    return;
+  line->resting = true;
+  admission_queue_finish (line->pool->queue, line->priority, service_us);
+  pump (line->pool);
+}
+
+void
+instance_pool_resume (PooledLine *line)
+{
+  if (!line->resting)
+    return;
+  line->resting = false;
+  admission_queue_start_direct (line->pool->queue, line->priority);
+}
+
 void
 instance_pool_drop (PooledLine *line)
 {
--- a/src/pool/instance-pool.h
+++ b/src/pool/instance-pool.h
@@ -77,6 +77,15 @@
 /** instance_pool_give_back() - The connection is free, after @service_us of use. */
 void instance_pool_give_back (PooledLine *line, int64_t service_us);
 
+/**
+ * instance_pool_rest() - The caller of an open transaction has its answer, after @service_us:
+ * the connection stays its own, and does not count as work at the instance.
+ */
+void instance_pool_rest (PooledLine *line, int64_t service_us);
+
+/** instance_pool_resume() - The next statement of the transaction is sent; it never waits. */
+void instance_pool_resume (PooledLine *line);
+
 /** instance_pool_drop() - Closes the connection, which rolls back what is open on it. */
 void instance_pool_drop (PooledLine *line);
 
@@ -92,11 +101,16 @@
 /** instance_pool_wanted() - Connections that the work of the last second or so could use. */
 uint32_t instance_pool_wanted (const InstancePool *pool);
 
-/**
- * instance_pool_set_limit() - Connections that may be open from now on. With @scarce those
- * that are not in use are closed almost at once.
- */
-void instance_pool_set_limit (InstancePool *pool, uint32_t limit, bool scarce);
+/** struct InstancePoolLimits - What this host may take of the instance. */
+typedef struct
+{
+  uint32_t connections;
+  uint32_t statements; /* at work at once; those of open transactions go on beyond it */
+  bool scarce;         /* connections not in use are closed almost at once */
+} InstancePoolLimits;
+
+/** instance_pool_set_limits() - What holds from now on. */
+void instance_pool_set_limits (InstancePool *pool, const InstancePoolLimits *limits);
 
 /** instance_pool_line() - The connection itself. */
 BackendLine *instance_pool_line (PooledLine *line);
--- a/src/pool/lead-driver.c
+++ b/src/pool/lead-driver.c
@@ -240,14 +240,20 @@
     {
       ConnectionDemand demand = {
         .limit = driver->connection_limit,
+        .slots = instance_pool_info (members[i]->pool)->slots,
         .hosts = 1,
         .own = instance_pool_wanted (members[i]->pool),
       };
       DemandCount counting = { driver, member_key (members[i]), now_ms, &demand };
+      InstancePoolLimits limits;
 
       peer_mesh_each (driver->options.mesh, count_demand, &counting);
-      instance_pool_set_limit (members[i]->pool, connection_share (&demand),
-                               connection_share_is_scarce (&demand));
+      limits = (InstancePoolLimits){
+        .connections = connection_share (&demand),
+        .statements = connection_share_statements (&demand),
+        .scarce = connection_share_is_scarce (&demand),
+      };
+      instance_pool_set_limits (members[i]->pool, &limits);
     }
 }
 
--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -143,7 +143,11 @@
   if (session->transaction == TRANSACTION_NONE)
     session->wrote = false;
   if (session->transaction == TRANSACTION_BOUND)
-    backend_line_synchronize (instance_pool_line (session->line), &session->values);
+    {
+      session->line_us = clock_now_us ();
+      instance_pool_resume (session->line);
+      backend_line_synchronize (instance_pool_line (session->line), &session->values);
+    }
   session_dispatch (session);
 }
 
--- a/src/pool/session-answer.c
+++ b/src/pool/session-answer.c
@@ -83,6 +83,8 @@
   statement_done (&session->statement);
   if (session->line == NULL)
     *session->instance = '\0';
+  else
+    instance_pool_rest (session->line, clock_now_us () - session->line_us);
   session->active = false;
   session->step = STEP_NONE;
   session->idle_since_ms = clock_now_ms ();
--- a/tests/script-place.c
+++ b/tests/script-place.c
@@ -140,6 +140,16 @@
       };
       g_string_append_printf (out, "%u\n", connection_share (&demand));
     }
+  else if (strcmp (verb, "window") == 0)
+    {
+      demand = (ConnectionDemand){
+        .slots = (guint32) script_number (words, 1),
+        .hosts = (guint32) script_number (words, 2),
+        .own = (guint32) script_number (words, 3),
+        .others = (guint32) script_number (words, 4),
+      };
+      g_string_append_printf (out, "%u\n", connection_share_statements (&demand));
+    }
   else
     g_error ("no such command: %s", verb);
 }
--- a/tests/script.h
+++ b/tests/script.h
@@ -34,3 +34,4 @@
 extern const ScriptKind script_place;
 extern const ScriptKind script_pool;
 extern const ScriptKind script_store;
+extern const ScriptKind script_load;
