A daemon that can't read the store takes what another knows; a host that appears is told of the others

Cause: a daemon that started while the store was down, or turned it away, served nobody until the store was back; one that the store turned away heard of a newer configuration and could not get it. Only the store named the hosts, so that a host which it had turned away was unknown to those that started later.

Now a host sends what it knows (configuration, list of instances, hosts) to whoever connects to its port for the other hosts; one that can't read the store asks a host that it hears of news from. A list told by another is taken only while the store can't be read. A host answers only when it knows the hosts itself, and a host that appears is told of all known ones, so that every host that relies on a primary is known to whoever replaces it.

--- a/src/cli/pool.c
+++ b/src/cli/pool.c
@@ -1,6 +1,7 @@
 /**
  * DOC: pool: one daemon of a fleet on the users' platform.
  */
+#include <arpa/inet.h>
 #include <errno.h>
 #include <signal.h>
 #include <string.h>
@@ -22,6 +23,7 @@
 #include "pool/discovery.h"
 #include "pool/host-registry.h"
 #include "pool/pool-server.h"
+#include "pool/snapshot-exchange.h"
 #include "pool/status-http.h"
 
 static const SettingInfo pool_settings[] = {
@@ -31,7 +33,7 @@
   { "domains", SETTING_TEXT, "{}", 0, 0, "JSON table of all failure domains and their regions" },
   { "listen", SETTING_TEXT, NULL, 0, 0, "IP:PORT for callers" },
   { "status-listen", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the readiness and metrics pages" },
-  { "peer-port", SETTING_NUMBER, "7440", 0, 65535, "UDP port for the other hosts" },
+  { "peer-port", SETTING_NUMBER, "7440", 0, 65535, "UDP and TCP port for the other hosts" },
   { "descriptor-limit", SETTING_NUMBER, "4096", 300, 1000000, "descriptors the process may open" },
   { "store", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the platform's store" },
   { "promoter", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the platform's promote call" },
@@ -64,6 +66,7 @@
   Discovery *discovery;
   HostRegistry *registry;
   PeerMesh *mesh;
+  SnapshotExchange *exchange;
   PoolServer *server;
   StatusHttp *status;
   StatusHttp *metrics_page;
@@ -151,10 +154,51 @@
 }
 
 static void
-on_heard (void *data, const Pool__Beat *beat)
+fill_snapshot (void *data, Snapshot *snapshot)
 {
   PoolDaemon *daemon = data;
+  Catalog *catalog = pool_server_catalog (daemon->server);
 
+  // Who relies on this host's word would be unknown to hosts that this host does not know.
+  if (catalog == NULL || !pool_server_knows_hosts (daemon->server))
+    return;
+  snapshot->catalog = catalog_ref (catalog);
+  snapshot->hosts = g_array_new (false, true, sizeof (HostEntry));
+  peer_mesh_list_hosts (daemon->mesh, snapshot->hosts);
+  discovery_fill_snapshot (daemon->discovery, snapshot);
+}
+
+static void
+on_snapshot (void *data, const Snapshot *snapshot)
+{
+  PoolDaemon *daemon = data;
+
+  if (snapshot->catalog == NULL)
+    return;
+  on_hosts (daemon, snapshot->hosts);
+  discovery_take_snapshot (daemon->discovery, snapshot);
+}
+
+static void
+on_help (void *data)
+{
+  PoolDaemon *daemon = data;
+
+  snapshot_exchange_ask (daemon->exchange);
+}
+
+static void
+on_heard (void *data, const struct sockaddr_in *from, const Pool__Beat *beat)
+{
+  PoolDaemon *daemon = data;
+  const Catalog *catalog = pool_server_catalog (daemon->server);
+  char address[INET_ADDRSTRLEN];
+
+  if (daemon->discovery == NULL)
+    return;
+  if ((catalog == NULL || beat->config_version >= catalog->version) && beat->instances_hash != 0
+      && inet_ntop (AF_INET, &from->sin_addr, address, sizeof address))
+    snapshot_exchange_prefer (daemon->exchange, address);
   discovery_hear (daemon->discovery, beat->config_version, beat->instances_hash);
 }
 
@@ -338,6 +382,14 @@
     .ended = on_peer_ended,
     .data = daemon,
   };
+  SnapshotExchangeOptions exchange = {
+    .events = daemon->events,
+    .timers = daemon->timers,
+    .address = address,
+    .fill = fill_snapshot,
+    .taken = on_snapshot,
+    .data = daemon,
+  };
   StatusHttpOptions status = {
     .address = status_address,
     .ready_path = PLATFORM_READY_PATH,
@@ -355,7 +407,10 @@
       return false;
     }
   daemon->mesh = options.mesh = peer_mesh_new (daemon, &mesh, error);
-  if (daemon->mesh == NULL)
+  exchange.port = mesh.port;
+  if (daemon->mesh != NULL)
+    daemon->exchange = snapshot_exchange_new (daemon, &exchange, error);
+  if (daemon->exchange == NULL)
     return false;
   daemon->server = pool_server_new (daemon, daemon->events, &options, error);
   if (daemon->server == NULL)
@@ -373,6 +428,7 @@
     .metrics = &daemon->metrics,
     .catalog = on_catalog,
     .instances = on_instances,
+    .help = on_help,
     .data = daemon,
   };
 
--- a/src/policy/instance-list.c
+++ b/src/policy/instance-list.c
@@ -57,6 +57,16 @@
   list->infos = infos;
 }
 
+void
+instance_list_told (InstanceList *list, const GArray *told)
+{
+  GArray *infos = g_array_sized_new (false, true, sizeof (InstanceInfo), told->len);
+
+  g_array_append_vals (infos, told->data, told->len);
+  instance_list_done (list);
+  list->infos = infos;
+}
+
 uint32_t
 instance_list_hash (const InstanceList *list)
 {
--- a/src/policy/instance-list.h
+++ b/src/policy/instance-list.h
@@ -32,5 +32,8 @@
 /** instance_list_take() - The store's list, read at @now_ms; the result is @list->infos. */
 void instance_list_take (InstanceList *list, const GArray *listed, int64_t now_ms);
 
+/** instance_list_told() - Another host's list, while the store can't be read. */
+void instance_list_told (InstanceList *list, const GArray *told);
+
 /** instance_list_hash() - Tells two lists apart; 0 for a list that was never read. */
 uint32_t instance_list_hash (const InstanceList *list);
--- a/src/pool/beat.pb-c.c
+++ b/src/pool/beat.pb-c.c
@@ -317,7 +317,7 @@
   (ProtobufCMessageInit) pool__service_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool__beat__field_descriptors[9] =
+static const ProtobufCFieldDescriptor pool__beat__field_descriptors[10] =
 {
   {
     "sender",
@@ -427,6 +427,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "known",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Pool__Beat, n_known),
+    offsetof(Pool__Beat, known),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool__beat__field_indices_by_name[] = {
   1,   /* field[1] = boot */
@@ -434,6 +446,7 @@
   3,   /* field[3] = echo */
   4,   /* field[4] = echo_age */
   8,   /* field[8] = instances_hash */
+  9,   /* field[9] = known */
   5,   /* field[5] = leaving */
   0,   /* field[0] = sender */
   2,   /* field[2] = sent */
@@ -442,7 +455,7 @@
 static const ProtobufCIntRange pool__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor pool__beat__descriptor =
 {
@@ -452,7 +465,7 @@
   "Pool__Beat",
   "pool",
   sizeof(Pool__Beat),
-  9,
+  10,
   pool__beat__field_descriptors,
   pool__beat__field_indices_by_name,
   1,  pool__beat__number_ranges,
--- a/src/pool/beat.pb-c.h
+++ b/src/pool/beat.pb-c.h
@@ -102,10 +102,16 @@
    * of the list of instances that the sender read; 0 for none
    */
   uint32_t instances_hash;
+  /*
+   * Hosts that the sender knows, for a receiver that it has just heard for the first time: IPv4
+   * address in the high half, port in the low one.
+   */
+  size_t n_known;
+  uint64_t *known;
 };
 #define POOL__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL }
 
 
 /* Pool__ServiceBeat methods */
--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -21,6 +21,8 @@
 #define NEWS_FRESH_MS 4500
 /* Configurations are fetched on hearsay at most this often. */
 #define FETCH_SPACING_MS 800
+/* A host that starts asks another if the store has not answered by then. */
+#define START_LIMIT_MS 250
 /* First and longest pause after a failed call. */
 #define RETRY_MS 200
 #define RETRY_LIMIT_MS 1000
@@ -30,6 +32,7 @@
   DiscoveryOptions options;
   Timer config_timer;
   Timer instances_timer;
+  int64_t created_ms;
   uint64_t revision;
   bool synced; /* the newest configuration was read, changes are watched */
   int64_t config_retry_ms;
@@ -44,7 +47,8 @@
   int64_t fetched_ms;
   bool fetching; /* the configuration, because another host has a newer one */
   uint64_t version;
-  uint32_t heard_hash; /* last list of another host that was looked for */
+  uint64_t heard_version; /* newest that another host has */
+  uint32_t heard_hash;    /* last list of another host that was looked for */
 };
 
 static int
@@ -84,6 +88,45 @@
   discovery->options.catalog (discovery->options.data, catalog);
 }
 
+/* The store did not answer. Asks another host, if it may know what this one lacks. */
+static void
+seek_help (Discovery *discovery)
+{
+  const InstanceList *list = &discovery->list;
+
+  if (discovery->version == 0 || list->infos == NULL
+      || discovery->heard_version > discovery->version
+      || (list->failed && discovery->heard_hash != 0
+          && discovery->heard_hash != instance_list_hash (list)))
+    discovery->options.help (discovery->options.data);
+}
+
+void
+discovery_take_snapshot (Discovery *discovery, const Snapshot *snapshot)
+{
+  const bool lacks_list = discovery->list.infos == NULL;
+
+  if (snapshot->catalog != NULL && snapshot->catalog->version > discovery->version)
+    take_catalog (discovery, snapshot->catalog);
+  // While the store can be read, its list is better than what anybody tells.
+  if (snapshot->infos == NULL || !(lacks_list || (discovery->list.failed && snapshot->fresh)))
+    return;
+  instance_list_told (&discovery->list, snapshot->infos);
+  discovery->options.instances (discovery->options.data, discovery->list.infos);
+}
+
+void
+discovery_fill_snapshot (const Discovery *discovery, Snapshot *snapshot)
+{
+  const GArray *infos = discovery->list.infos;
+
+  if (infos == NULL)
+    return;
+  snapshot->infos = g_array_sized_new (false, true, sizeof (InstanceInfo), infos->len);
+  g_array_append_vals (snapshot->infos, infos->data, infos->len);
+  snapshot->fresh = discovery_instances_hash (discovery) != 0;
+}
+
 static void
 on_configuration (void *data, CallResult result, Catalog *catalog, uint64_t revision)
 {
@@ -101,6 +144,7 @@
     {
       timer_set (options->timers, &discovery->config_timer,
                  next_retry_ms (&discovery->config_retry_ms));
+      seek_help (discovery);
       return;
     }
   discovery->config_retry_ms = RETRY_MS;
@@ -137,6 +181,7 @@
       instance_list_failed (&discovery->list);
       timer_set (options->timers, &discovery->instances_timer,
                  next_retry_ms (&discovery->instances_retry_ms));
+      seek_help (discovery);
       return;
     }
   discovery->instances_retry_ms = RETRY_MS;
@@ -172,6 +217,7 @@
   discovery->config_timer.data = discovery;
   discovery->instances_timer.fired = on_instances_timer;
   discovery->instances_timer.data = discovery;
+  discovery->created_ms = clock_now_ms ();
   talloc_set_destructor (discovery, discovery_destroy);
   on_config_timer (discovery);
   on_instances_timer (discovery);
@@ -212,6 +258,8 @@
   discovery->fetching = false;
   if (result == CALL_DONE)
     take_catalog (discovery, catalog);
+  else
+    seek_help (discovery);
 }
 
 void
@@ -222,6 +270,11 @@
 
   if (hash != 0)
     discovery->heard_news_ms = now_ms;
+  discovery->heard_version = MAX (discovery->heard_version, version);
+  if (version > discovery->version
+      && (discovery->store_lost
+          || (!discovery->synced && now_ms - discovery->created_ms >= START_LIMIT_MS)))
+    seek_help (discovery);
   if (version > discovery->version && !discovery->fetching
       && now_ms - discovery->fetched_ms >= FETCH_SPACING_MS)
     {
@@ -229,6 +282,8 @@
       discovery->fetched_ms = now_ms;
       directory->get_configuration (directory->self, CALL_LIMIT_MS, on_fetched, discovery);
     }
+  if (hash != 0 && hash == instance_list_hash (&discovery->list))
+    discovery->heard_hash = 0;
   // A list that stays different after it was looked for is the other host's to read again.
   if (hash == 0 || hash == discovery->heard_hash || hash == instance_list_hash (&discovery->list))
     return;
--- a/src/pool/discovery.h
+++ b/src/pool/discovery.h
@@ -11,6 +11,7 @@
 #include "base/timer-queue.h"
 #include "pool/directory.h"
 #include "pool/pool-metrics.h"
+#include "pool/snapshot.h"
 
 typedef struct Discovery Discovery;
 
@@ -18,6 +19,7 @@
  * struct DiscoveryOptions - Where to look, and whom to tell.
  * @catalog: a configuration was read; it may be an old one.
  * @instances: the list was read; holds &struct InstanceInfo.
+ * @help: the store can't be read, and another host may know what this one lacks.
  */
 typedef struct
 {
@@ -26,6 +28,7 @@
   PoolMetrics *metrics;
   void (*catalog) (void *data, Catalog *catalog);
   void (*instances) (void *data, const GArray *infos);
+  void (*help) (void *data);
   void *data;
 } DiscoveryOptions;
 
@@ -38,6 +41,12 @@
  */
 void discovery_set_reader (Discovery *discovery, bool reader);
 
+/** discovery_take_snapshot() - What another host knows; older news are passed over. */
+void discovery_take_snapshot (Discovery *discovery, const Snapshot *snapshot);
+
+/** discovery_fill_snapshot() - Puts in the list of instances as this host knows it. */
+void discovery_fill_snapshot (const Discovery *discovery, Snapshot *snapshot);
+
 /** discovery_hear() - Another host has configuration @version and a list with @hash. */
 void discovery_hear (Discovery *discovery, uint64_t version, uint32_t hash);
 
--- a/src/pool/peer-mesh.c
+++ b/src/pool/peer-mesh.c
@@ -23,6 +23,8 @@
 /* Not heard for this time, and two turns, a host is called lost in the log. */
 #define LOST_MS 700
 #define DATAGRAM_BYTES 8192
+/* Hosts that one which appears is told of, at most. */
+#define KNOWN_MAX 64
 
 typedef struct
 {
@@ -129,26 +131,66 @@
   counter_add (mesh->options.counters, COUNTER_GOSSIP_BYTES_SENT, (int64_t) size);
 }
 
+static void
+fill_beat (PeerMesh *mesh, Pool__Beat *beat)
+{
+  pool__beat__init (beat);
+  beat->sender = mesh->self;
+  beat->boot = mesh->boot;
+  beat->leaving = mesh->leaving;
+  mesh->options.fill (mesh->options.data, beat);
+}
+
+static void
+free_beat (Pool__Beat *beat)
+{
+  for (size_t i = 0; i < beat->n_services; i++)
+    {
+      g_free (beat->services[i]->instances);
+      g_free (beat->services[i]->wanted);
+      g_free (beat->services[i]);
+    }
+  g_free (beat->services);
+}
+
 static void
 send_beats (PeerMesh *mesh, bool to_all)
 {
   const guint count = to_all ? mesh->peers->len : MIN (mesh->peers->len, HOSTS_PER_BEAT);
-  Pool__Beat beat = POOL__BEAT__INIT;
+  Pool__Beat beat;
 
   mesh->beat_ms = clock_now_ms ();
-  beat.sender = mesh->self;
-  beat.boot = mesh->boot;
-  beat.leaving = mesh->leaving;
-  mesh->options.fill (mesh->options.data, &beat);
+  fill_beat (mesh, &beat);
   for (guint i = 0; i < count; i++)
     send_beat (mesh, mesh->peers->pdata[mesh->turn++ % mesh->peers->len], &beat);
-  for (size_t i = 0; i < beat.n_services; i++)
+  free_beat (&beat);
+}
+
+static uint64_t
+pack_address (const struct sockaddr_in *address)
+{
+  return (uint64_t) ntohl (address->sin_addr.s_addr) << 32 | ntohs (address->sin_port);
+}
+
+/* Tells a host that appeared of those that it may not find in the list of hosts: they could
+ * not reach the store when they started. */
+static void
+introduce (PeerMesh *mesh, const Peer *newcomer)
+{
+  uint64_t known[KNOWN_MAX];
+  Pool__Beat beat;
+
+  fill_beat (mesh, &beat);
+  beat.known = known;
+  for (guint i = 0; i < mesh->peers->len && beat.n_known < KNOWN_MAX; i++)
     {
-      g_free (beat.services[i]->instances);
-      g_free (beat.services[i]->wanted);
-      g_free (beat.services[i]);
+      const Peer *peer = mesh->peers->pdata[(mesh->turn + i) % mesh->peers->len];
+
+      if (peer != newcomer)
+        known[beat.n_known++] = pack_address (&peer->address);
     }
-  g_free (beat.services);
+  send_beat (mesh, newcomer, &beat);
+  free_beat (&beat);
 }
 
 static void
@@ -184,12 +226,45 @@
   mesh->all_due = false;
 }
 
+/* Returns whether the host was not known. */
+static bool
+add_host (PeerMesh *mesh, const struct sockaddr_in *address)
+{
+  if (address->sin_addr.s_addr == mesh->self_address.sin_addr.s_addr
+      && address->sin_port == mesh->self_address.sin_port)
+    return false;
+  if (find_peer (mesh, address) != NULL)
+    return false;
+  add_peer (mesh, address);
+  return true;
+}
+
+static void
+take_known (PeerMesh *mesh, const Pool__Beat *beat)
+{
+  bool added = false;
+
+  for (size_t i = 0; i < beat->n_known; i++)
+    {
+      const struct sockaddr_in address = {
+        .sin_family = AF_INET,
+        .sin_port = htons ((uint16_t) beat->known[i]),
+        .sin_addr.s_addr = htonl ((uint32_t) (beat->known[i] >> 32)),
+      };
+
+      added |= add_host (mesh, &address);
+    }
+  if (added)
+    peer_mesh_beat (mesh);
+}
+
 static void
 take_beat (PeerMesh *mesh, const struct sockaddr_in *from, const Pool__Beat *beat)
 {
   Peer *peer = find_peer (mesh, from);
   const int64_t now_ms = clock_now_ms ();
   int64_t sent_ms = 0;
+  bool appeared;
 
   if (beat->leaving)
     {
@@ -207,6 +282,7 @@
       mesh->options.ended (mesh->options.data, peer->state.id);
       peer->sent = 0;
     }
+  appeared = peer->state.id == 0 || peer->boot != beat->boot;
   // Datagrams overtake each other; an older one says nothing new.
   if (peer->sent != 0 && beat->sent < peer->sent)
     return;
@@ -220,7 +296,10 @@
   // It was sent after the beat that it echoes, so this is no later than its sending.
   if (beat->echo != 0)
     sent_ms = (int64_t) beat->echo + beat->echo_age;
-  mesh->options.heard (mesh->options.data, beat);
+  mesh->options.heard (mesh->options.data, &peer->address, beat);
+  take_known (mesh, beat);
+  if (appeared)
+    introduce (mesh, peer);
   for (size_t i = 0; i < beat->n_services; i++)
     mesh->options.take (mesh->options.data, beat->sender, beat->services[i],
                         sent_ms <= now_ms ? sent_ms : 0);
@@ -285,13 +364,8 @@
       const HostEntry *host = &g_array_index (hosts, HostEntry, i);
       struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (host->port) };
 
-      if (inet_pton (AF_INET, host->address, &address.sin_addr) != 1)
-        continue;
-      if (address.sin_addr.s_addr == mesh->self_address.sin_addr.s_addr
-          && address.sin_port == mesh->self_address.sin_port)
-        continue;
-      if (find_peer (mesh, &address) == NULL)
-        add_peer (mesh, &address);
+      if (inet_pton (AF_INET, host->address, &address.sin_addr) == 1)
+        add_host (mesh, &address);
     }
   peer_mesh_beat (mesh);
 }
@@ -312,6 +386,23 @@
   timer_set (mesh->options.timers, &mesh->timer, BEAT_SPACING_MS - since_ms);
 }
 
+void
+peer_mesh_list_hosts (const PeerMesh *mesh, GArray *hosts)
+{
+  HostEntry host = { .port = ntohs (mesh->self_address.sin_port) };
+
+  inet_ntop (AF_INET, &mesh->self_address.sin_addr, host.address, sizeof host.address);
+  g_array_append_val (hosts, host);
+  for (guint i = 0; i < mesh->peers->len; i++)
+    {
+      const Peer *peer = mesh->peers->pdata[i];
+
+      host.port = ntohs (peer->address.sin_port);
+      inet_ntop (AF_INET, &peer->address.sin_addr, host.address, sizeof host.address);
+      g_array_append_val (hosts, host);
+    }
+}
+
 int64_t
 peer_mesh_period_ms (const PeerMesh *mesh)
 {
--- a/src/pool/peer-mesh.h
+++ b/src/pool/peer-mesh.h
@@ -1,9 +1,11 @@
 /**
  * DOC: What pooling daemons tell each other: small datagrams at a steady pace, to a few hosts at
- * a time in turn, and to all at once when something changed. What a host has heard it tells on.
+ * a time in turn, and to all at once when something changed. What a host has heard it tells on,
+ * and a host that appears is told of the others.
  */
 #pragma once
 
+#include <netinet/in.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -22,7 +24,7 @@
  * struct PeerMeshOptions - Where to listen and what to say.
  * @host: unique name of this host.
  * @fill: adds the services to a beat that is about to be sent.
- * @heard: what a host said of the store.
+ * @heard: what the host at @from said of the store.
  * @take: what @peer said of one service. @sent_ms is the earliest time on this host's clock
  *   at which it may have said so; 0 while that is not known.
  * @ended: nothing more will be heard of @peer in this life.
@@ -36,7 +38,7 @@
   const char *address;
   uint16_t port;
   void (*fill) (void *data, Pool__Beat *beat);
-  void (*heard) (void *data, const Pool__Beat *beat);
+  void (*heard) (void *data, const struct sockaddr_in *from, const Pool__Beat *beat);
   void (*take) (void *data, uint64_t peer, const Pool__ServiceBeat *beat, int64_t sent_ms);
   void (*ended) (void *data, uint64_t peer);
   void *data;
@@ -48,6 +50,9 @@
 /** peer_mesh_add_hosts() - Hosts to talk to; holds &struct HostEntry. */
 void peer_mesh_add_hosts (PeerMesh *mesh, const GArray *hosts);
 
+/** peer_mesh_list_hosts() - Appends this host and those not given up, as &struct HostEntry. */
+void peer_mesh_list_hosts (const PeerMesh *mesh, GArray *hosts);
+
 /** peer_mesh_beat() - Says now what is new. */
 void peer_mesh_beat (PeerMesh *mesh);
 
--- a/src/pool/pool-server.c
+++ b/src/pool/pool-server.c
@@ -277,6 +277,12 @@
   server->hosts_known = true;
 }
 
+bool
+pool_server_knows_hosts (const PoolServer *server)
+{
+  return server->hosts_known;
+}
+
 void
 pool_server_fill_beat (PoolServer *server, Pool__Beat *beat)
 {
--- a/src/pool/pool-server.h
+++ b/src/pool/pool-server.h
@@ -73,6 +73,9 @@
 /** pool_server_set_hosts_known() - The other hosts are known: primaries can be relied on. */
 void pool_server_set_hosts_known (PoolServer *server);
 
+/** pool_server_knows_hosts() - Whether they are. */
+bool pool_server_knows_hosts (const PoolServer *server);
+
 /** pool_server_fill_beat() - What this host says to the others. */
 void pool_server_fill_beat (PoolServer *server, Pool__Beat *beat);
 
--- /dev/null
+++ b/src/pool/snapshot-exchange.h
@@ -0,0 +1,43 @@
+/**
+ * DOC: Snapshots between pooling daemons over TCP: whoever connects is sent what this host
+ * knows. A host that can't read the store asks one other host at a time.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include <talloc.h>
+#include <tevent.h>
+
+#include "base/timer-queue.h"
+#include "pool/snapshot.h"
+
+typedef struct SnapshotExchange SnapshotExchange;
+
+/**
+ * struct SnapshotExchangeOptions - Where to listen and what to say.
+ * @address, @port: of this host; the others listen on the same port.
+ * @fill: puts in what this host knows, nothing else; snapshot_done() frees it.
+ * @taken: another host sent this.
+ */
+typedef struct
+{
+  struct tevent_context *events;
+  TimerQueue *timers;
+  const char *address;
+  uint16_t port;
+  void (*fill) (void *data, Snapshot *snapshot);
+  void (*taken) (void *data, const Snapshot *snapshot);
+  void *data;
+} SnapshotExchangeOptions;
+
+/** snapshot_exchange_new() - Listens. Errors: %PERIDOTSTEP_ERROR_IO. */
+SnapshotExchange *snapshot_exchange_new (TALLOC_CTX *parent, const SnapshotExchangeOptions *options,
+                                         GError **error);
+
+/** snapshot_exchange_prefer() - The host at @address has news; it is asked next. */
+void snapshot_exchange_prefer (SnapshotExchange *exchange, const char *address);
+
+/** snapshot_exchange_ask() - Asks that host, unless there is none or one is being asked. */
+void snapshot_exchange_ask (SnapshotExchange *exchange);
--- a/tests/main.c
+++ b/tests/main.c
@@ -16,7 +16,7 @@
 static const ScriptKind *const kinds[] = {
   &script_failover, &script_queue, &script_membership, &script_gate,   &script_choice,
   &script_chain,    &script_small, &script_text,       &script_config, &script_lead,
-  &script_place,    &script_pool,  &script_store,      &script_load,
+  &script_place,    &script_pool,  &script_store,      &script_load,   &script_snapshot,
 };
 
 static GPtrArray *script_paths;
--- a/tests/mutation.c
+++ b/tests/mutation.c
@@ -7,6 +7,7 @@
 #include "link/frame.h"
 #include "pipeline/prepared.h"
 #include "platform/line-codec.h"
+#include "pool/snapshot.h"
 
 #define ROUNDS 20000
 #define SEED 20261204
@@ -254,6 +255,56 @@
 }
 END_TEST
 
+static GByteArray *
+make_snapshot (void)
+{
+  const ServiceEntry service = { (char *) "ledger", 30, 1 };
+  const Database database
+      = { .name = (char *) "sales", .service = (char *) "ledger", .priority = PRIORITY_URGENT };
+  const InstanceInfo info
+      = { "i-1", "ledger", "10.0.0.1", 5000, "north-1", 1700000000000, 5, false, true };
+  const HostEntry host = { "", "10.0.0.2", 7440 };
+  Snapshot snapshot = { .catalog = catalog_new (3), .fresh = true };
+  GByteArray *bytes = g_byte_array_new ();
+
+  catalog_add_service (snapshot.catalog, &service);
+  catalog_add_database (snapshot.catalog, &database);
+  snapshot.infos = g_array_new (false, true, sizeof (InstanceInfo));
+  g_array_append_val (snapshot.infos, info);
+  snapshot.hosts = g_array_new (false, true, sizeof (HostEntry));
+  g_array_append_val (snapshot.hosts, host);
+  snapshot_append (&snapshot, bytes);
+  snapshot_done (&snapshot);
+  return bytes;
+}
+
+START_TEST (test_snapshots)
+{
+  GRand *random = g_rand_new_with_seed (SEED);
+  GByteArray *valid = make_snapshot ();
+  int whole = 0;
+
+  for (int round = 0; round < ROUNDS; round++)
+    {
+      GByteArray *bytes = g_byte_array_new ();
+      Snapshot snapshot;
+
+      g_byte_array_append (bytes, valid->data, valid->len);
+      mutate (random, bytes);
+      whole += snapshot_read (bytes->data, bytes->len, &snapshot) == SNAPSHOT_WHOLE;
+      // What was taken can be passed on.
+      g_byte_array_set_size (bytes, 0);
+      snapshot_append (&snapshot, bytes);
+      snapshot_done (&snapshot);
+      g_byte_array_free (bytes, TRUE);
+    }
+  ck_assert_int_gt (whole, 0);
+  ck_assert_int_lt (whole, ROUNDS);
+  g_byte_array_free (valid, TRUE);
+  g_rand_free (random);
+}
+END_TEST
+
 TCase *
 mutation_case (void)
 {
@@ -264,5 +315,6 @@
   tcase_add_test (tcase, test_frames);
   tcase_add_test (tcase, test_sql_text);
   tcase_add_test (tcase, test_lines);
+  tcase_add_test (tcase, test_snapshots);
   return tcase;
 }
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -17,7 +17,7 @@
 #include "pool/pool-server.h"
 #include "script.h"
 
-#define HOSTS_MAX 3
+#define HOSTS_MAX 4
 #define CALLERS_MAX 8
 /* Longest wait for an answer; the script then shows that there was none. */
 #define ANSWER_LIMIT_MS 6000
@@ -201,7 +201,7 @@
 }
 
 static void
-on_heard (void *data, const Pool__Beat *beat)
+on_heard (void *data, const struct sockaddr_in *from, const Pool__Beat *beat)
 {
 }
 
@@ -269,10 +269,33 @@
   g_array_free (entries, true);
 }
 
-/* host NAME: a daemon in failure domain north-1 */
+static Host *
+find_host (State *state, const char *name)
+{
+  for (guint i = 0; i < state->host_count; i++)
+    if (strcmp (state->hosts[i]->name, name) == 0)
+      return state->hosts[i];
+  g_error ("no host %s", name);
+}
+
+/* Tells @host of one other only, as one does that can't read the list of hosts. */
+static void
+introduce_to (Host *host, const Host *other)
+{
+  GArray *entries = g_array_new (false, true, sizeof (HostEntry));
+  HostEntry entry = { .address = "127.0.0.1", .port = other->peer_port };
+
+  g_array_append_val (entries, entry);
+  peer_mesh_add_hosts (host->mesh, entries);
+  g_array_free (entries, true);
+}
+
+/* host NAME [OTHER]: a daemon in failure domain north-1, which knows all others or just one */
 static void
-add_host (State *state, const char *name)
+add_host (State *state, char **words)
 {
+  const char *name = script_word (words, 1);
+  const char *other = script_word (words, 2);
   Host *host = talloc_zero (state, Host);
   PeerMeshOptions mesh = {
     .events = state->events,
@@ -313,7 +336,10 @@
   state->hosts[state->host_count++] = host;
   pool_server_set_catalog (host->server, state->catalog);
   list_instances (state);
-  introduce_hosts (state);
+  if (*other == '\0')
+    introduce_hosts (state);
+  else
+    introduce_to (host, find_host (state, other));
   run_for (state, 50);
 }
 
@@ -445,15 +471,6 @@
     pool_server_set_catalog (state->hosts[i]->server, state->catalog);
 }
 
-static Host *
-find_host (State *state, const char *name)
-{
-  for (guint i = 0; i < state->host_count; i++)
-    if (strcmp (state->hosts[i]->name, name) == 0)
-      return state->hosts[i];
-  g_error ("no host %s", name);
-}
-
 /* await INSTANCE: until callers of a database with strict reads are served by it */
 static void
 await_primary (State *state, const char *name, GString *out)
@@ -478,6 +495,17 @@
   g_string_append (out, "(not within the limit)\n");
 }
 
+/* knows HOST: how many hosts it knows, itself included */
+static void
+print_known (const Host *host, GString *out)
+{
+  GArray *hosts = g_array_new (false, true, sizeof (HostEntry));
+
+  peer_mesh_list_hosts (host->mesh, hosts);
+  g_string_append_printf (out, "%u hosts\n", hosts->len);
+  g_array_free (hosts, true);
+}
+
 /* prove HOST DURATION: other hosts tell it all the while that the primary leads */
 static void
 prove (State *state, char **words)
@@ -516,7 +544,7 @@
   if (caller != NULL)
     send_query (state, caller, words, out, true);
   else if (strcmp (verb, "host") == 0)
-    add_host (state, script_word (words, 1));
+    add_host (state, words);
   else if (strcmp (verb, "open") == 0)
     open_caller (state, words, out);
   else if (strcmp (verb, "raw") == 0)
@@ -540,6 +568,8 @@
     configure (state, strcmp (script_word (words, 1), "all") == 0);
   else if (strcmp (verb, "drain") == 0)
     pool_server_drain (find_host (state, script_word (words, 1))->server, script_number (words, 2));
+  else if (strcmp (verb, "knows") == 0)
+    print_known (find_host (state, script_word (words, 1)), out);
   else if (strcmp (verb, "ready") == 0)
     g_string_append (out, pool_server_is_ready (find_host (state, script_word (words, 1))->server)
                               ? "ready\n"
--- a/tests/script.h
+++ b/tests/script.h
@@ -35,3 +35,4 @@
 extern const ScriptKind script_pool;
 extern const ScriptKind script_store;
 extern const ScriptKind script_load;
+extern const ScriptKind script_snapshot;
