The log line of a refused statement says why it was refused

Cause: a refusal for want of a route, of a connection in time, or by the instances read the same, so that on-call could not tell a cut from a flood without the lines around it. What callers get is unchanged.

--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -186,6 +186,7 @@
   session->started_ms = clock_now_ms ();
   session->tried = 0;
   session->attempts = 0;
+  session->reason = NULL;
   counter_add (session->options->counters, COUNTER_STATEMENTS, 1);
   if (!take_route (session))
     {
--- a/src/pool/session-answer.c
+++ b/src/pool/session-answer.c
@@ -121,7 +121,7 @@
              "request=%s session=%" PRIu64 " database=%s service=%s priority=%s kind=%s code=%s "
              "verdict=\"%s\" instance=%s primary=%s term=%" PRIu64 " proof_age_ms=%" PRId64
              " after=%" PRIu64 ".%" PRIu64 " position_age_ms=%" PRId64 " config=%" PRIu64
-             " attempts=%u took_ms=%" PRId64 " text=\"%s\" left_out=%u",
+             " attempts=%u took_ms=%" PRId64 " reason=\"%s\" text=\"%s\" left_out=%u",
              session->statement.id, session->id, session->database_name,
              database == NULL ? "-" : database->service,
              database == NULL ? "-" : priority_name (database->priority),
@@ -131,7 +131,8 @@
              age_ms (belief.proof_ms), session->after.term, session->after.position,
              age_ms (belief.position.at_ms),
              session->catalog == NULL ? 0 : session->catalog->version, session->attempts,
-             clock_now_ms () - session->started_ms, text, dropped);
+             clock_now_ms () - session->started_ms, session->reason == NULL ? "-" : session->reason,
+             text, dropped);
 }
 
 void
@@ -194,8 +195,9 @@
 
 /* Nothing of the statement ran, nor of its transaction after the connection is dropped. */
 void
-session_refuse (PoolSession *session, AnswerCode code)
+session_refuse (PoolSession *session, AnswerCode code, const char *reason)
 {
+  session->reason = reason;
   service_group_forget (&session->waiter);
   instance_pool_cancel (&session->request);
   session_drop_line (session);
--- a/src/pool/session-route.c
+++ b/src/pool/session-route.c
@@ -76,7 +76,7 @@
 
   if (left_ms <= 0)
     {
-      session_refuse (session, ANSWER_OVERLOADED);
+      session_refuse (session, ANSWER_OVERLOADED, "no instance can serve it now");
       return;
     }
   session->step = STEP_ROUTING;
@@ -91,7 +91,7 @@
 {
   if (++session->attempts >= ATTEMPTS_MAX || !session_can_wait_for_slot (session))
     {
-      session_refuse (session, code);
+      session_refuse (session, code, "refused by instances");
       return;
     }
   counter_add (session->options->counters, COUNTER_RETRIES, 1);
@@ -148,7 +148,7 @@
   else if (session->attempts < ATTEMPTS_MAX && code == ANSWER_UNREACHED)
     wait_for_route (session);
   else
-    session_refuse (session, code);
+    session_refuse (session, code, "no connection in time");
   if (!session->active)
     session_process_input (session);
 }
--- a/src/pool/session-run.c
+++ b/src/pool/session-run.c
@@ -59,7 +59,9 @@
     case STEP_ROUTING:
     case STEP_CONNECTING:
     case STEP_BEGINNING:
-      session_refuse (session, ANSWER_OVERLOADED);
+      session_refuse (session, ANSWER_OVERLOADED,
+                      session->step == STEP_ROUTING ? "no instance can serve it now"
+                                                    : "time limit");
       session_process_input (session);
       return;
     case STEP_RUNNING:
--- a/src/pool/session-state.h
+++ b/src/pool/session-state.h
@@ -62,6 +62,7 @@
   bool active;
   uint32_t tried;
   uint32_t attempts;
+  const char *reason; /* of a refusal; %NULL for none */
   int64_t started_ms;
   int64_t deadline_ms;
   int64_t asked_ms; /* for a connection */
@@ -112,8 +113,11 @@
 /** session_fail_transaction() - A failed statement fails its transaction, if there is one. */
 void session_fail_transaction (PoolSession *session);
 
-/** session_refuse() - Answers that nothing ran, and sees to it that nothing does. */
-void session_refuse (PoolSession *session, AnswerCode code);
+/**
+ * session_refuse() - Answers that nothing ran, and sees to it that nothing does. @reason is for
+ * the log, static text.
+ */
+void session_refuse (PoolSession *session, AnswerCode code, const char *reason);
 
 /** session_statement_writes() - Whether the statement may write. */
 bool session_statement_writes (const PoolSession *session);
