Shared state and workers below the request's path: no circle of includes between folders

Cause: src/daemon and src/pipeline included each other, as did src/policy and src/pool, so that no part could be read or tested without the others. Settings, configuration, hosts and workers now stand in src/runtime, below src/pipeline; the control thread is reached by three hooks, the pipeline's tables by a table of functions (WorkerParts). Orders and reports of instances, and their description, moved to src/policy. Test: tests/check-includes, part of make lint, names a circle of folders; it failed before (pool policy; daemon pipeline).

--- a/Makefile
+++ b/Makefile
@@ -55,6 +55,7 @@
 	  xargs -P 6 -n 8 sh -c 'clang-tidy --quiet "$$@" -- $(CPPFLAGS_ALL) -std=gnu11 2>/dev/null' clang-tidy
 	tests/check-links
 	tests/check-names
+	tests/check-includes
 
 format:
 	clang-format -i $(FORMATTED)
--- a/src/daemon/admin-http.c
+++ b/src/daemon/admin-http.c
@@ -6,8 +6,6 @@
 
 #include <microhttpd.h>
 
-#include "daemon/control.h"
-
 struct AdminHttp
 {
   Daemon *daemon;
@@ -33,7 +31,7 @@
 static char *
 status_body (Daemon *daemon, unsigned int *status)
 {
-  return control_status (daemon_control (daemon));
+  return daemon_status (daemon);
 }
 
 /* The balancer asks here: a host that is leaving or out of touch gets no new callers. */
--- a/src/daemon/admin-http.h
+++ b/src/daemon/admin-http.h
@@ -5,7 +5,7 @@
 
 #include <stdint.h>
 
-#include "daemon/daemon.h"
+#include "runtime/daemon-state.h"
 
 typedef struct AdminHttp AdminHttp;
 
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -15,11 +15,12 @@
 #include "base/log.h"
 #include "base/pause-gate.h"
 #include "daemon/config-replica.h"
-#include "daemon/link-table.h"
 #include "daemon/store-thread.h"
 #include "policy/config-chain.h"
 #include "policy/drain.h"
 #include "policy/membership.h"
+#include "runtime/link-table.h"
+#include "runtime/worker.h"
 
 #define TICK_MS 20
 #define PROBE_INTERVAL_MS 250
--- a/src/daemon/control.h
+++ b/src/daemon/control.h
@@ -3,8 +3,9 @@
  */
 #pragma once
 
-#include "daemon/daemon.h"
-#include "daemon/worker.h"
+#include "runtime/daemon-state.h"
+
+typedef struct Control Control;
 
 /** control_new() - Control of @daemon; runs after control_start(). */
 Control *control_new (Daemon *daemon, int gossip_fd);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -1,57 +1,9 @@
 /**
- * DOC: One daemon: its worker threads, its control thread and what they share. Several may
- * live in one process.
+ * DOC: One daemon: starts and ends its worker threads and its control thread.
  */
 #pragma once
 
-#include <stdbool.h>
-#include <stdint.h>
-
-#include <glib.h>
-
-#include "base/counters.h"
-#include "base/trace.h"
-#include "config/config-document.h"
-#include "link/peer-link.h"
-#include "policy/ownership.h"
-
-typedef struct Daemon Daemon;
-typedef struct Worker Worker;
-typedef struct Control Control;
-
-/**
- * struct NetworkEmulation - Emulated network between hosts and instances; demos only.
- * @delay_us: one-way delay between two failure domains.
- * @pipe: capacity from one region to another, or %NULL.
- */
-typedef struct
-{
-  int64_t (*delay_us) (const char *from_domain, const char *to_domain, void *data);
-  RegionPipe *(*pipe) (const char *from_region, const char *to_region, void *data);
-  void *data;
-} NetworkEmulation;
-
-/**
- * struct DaemonOptions - Settings of a daemon.
- * @self: id, place, address and ports; port 0 takes any and is filled in.
- * @caller_port: TCP port for callers.
- * @admin_port: TCP port of the admin pages.
- * @platform_url: base address of the platform's service.
- * @workers: threads that serve callers.
-
- * @trace_path: file to write decisions to, or %NULL.
- * @network: emulated network, or %NULL.
- */
-typedef struct
-{
-  Host self;
-  uint16_t caller_port;
-  uint16_t admin_port;
-  const char *platform_url;
-  uint32_t workers;
-  const char *trace_path;
-  const NetworkEmulation *network;
-} DaemonOptions;
+#include "runtime/daemon-state.h"
 
 /** daemon_start() - Listens and starts the threads. Errors: %PERIDOTSTEP_ERROR_IO. */
 Daemon *daemon_start (const DaemonOptions *options, GError **error);
@@ -67,76 +19,3 @@
 
 /** daemon_set_paused() - Freezes all threads of the daemon, or lets them go on; demos only. */
 void daemon_set_paused (Daemon *daemon, bool paused);
-
-/** daemon_options() - Its settings, with the ports that were taken. */
-const DaemonOptions *daemon_options (const Daemon *daemon);
-
-/** daemon_application_name() - How it names itself to backend servers: where it stands. */
-const char *daemon_application_name (const Daemon *daemon);
-
-/** daemon_counters() - Its counters. */
-Counters *daemon_counters (Daemon *daemon);
-
-/** daemon_trace() - Its trace of decisions; %NULL when none is written. */
-Trace *daemon_trace (const Daemon *daemon);
-
-/** daemon_worker_count() - Number of worker threads. */
-uint32_t daemon_worker_count (const Daemon *daemon);
-
-/** daemon_worker() - Worker number @index. */
-Worker *daemon_worker (const Daemon *daemon, uint32_t index);
-
-/** daemon_control() - The control thread's state. */
-Control *daemon_control (const Daemon *daemon);
-
-/** daemon_service() - New reference to the service called @name, or %NULL. Any worker. */
-ServiceConfig *daemon_service (Daemon *daemon, const char *name);
-
-/** daemon_config() - New reference to the configuration in force. Any worker. */
-ConfigDocument *daemon_config (Daemon *daemon);
-
-/** daemon_config_version() - Its version, without a lock. */
-uint64_t daemon_config_version (const Daemon *daemon);
-
-/** daemon_view_version() - Version of the host view, without a lock. */
-uint64_t daemon_view_version (const Daemon *daemon);
-
-/**
- * daemon_owner() - Owner of an instance at @place of the order, in the current view. False
- * when there are not so many hosts. Any worker.
- */
-bool daemon_owner (Daemon *daemon, uint64_t instance, const char *failure_domain,
-                   const char *region, uint32_t place, Host *host);
-
-/** daemon_domain_has_hosts() - Whether a live host stands in @failure_domain. Any worker. */
-bool daemon_domain_has_hosts (Daemon *daemon, const char *failure_domain);
-
-/** daemon_view_each() - Calls @each for every live host. Any worker. */
-void daemon_view_each (Daemon *daemon, void (*each) (const Host *host, void *data), void *data);
-
-/** daemon_publish_config() - Puts @document in force and owns it. Control thread only. */
-void daemon_publish_config (Daemon *daemon, ConfigDocument *document);
-
-/** daemon_publish_view() - Puts @view in force and owns it. Control thread only. */
-void daemon_publish_view (Daemon *daemon, HostView *view);
-
-/** daemon_set_admitting() - Whether new work may start. Control thread only. */
-void daemon_set_admitting (Daemon *daemon, bool admitting);
-
-/** daemon_admits() - Whether new work may start. */
-bool daemon_admits (const Daemon *daemon);
-
-/** daemon_set_closing() - Callers are to be ended between transactions. */
-void daemon_set_closing (Daemon *daemon);
-
-/** daemon_closing() - Whether callers are to be ended between transactions. */
-bool daemon_closing (const Daemon *daemon);
-
-/** daemon_leaving() - Whether a graceful shutdown has begun. */
-bool daemon_leaving (const Daemon *daemon);
-
-/** daemon_add_jobs() - Counts statements and transactions held as an owner. */
-void daemon_add_jobs (Daemon *daemon, int64_t delta);
-
-/** daemon_jobs() - That count. */
-uint64_t daemon_jobs (const Daemon *daemon);
--- a/src/pipeline/backend-pool.h
+++ b/src/pipeline/backend-pool.h
@@ -8,7 +8,7 @@
 
 #include "adapter/backend-connection.h"
 #include "config/service-config.h"
-#include "daemon/worker.h"
+#include "runtime/worker.h"
 
 typedef struct BackendPool BackendPool;
 typedef struct PooledConnection PooledConnection;
--- a/src/pipeline/caller-table.h
+++ b/src/pipeline/caller-table.h
@@ -3,7 +3,7 @@
  */
 #pragma once
 
-#include "daemon/worker.h"
+#include "runtime/worker.h"
 
 typedef struct Caller Caller;
 
--- a/src/pipeline/caller.h
+++ b/src/pipeline/caller.h
@@ -5,7 +5,7 @@
 
 #include <stdint.h>
 
-#include "daemon/worker.h"
+#include "runtime/worker.h"
 
 typedef struct Caller Caller;
 
--- a/src/pipeline/group-monitor.c
+++ b/src/pipeline/group-monitor.c
@@ -5,7 +5,6 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "daemon/control.h"
 #include "pipeline/control-connection.h"
 #include "policy/freshness.h"
 
@@ -243,11 +242,11 @@
   GDateTime *now = g_date_time_new_now_utc ();
   char *time = g_date_time_format_iso8601 (now);
 
-  control_audit (daemon_control (daemon), key,
-                 json_pack ("{s:s, s:I, s:s, s:s, s:s, s:b}", "service", service->name, "term",
-                            (json_int_t) order->term, "instance",
-                            service->instances[order->instance].name, "time", time, "host",
-                            daemon_options (daemon)->self.id, "planned", monitor->planned));
+  daemon_audit (daemon, key,
+                json_pack ("{s:s, s:I, s:s, s:s, s:s, s:b}", "service", service->name, "term",
+                           (json_int_t) order->term, "instance",
+                           service->instances[order->instance].name, "time", time, "host",
+                           daemon_options (daemon)->self.id, "planned", monitor->planned));
   g_free (time);
   g_date_time_unref (now);
   g_free (key);
--- a/src/pipeline/group-monitor.h
+++ b/src/pipeline/group-monitor.h
@@ -7,7 +7,7 @@
 #include <stdbool.h>
 
 #include "config/service-config.h"
-#include "daemon/worker.h"
+#include "runtime/worker.h"
 #include "policy/commit-gate.h"
 #include "policy/failover.h"
 
--- a/src/pipeline/group-owner.h
+++ b/src/pipeline/group-owner.h
@@ -7,7 +7,7 @@
 #include <stdbool.h>
 
 #include "config/service-config.h"
-#include "daemon/worker.h"
+#include "runtime/worker.h"
 #include "pipeline/backend-pool.h"
 #include "pipeline/group-monitor.h"
 #include "pipeline/traced-queue.h"
--- a/src/pipeline/owner-table.h
+++ b/src/pipeline/owner-table.h
@@ -3,7 +3,7 @@
  */
 #pragma once
 
-#include "daemon/worker.h"
+#include "runtime/worker.h"
 
 /** owner_table_new() - Empty table; it takes up the instances that this host owns by itself. */
 OwnerTable *owner_table_new (TALLOC_CTX *parent, Worker *worker);
--- a/src/pipeline/request.h
+++ b/src/pipeline/request.h
@@ -9,7 +9,7 @@
 
 #include "base/verdict.h"
 #include "config/service-config.h"
-#include "daemon/worker.h"
+#include "runtime/worker.h"
 #include "pipeline/session.h"
 #include "policy/request-fate.h"
 
--- a/src/pipeline/sampler.h
+++ b/src/pipeline/sampler.h
@@ -4,7 +4,7 @@
  */
 #pragma once
 
-#include "daemon/worker.h"
+#include "runtime/worker.h"
 
 typedef struct Sampler Sampler;
 typedef struct Request Request;
--- /dev/null
+++ b/src/policy/instance-info.h
@@ -0,0 +1,31 @@
+/**
+ * DOC: An instance as it announces itself.
+ */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/** Longest name kept, with its terminator, in bytes. */
+#define CATALOG_NAME_BYTES 64
+
+/**
+ * struct InstanceInfo - An instance as it announces itself.
+ * @started_ms: when it started; a greater one under the same @id is a new life, which knows
+ *   nothing of the one before.
+ * @slots: statements that it runs at once.
+ * @leaving: takes no new work.
+ * @primary: it believes to lead its group.
+ */
+typedef struct
+{
+  char id[CATALOG_NAME_BYTES];
+  char service[CATALOG_NAME_BYTES];
+  char address[CATALOG_NAME_BYTES];
+  uint16_t port;
+  char failure_domain[CATALOG_NAME_BYTES];
+  int64_t started_ms;
+  uint32_t slots;
+  bool leaving;
+  bool primary;
+} InstanceInfo;
--- a/src/policy/instance-list.h
+++ b/src/policy/instance-list.h
@@ -9,7 +9,7 @@
 
 #include <glib.h>
 
-#include "pool/catalog.h"
+#include "policy/instance-info.h"
 
 /**
  * struct InstanceList - The instances taken to be there. Zeroed is empty.
--- a/src/policy/lead-change.h
+++ b/src/policy/lead-change.h
@@ -7,7 +7,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "pool/codec.h"
+#include "policy/group-order.h"
 
 /** Instances of one group that are told apart. */
 #define LEAD_MEMBERS_MAX 16
--- a/src/pool/catalog.h
+++ b/src/pool/catalog.h
@@ -10,9 +10,7 @@
 #include <glib.h>
 
 #include "policy/admission-queue.h"
-
-/** Longest name kept, with its terminator, in bytes. */
-#define CATALOG_NAME_BYTES 64
+#include "policy/instance-info.h"
 
 /** enum Consistency - What the reads of a database must see. */
 typedef enum
@@ -84,24 +82,3 @@
 
 /** catalog_database() - Database called @name, or %NULL. */
 const Database *catalog_database (const Catalog *catalog, const char *name);
-
-/**
- * struct InstanceInfo - An instance as it announces itself.
- * @started_ms: when it started; a greater one under the same @id is a new life, which knows
- *   nothing of the one before.
- * @slots: statements that it runs at once.
- * @leaving: takes no new work.
- * @primary: it believes to lead its group.
- */
-typedef struct
-{
-  char id[CATALOG_NAME_BYTES];
-  char service[CATALOG_NAME_BYTES];
-  char address[CATALOG_NAME_BYTES];
-  uint16_t port;
-  char failure_domain[CATALOG_NAME_BYTES];
-  int64_t started_ms;
-  uint32_t slots;
-  bool leaving;
-  bool primary;
-} InstanceInfo;
--- a/src/pool/codec.h
+++ b/src/pool/codec.h
@@ -10,6 +10,7 @@
 
 #include <glib.h>
 
+#include "policy/group-order.h"
 #include "policy/session-token.h"
 #include "pool/answer.h"
 #include "pool/statement.h"
@@ -60,35 +61,6 @@
   SessionToken position;
 } Reply;
 
-/** enum OrderKind - Orders to an instance about its part in the group. */
-typedef enum
-{
-  ORDER_STATUS,    /* report, change nothing */
-  ORDER_PAUSE,     /* a replica receives nothing until resumed or promoted */
-  ORDER_RESUME,    /* a paused replica receives again */
-  ORDER_STEP_DOWN, /* a primary of a lower term becomes a replica */
-  ORDER_COUNT
-} OrderKind;
-
-/**
- * struct InstanceReport - What an instance says of itself.
- * @primary: it leads its group in @term.
- * @received: end of its log.
- * @held_term: term of the order by which it is paused; 0 for none.
- * @lag_ms: how far it believes to be behind.
- * @busy: slots in use. @connections: open connections.
- */
-typedef struct
-{
-  bool primary;
-  uint64_t term;
-  SessionToken received;
-  uint64_t held_term;
-  int64_t lag_ms;
-  uint32_t busy;
-  uint32_t connections;
-} InstanceReport;
-
 /**
  * struct Codec - The protocol. Readers take the bytes of an input buffer and return how many
  * were used; writers append to @out. @after is a position that the instance must hold for
--- a/src/daemon/link-table.c
+++ b/src/runtime/link-table.c
@@ -1,4 +1,4 @@
-#include "daemon/link-table.h"
+#include "runtime/link-table.h"
 
 #include <string.h>
 #include <unistd.h>
--- a/src/daemon/link-table.h
+++ b/src/runtime/link-table.h
@@ -3,7 +3,7 @@
  */
 #pragma once
 
-#include "daemon/daemon.h"
+#include "runtime/daemon-state.h"
 #include "link/frame.h"
 #include "link/peer-link.h"
 
--- a/src/daemon/worker.c
+++ b/src/runtime/worker.c
@@ -1,4 +1,4 @@
-#include "daemon/worker.h"
+#include "runtime/worker.h"
 
 #include <pthread.h>
 #include <stdatomic.h>
@@ -9,12 +9,7 @@
 
 #include "base/log.h"
 #include "base/pause-gate.h"
-#include "daemon/control.h"
-#include "daemon/link-table.h"
-#include "pipeline/caller-table.h"
-#include "pipeline/owner-table.h"
-#include "pipeline/request.h"
-#include "pipeline/route.h"
+#include "runtime/link-table.h"
 
 /* A worker with what other modules need not see. */
 typedef struct
@@ -64,14 +59,11 @@
 handle_here (Worker *worker, Origin origin, Frame *frame)
 {
   if (frame_service (frame) != NULL)
-    owner_table_receive (worker->owners, origin, frame);
+    worker->parts->owner_frame (worker, origin, frame);
   else if (frame->body_case == PERIDOTSTEP__FRAME__BODY_CALLER_CANCEL)
-    {
-      caller_table_cancel (worker->callers, frame->caller_cancel->pid, frame->caller_cancel->key);
-      frame_free (frame);
-    }
+    worker->parts->cancel (worker, frame);
   else
-    request_table_receive (worker->requests, frame);
+    worker->parts->answer_frame (worker, frame);
 }
 
 static void
@@ -153,8 +145,8 @@
 static void
 cancel_caller (Worker *worker, Frame *frame)
 {
-  uint32_t target
-      = caller_table_worker_of (frame->caller_cancel->pid) % daemon_worker_count (worker->daemon);
+  const uint32_t target
+      = worker->parts->caller_worker (frame) % daemon_worker_count (worker->daemon);
   const Origin origin = { worker->index, 0 };
 
   worker_post_frame (daemon_worker (worker->daemon, target), origin, frame);
@@ -179,7 +171,7 @@
     {
     case PERIDOTSTEP__FRAME__BODY_DATA:
     case PERIDOTSTEP__FRAME__BODY_DONE:
-      request_table_receive (worker->requests, frame);
+      worker->parts->answer_frame (worker, frame);
       return;
     case PERIDOTSTEP__FRAME__BODY_CALLER_CANCEL:
       cancel_caller (worker, frame);
@@ -187,7 +179,7 @@
     case PERIDOTSTEP__FRAME__BODY_CONFIG_REQUEST:
     case PERIDOTSTEP__FRAME__BODY_CONFIG_PART:
     case PERIDOTSTEP__FRAME__BODY_MEMBER_EXCHANGE:
-      control_post_frame (daemon_control (worker->daemon), origin, frame);
+      daemon_post_control (worker->daemon, origin, frame);
       return;
     default:
       frame_free (frame);
@@ -206,7 +198,7 @@
   OriginLost *lost = (OriginLost *) message;
   Worker *worker = receiver;
 
-  owner_table_origin_lost (worker->owners, lost->origin);
+  worker->parts->origin_lost (worker, lost->origin);
   g_free (lost);
 }
 
@@ -231,7 +223,7 @@
   if (host_id[0] == '\0')
     announce_origin_lost (worker, link);
   else
-    request_table_host_lost (worker->requests, host_id);
+    worker->parts->host_lost (worker, host_id);
 }
 
 static void
@@ -250,13 +242,14 @@
 }
 
 Worker *
-worker_new (Daemon *daemon, uint32_t index, int caller_fd, int link_fd)
+worker_new (Daemon *daemon, const WorkerParts *parts, uint32_t index, int caller_fd, int link_fd)
 {
   WorkerThread *thread = talloc_zero (NULL, WorkerThread);
   Worker *worker = &thread->worker;
   LinkTableOptions links = { .frame = on_link_frame, .closed = on_link_closed, .data = worker };
 
   worker->daemon = daemon;
+  worker->parts = parts;
   worker->counters = daemon_counters (daemon);
   worker->index = index;
   if (getrandom (&worker->next_id, sizeof worker->next_id, 0) != sizeof worker->next_id)
@@ -270,11 +263,8 @@
   links.network = daemon_options (daemon)->network;
   worker->links = link_table_new (thread, &links);
   link_table_listen (worker->links, link_fd);
-  worker->routes = route_table_new (thread, worker);
-  worker->requests = request_table_new (thread, worker);
-  worker->owners = owner_table_new (thread, worker);
-  worker->callers = caller_table_new (thread, worker, caller_fd);
   retry_budget_init (&worker->budget);
+  parts->start (worker, caller_fd);
   return worker;
 }
 
@@ -288,10 +278,7 @@
     if (tevent_loop_once (thread->worker.events) != 0)
       break;
   // All state is freed where it was used.
-  TALLOC_FREE (thread->worker.callers);
-  TALLOC_FREE (thread->worker.requests);
-  TALLOC_FREE (thread->worker.owners);
-  TALLOC_FREE (thread->worker.routes);
+  thread->worker.parts->end (&thread->worker);
   TALLOC_FREE (thread->worker.links);
   rcu_unregister_thread ();
   return NULL;
--- a/src/daemon/worker.h
+++ b/src/runtime/worker.h
@@ -7,20 +7,9 @@
 #include <tevent.h>
 
 #include "base/mailbox.h"
-#include "daemon/daemon.h"
 #include "link/frame.h"
 #include "policy/retry-budget.h"
-
-/**
- * struct Origin - Where an answer has to go.
- * @worker: index of the worker that holds the link or the request.
- * @link: link id there; 0 for a request of that worker itself.
- */
-typedef struct
-{
-  uint32_t worker;
-  uint64_t link;
-} Origin;
+#include "runtime/daemon-state.h"
 
 typedef struct LinkTable LinkTable;
 typedef struct RequestTable RequestTable;
@@ -28,10 +17,33 @@
 typedef struct OwnerTable OwnerTable;
 typedef struct CallerTable CallerTable;
 
+/**
+ * struct WorkerParts - What serves callers and instances in a worker, built on top of it.
+ * @start: makes the tables; callers come on @caller_fd. @end: frees them, in the worker's thread.
+ * @owner_frame: a frame for an owner of this worker; owns it.
+ * @answer_frame: an answer to a request of this worker; owns it.
+ * @cancel: a caller's statement is to be cancelled; owns the frame.
+ * @caller_worker: number of the worker whose caller that is.
+ * @origin_lost: nobody is left to take answers to @origin.
+ * @host_lost: no answer will come from @host_id any more.
+ */
+typedef struct
+{
+  void (*start) (Worker *worker, int caller_fd);
+  void (*end) (Worker *worker);
+  void (*owner_frame) (Worker *worker, Origin origin, Frame *frame);
+  void (*answer_frame) (Worker *worker, Frame *frame);
+  void (*cancel) (Worker *worker, Frame *frame);
+  uint32_t (*caller_worker) (const Frame *frame);
+  void (*origin_lost) (Worker *worker, Origin origin);
+  void (*host_lost) (Worker *worker, const char *host_id);
+} WorkerParts;
+
 /** struct Worker - State of a worker thread. */
 struct Worker
 {
   Daemon *daemon;
+  const WorkerParts *parts;
   Counters *counters;
   uint32_t index;
   struct tevent_context *events;
@@ -46,7 +58,8 @@
 };
 
 /** worker_new() - Worker number @index with its listeners; runs after worker_start(). */
-Worker *worker_new (Daemon *daemon, uint32_t index, int caller_fd, int link_fd);
+Worker *worker_new (Daemon *daemon, const WorkerParts *parts, uint32_t index, int caller_fd,
+                    int link_fd);
 
 /** worker_start() - Starts its thread. */
 void worker_start (Worker *worker);
