One look for signs of life of an instance, in place of two

Cause: service-group and lead-driver each asked a silent primary for a sign of life, with constants and timers of their own. The driver now reads what the group found; an instance that is down is asked as well, as the driver did.

--- a/src/pool/lead-driver.c
+++ b/src/pool/lead-driver.c
@@ -9,10 +9,6 @@
 #include "policy/connection-share.h"
 #include "policy/lead-change.h"
 
-/* A primary that has said nothing for this time, with work outstanding, is asked for a sign. */
-#define SILENCE_MS 350
-/* It is asked again at this pace while it gives none. */
-#define CHECK_INTERVAL_MS 200
 /* What a host said counts for two turns of its beats, and this time. */
 #define PEER_FRESH_MS 300
 /* A change under way at a host that fell silent is over after two turns, and this time. */
@@ -60,8 +56,6 @@
   uint64_t seen_fence;
   uint64_t obeyed;
   bool suspect;
-  bool checking;
-  int64_t checked_ms;
   LeadPhase logged_phase;
   int64_t created_ms;
   int64_t started_ms;
@@ -581,62 +575,27 @@
   g_hash_table_remove (driver->peers, &peer);
 }
 
+/* A primary that owes this host answers and gave no sign of life when asked is suspect. */
 static void
-set_suspect (LeadDriver *driver, bool suspect, const char *why)
-{
-  if (driver->suspect == suspect)
-    return;
-  driver->suspect = suspect;
-  log_event (LOG_LEVEL_NOTICE, "suspect", "service=%s value=%d reason=%s",
-             service_group_name (driver->options.group), suspect, why);
-  peer_mesh_beat (driver->options.mesh);
-}
-
-static void
-on_checked (void *data, OrderResult result, const InstanceReport *report, int64_t sent_ms)
-{
-  OrderTag *tag = data;
-  LeadDriver *driver = tag->driver;
-  GroupMember *member = find_member (driver, tag->member);
-  const bool lives = result == ORDER_ANSWERED || result == ORDER_BUSY || result == ORDER_REFUSED;
-  GroupBelief belief;
-
-  driver->checking = false;
-  service_group_belief (driver->options.group, &belief);
-  if (member != NULL && result == ORDER_ANSWERED)
-    service_group_take_report (driver->options.group, member, report, sent_ms);
-  if (tag->member == primary_key (&belief))
-    set_suspect (driver, !lives, order_result_name (result));
-  talloc_free (tag);
-  run_step (driver);
-}
-
-/* Asks a primary that gives no sign of life for one. */
-static void
-check_primary (LeadDriver *driver, int64_t now_ms)
+check_primary (LeadDriver *driver)
 {
+  const GroupMember *member;
   GroupBelief belief;
-  GroupMember *member;
-  OrderTag *tag;
 
   service_group_belief (driver->options.group, &belief);
   member = find_member (driver, primary_key (&belief));
-  if (member == NULL || driver->checking || now_ms - driver->checked_ms < CHECK_INTERVAL_MS)
-    return;
-  if (!driver->suspect && !instance_pool_is_down (member->pool)
-      && instance_pool_silent_ms (member->pool, now_ms) < SILENCE_MS)
+  if (member == NULL || member->silent == driver->suspect)
     return;
-  driver->checking = true;
-  driver->checked_ms = now_ms;
-  tag = talloc (driver, OrderTag);
-  *tag = (OrderTag){ driver, member_key (member) };
-  order_line_send (member->orders, ORDER_STATUS, 0, on_checked, tag);
+  driver->suspect = member->silent;
+  log_event (LOG_LEVEL_NOTICE, "suspect", "service=%s instance=%s value=%d",
+             service_group_name (driver->options.group), belief.primary, driver->suspect);
+  peer_mesh_beat (driver->options.mesh);
 }
 
 void
 lead_driver_tick (LeadDriver *driver, int64_t now_ms)
 {
   share_connections (driver, now_ms);
-  check_primary (driver, now_ms);
+  check_primary (driver);
   run_step (driver);
 }
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -16,7 +16,7 @@
 /* An instance that owes answers and said nothing for this time is asked for a sign of life. */
 #define SILENCE_MS 350
 /* It is asked again at this pace while it gives none. */
-#define CHECK_INTERVAL_MS 250
+#define CHECK_INTERVAL_MS 200
 /* A statement whose answer did not come, while one sent this much later was answered, has
  * probably lost it: an instance takes statements in order. */
 #define OVERTAKEN_MS 150
@@ -608,7 +608,8 @@
 {
   if (member->checking || now_ms - member->checked_ms < CHECK_INTERVAL_MS)
     return;
-  if (!member->silent && instance_pool_silent_ms (member->pool, now_ms) < SILENCE_MS)
+  if (!member->silent && !instance_pool_is_down (member->pool)
+      && instance_pool_silent_ms (member->pool, now_ms) < SILENCE_MS)
     return;
   member->checking = true;
   member->checked_ms = now_ms;
