--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -11,7 +11,7 @@
 #define WATCH_WAIT_LONG_MS 20000
 /* The list of instances is read this often; instances leave seconds after they said so. */
 #define INSTANCES_INTERVAL_MS 2000
-#define INSTANCES_INTERVAL_LONG_MS 12000
+#define INSTANCES_INTERVAL_LONG_MS 30000
 /* Readings asked for out of turn are this far apart. */
 #define INSTANCES_SPACING_MS 300
 /* Time for a call, with connecting. */
--- a/src/pool/host-registry.c
+++ b/src/pool/host-registry.c
@@ -2,8 +2,9 @@
 
 #include "base/log.h"
 
-/* The list is read this often; others that start make themselves known by their beats. */
-#define READ_INTERVAL_MS 12000
+/* The list is read this often; others that start make themselves known by their beats, and are
+ * told of by those that hear them. */
+#define READ_INTERVAL_MS 30000
 #define RETRY_MS 300
 #define CALL_LIMIT_MS 1500
 
--- a/src/pool/lead-driver.c
+++ b/src/pool/lead-driver.c
@@ -146,11 +146,15 @@
 
   beat->instances = g_new (uint32_t, count + 1);
   beat->wanted = g_new (uint32_t, count + 1);
-  beat->n_instances = beat->n_wanted = count;
   for (uint32_t i = 0; i < count; i++)
     {
-      beat->instances[i] = member_key (members[i]);
-      beat->wanted[i] = instance_pool_wanted (members[i]->pool);
+      const uint32_t wanted = instance_pool_wanted (members[i]->pool);
+
+      // What is not mentioned is not wanted.
+      if (wanted == 0)
+        continue;
+      beat->instances[beat->n_instances++] = member_key (members[i]);
+      beat->wanted[beat->n_wanted++] = wanted;
     }
 }
 
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -506,6 +506,23 @@
   g_array_free (hosts, true);
 }
 
+/* beat HOST: the instances that it asks the others to leave connections of */
+static void
+print_beat (const Host *host, GString *out)
+{
+  Pool__Beat beat = POOL__BEAT__INIT;
+
+  pool_server_fill_beat (host->server, &beat);
+  for (size_t i = 0; i < beat.n_services; i++)
+    {
+      g_string_append_printf (out, "%zu instances\n", beat.services[i]->n_instances);
+      g_free (beat.services[i]->instances);
+      g_free (beat.services[i]->wanted);
+      g_free (beat.services[i]);
+    }
+  g_free (beat.services);
+}
+
 /* prove HOST DURATION: other hosts tell it all the while that the primary leads */
 static void
 prove (State *state, char **words)
@@ -568,6 +585,8 @@
     configure (state, strcmp (script_word (words, 1), "all") == 0);
   else if (strcmp (verb, "drain") == 0)
     pool_server_drain (find_host (state, script_word (words, 1))->server, script_number (words, 2));
+  else if (strcmp (verb, "beat") == 0)
+    print_beat (find_host (state, script_word (words, 1)), out);
   else if (strcmp (verb, "knows") == 0)
     print_known (find_host (state, script_word (words, 1)), out);
   else if (strcmp (verb, "ready") == 0)
