A change of primary does not wait again and again for an instance that is silent

Cause: before it promotes, a host looks again if what it knows is older than 0.25 s. It asked every instance, and waited until each order had ended; a dark or cut off primary takes 0.4 s and more to not answer, so that what the replicas said was too old each time.

Now an instance that did not answer the last order is asked, and not waited for, once the replicas are paused or the primary has stepped down. The first look of a change still waits for all.

Test: lead-primary-dark (never promoted before).

--- a/src/policy/lead-change.c
+++ b/src/policy/lead-change.c
@@ -35,6 +35,7 @@
   bool leaving;
   bool asked;
   bool answered; /* since it was last asked */
+  bool silent;   /* it did not answer the last order that ended */
   int64_t report_ms;
   InstanceReport report;
   bool paused; /* by this change */
@@ -167,6 +168,7 @@
     return;
   member->asked = false;
   member->answered = true;
+  member->silent = false;
   member->report = *report;
   member->report_ms = now_ms;
 }
@@ -180,6 +182,7 @@
     return;
   member->asked = false;
   member->answered = false;
+  member->silent = true;
 }
 
 LeadPhase
@@ -226,6 +229,17 @@
   return true;
 }
 
+/* The same, but for those that are silent: what the others say gets old while they are waited
+ * for. */
+static bool
+all_heard_ended (const LeadChange *change)
+{
+  for (uint32_t i = 0; i < change->count; i++)
+    if (change->members[i].asked && !change->members[i].silent)
+      return false;
+  return true;
+}
+
 static void
 ask_all (LeadChange *change, int64_t now_ms)
 {
@@ -258,6 +272,8 @@
 start_looking (LeadChange *change, int64_t now_ms)
 {
   enter (change, LEAD_LOOKING, now_ms);
+  for (uint32_t i = 0; i < change->count; i++)
+    change->members[i].silent = false;
   ask_all (change, now_ms);
 }
 
@@ -516,7 +532,7 @@
   const int64_t now_ms = situation->now_ms;
   const Member *best;
 
-  if (!all_asked_ended (change))
+  if (!all_heard_ended (change))
     return;
   if (greatest_pause (change) != 0 || leading_member (change, change->term + 1) != NULL)
     {
@@ -599,7 +615,7 @@
   const Member *leader;
   Member *best;
 
-  if (!all_asked_ended (change))
+  if (!all_heard_ended (change))
     return;
   if (is_contested (change))
     {
@@ -621,8 +637,9 @@
         return;
       if (best == NULL || !logs_suffice (change, situation, best))
         {
-          enter (change, LEAD_LOOKING, now_ms);
           change->paused_ms = 0;
+          start_looking (change, now_ms);
+          return;
         }
       ask_all (change, now_ms);
       return;
--- a/tests/script-lead.c
+++ b/tests/script-lead.c
@@ -208,27 +208,38 @@
     }
 }
 
-/* answer HOST TIME [but INSTANCE...]: all orders under way reach their instances, but for some */
+/*
+ * answer HOST TIME [but INSTANCE...]: all orders under way reach their instances, but for some,
+ * which do not answer within the limit
+ * answer HOST TIME only INSTANCE...: just these are answered by now
+ */
 static void
 answer (State *state, char **words)
 {
   Host *host = find_host (state, script_word (words, 1));
+  const bool only = strcmp (script_word (words, 3), "only") == 0;
+  guint32 left = 0;
 
   for (guint32 i = 0; i < host->pending_count; i++)
     {
-      const LeadAction *action = &host->pending[i];
-      Instance *instance = &state->instances[action->member - 1];
+      const LeadAction action = host->pending[i];
+      Instance *instance = &state->instances[action.member - 1];
+      const bool named = g_strv_contains ((const char *const *) words, instance->name);
 
-      if (g_strv_contains ((const char *const *) words, instance->name))
+      if (only && !named)
+        {
+          host->pending[left++] = action;
+          continue;
+        }
+      if (!only && named)
         {
-          lead_change_unanswered (host->change, action->member);
+          lead_change_unanswered (host->change, action.member);
           continue;
         }
-      carry_out (instance, action);
-      lead_change_report (host->change, action->member, &instance->report,
-                          script_number (words, 2));
+      carry_out (instance, &action);
+      lead_change_report (host->change, action.member, &instance->report, script_number (words, 2));
     }
-  host->pending_count = 0;
+  host->pending_count = left;
 }
 
 /* promoted HOST TIME done|refused|unknown: the call ends; done and unknown take effect */
