--- a/src/policy/lead-change.c
+++ b/src/policy/lead-change.c
@@ -1,11 +1,9 @@
 #include "policy/lead-change.h"
 
-#include <string.h>
-
 #include <glib.h>
 
-/* Instances that a group has at least, listed or not: a list may lack one that holds commits. */
-#define GROUP_SIZE_LEAST 3
+#include "policy/lead-members.h"
+
 /* Extra wait for each host that would make the change before this one. */
 #define RANK_DELAY_MS 350
 /* A host that knows of no primary looks for one after this time. */
@@ -20,8 +18,11 @@
 #define ASK_INTERVAL_MS 250
 /* A primary that has stepped down waits this long for a replica to catch up. */
 #define CATCH_UP_LIMIT_MS 2000
+/* A replica that catches up is asked this often: each time costs a statement. */
 #define CATCH_UP_POLL_MS 30
+/* The new primary is asked this often whether it leads; it takes some hundred ms. */
 #define CONFIRM_POLL_MS 50
+/* A promotion that is not seen after this time is taken for failed. */
 #define CONFIRM_LIMIT_MS 2500
 /* What an instance reported counts for a promotion for this time: the host may have been
  * suspended since, and another may have made a change. */
@@ -29,25 +30,11 @@
 /* A pause made by an unknown host is respected for this time. */
 #define FOREIGN_PAUSE_MS 2000
 
-typedef struct
-{
-  uint32_t key;
-  bool leaving;
-  bool asked;
-  bool answered; /* since it was last asked */
-  bool silent;   /* it did not answer the last order that ended */
-  int64_t report_ms;
-  InstanceReport report;
-  bool paused; /* by this change */
-} Member;
-
 struct LeadChange
 {
   LeadOptions options;
   LeadPhase phase;
-  Member members[LEAD_MEMBERS_MAX];
-  uint32_t count;
-  uint32_t size; /* most members ever listed, or the least that a group has */
+  LeadMembers members;
   int64_t reason_ms;
   int64_t phase_ms;
   int64_t started_ms;
@@ -90,7 +77,7 @@
   LeadChange *change = g_new0 (LeadChange, 1);
 
   change->options = *options;
-  change->size = GROUP_SIZE_LEAST;
+  lead_members_init (&change->members);
   return change;
 }
 
@@ -119,70 +106,30 @@
   return fence >> 16 & 0xffff;
 }
 
-static Member *
-find_member (LeadChange *change, uint32_t key)
-{
-  for (uint32_t i = 0; i < change->count; i++)
-    if (change->members[i].key == key)
-      return &change->members[i];
-  return NULL;
-}
-
 void
 lead_change_set_member (LeadChange *change, uint32_t key, bool listed, bool leaving)
 {
-  Member *member = find_member (change, key);
-
-  if (!listed)
-    {
-      if (member != NULL)
-        *member = change->members[--change->count];
-      return;
-    }
-  if (member == NULL)
-    {
-      if (change->count == LEAD_MEMBERS_MAX)
-        return;
-      member = &change->members[change->count++];
-      memset (member, 0, sizeof *member);
-      member->key = key;
-    }
-  member->leaving = leaving;
-  change->size = MAX (change->size, change->count);
+  lead_members_set (&change->members, key, listed, leaving);
 }
 
 uint32_t
 lead_change_members (const LeadChange *change, uint32_t *keys)
 {
-  for (uint32_t i = 0; i < change->count; i++)
-    keys[i] = change->members[i].key;
-  return change->count;
+  for (uint32_t i = 0; i < change->members.count; i++)
+    keys[i] = change->members.items[i].key;
+  return change->members.count;
 }
 
 void
 lead_change_report (LeadChange *change, uint32_t key, const InstanceReport *report, int64_t now_ms)
 {
-  Member *member = find_member (change, key);
-
-  if (member == NULL)
-    return;
-  member->asked = false;
-  member->answered = true;
-  member->silent = false;
-  member->report = *report;
-  member->report_ms = now_ms;
+  lead_members_report (&change->members, key, report, now_ms);
 }
 
 void
 lead_change_unanswered (LeadChange *change, uint32_t key)
 {
-  Member *member = find_member (change, key);
-
-  if (member == NULL)
-    return;
-  member->asked = false;
-  member->answered = false;
-  member->silent = true;
+  lead_members_unanswered (&change->members, key);
 }
 
 LeadPhase
@@ -205,7 +152,7 @@
 }
 
 static void
-order (LeadChange *change, Member *member, OrderKind kind, int64_t now_ms)
+order (LeadChange *change, LeadMember *member, OrderKind kind, int64_t now_ms)
 {
   if (member->asked || change->action_count == LEAD_ACTIONS_MAX)
     return;
@@ -220,40 +167,22 @@
   };
 }
 
-static bool
-all_asked_ended (const LeadChange *change)
-{
-  for (uint32_t i = 0; i < change->count; i++)
-    if (change->members[i].asked)
-      return false;
-  return true;
-}
-
 /* The same, but for those that are silent: what the others say gets old while they are waited
  * for. */
-static bool
-all_heard_ended (const LeadChange *change)
-{
-  for (uint32_t i = 0; i < change->count; i++)
-    if (change->members[i].asked && !change->members[i].silent)
-      return false;
-  return true;
-}
-
 static void
 ask_all (LeadChange *change, int64_t now_ms)
 {
-  for (uint32_t i = 0; i < change->count; i++)
-    order (change, &change->members[i], ORDER_STATUS, now_ms);
+  for (uint32_t i = 0; i < change->members.count; i++)
+    order (change, &change->members.items[i], ORDER_STATUS, now_ms);
 }
 
 /* Ends the change. With @resume the replicas follow their primary again. */
 static void
 end_change (LeadChange *change, bool resume, int64_t now_ms)
 {
-  for (uint32_t i = 0; i < change->count; i++)
+  for (uint32_t i = 0; i < change->members.count; i++)
     {
-      Member *member = &change->members[i];
+      LeadMember *member = &change->members.items[i];
 
       if (resume && (member->paused || (member->answered && member->report.held_term != 0)))
         {
@@ -272,8 +201,8 @@
 start_looking (LeadChange *change, int64_t now_ms)
 {
   enter (change, LEAD_LOOKING, now_ms);
-  for (uint32_t i = 0; i < change->count; i++)
-    change->members[i].silent = false;
+  for (uint32_t i = 0; i < change->members.count; i++)
+    change->members.items[i].silent = false;
   ask_all (change, now_ms);
 }
 
@@ -291,7 +220,7 @@
   const int64_t now_ms = situation->now_ms;
   int64_t delay_ms;
 
-  if (!has_reason (situation) || change->count == 0)
+  if (!has_reason (situation) || change->members.count == 0)
     {
       change->reason_ms = 0;
       return;
@@ -310,46 +239,11 @@
   start_looking (change, now_ms);
 }
 
-static uint64_t
-greatest_term (const LeadChange *change, const LeadSituation *situation)
-{
-  uint64_t term = situation->term;
-
-  for (uint32_t i = 0; i < change->count; i++)
-    if (change->members[i].answered)
-      term = MAX (term, change->members[i].report.term);
-  return term;
-}
-
-static const Member *
-leading_member (const LeadChange *change, uint64_t term)
-{
-  for (uint32_t i = 0; i < change->count; i++)
-    {
-      const Member *member = &change->members[i];
-
-      if (member->answered && member->report.primary && member->report.term >= term)
-        return member;
-    }
-  return NULL;
-}
-
-static uint64_t
-greatest_pause (const LeadChange *change)
-{
-  uint64_t held = 0;
-
-  for (uint32_t i = 0; i < change->count; i++)
-    if (change->members[i].answered)
-      held = MAX (held, change->members[i].report.held_term);
-  return held;
-}
-
 /* A pause that this host did not make: its maker may be at work, unless it stays for long. */
 static bool
 is_paused_by_other (LeadChange *change, int64_t now_ms)
 {
-  const uint64_t held = greatest_pause (change);
+  const uint64_t held = lead_members_greatest_pause (&change->members);
 
   if (held == 0 || held == change->fence)
     return false;
@@ -364,7 +258,8 @@
 static void
 choose_fence (LeadChange *change, const LeadSituation *situation)
 {
-  const uint64_t seen = MAX (MAX (situation->seen_fence, greatest_pause (change)), change->fence);
+  const uint64_t seen = MAX (
+      MAX (situation->seen_fence, lead_members_greatest_pause (&change->members)), change->fence);
   uint64_t attempt = 1;
 
   if (lead_change_fence_term (seen) >= change->term + 1)
@@ -377,9 +272,9 @@
 start_pausing (LeadChange *change, const LeadSituation *situation)
 {
   enter (change, LEAD_PAUSING, situation->now_ms);
-  for (uint32_t i = 0; i < change->count; i++)
+  for (uint32_t i = 0; i < change->members.count; i++)
     {
-      Member *member = &change->members[i];
+      LeadMember *member = &change->members.items[i];
 
       if (member->answered && !member->report.primary)
         order (change, member, ORDER_PAUSE, situation->now_ms);
@@ -391,28 +286,12 @@
 static bool
 enough_answer (const LeadChange *change, const LeadSituation *situation)
 {
-  uint32_t replicas = 0;
+  const uint32_t replicas = lead_members_replicas (&change->members);
 
-  for (uint32_t i = 0; i < change->count; i++)
-    replicas += change->members[i].answered && !change->members[i].report.primary;
-  return replicas + situation->synchronous >= change->size
+  return replicas + situation->synchronous >= change->members.size
          || (replicas > 0 && situation->hosts > 1 && !change->stuck);
 }
 
-/* A replica that stays can take over. */
-static bool
-has_successor (const LeadChange *change)
-{
-  for (uint32_t i = 0; i < change->count; i++)
-    {
-      const Member *member = &change->members[i];
-
-      if (member->answered && !member->report.primary && !member->leaving)
-        return true;
-    }
-  return false;
-}
-
 /* This host can't complete a change now: others may try. */
 static void
 give_up (LeadChange *change, int64_t now_ms)
@@ -425,13 +304,13 @@
 step_looking (LeadChange *change, const LeadSituation *situation)
 {
   const int64_t now_ms = situation->now_ms;
-  const Member *leader;
-  Member *primary;
+  const LeadMember *leader;
+  LeadMember *primary;
 
-  if (!all_asked_ended (change))
+  if (!lead_members_all_ended (&change->members))
     return;
-  change->term = greatest_term (change, situation);
-  leader = leading_member (change, change->term);
+  change->term = lead_members_greatest_term (&change->members, situation->term);
+  leader = lead_members_leading (&change->members, change->term);
   if (leader != NULL && (leader->key != change->old_primary || change->term > situation->term))
     {
       end_change (change, true, now_ms);
@@ -443,7 +322,8 @@
         ask_all (change, now_ms);
       return;
     }
-  if (leader != NULL && situation->leaving && !change->stuck && !has_successor (change))
+  if (leader != NULL && situation->leaving && !change->stuck
+      && !lead_members_has_successor (&change->members))
     {
       // It leads on as long as it can: without it nobody would.
       give_up (change, now_ms);
@@ -451,7 +331,7 @@
     }
   if (leader != NULL && situation->leaving)
     {
-      primary = find_member (change, leader->key);
+      primary = lead_members_find (&change->members, leader->key);
       choose_fence (change, situation);
       enter (change, LEAD_STEPPING_DOWN, now_ms);
       order (change, primary, ORDER_STEP_DOWN, now_ms);
@@ -471,34 +351,8 @@
   start_pausing (change, situation);
 }
 
-static Member *
-best_member (LeadChange *change, bool stepped_down)
-{
-  Member *best = NULL;
-
-  for (uint32_t i = 0; i < change->count; i++)
-    {
-      Member *member = &change->members[i];
-      int order_of_logs;
-
-      if (!member->answered || member->report.primary)
-        continue;
-      if (!stepped_down && !member->paused)
-        continue;
-      if (best == NULL)
-        {
-          best = member;
-          continue;
-        }
-      order_of_logs = session_token_compare (member->report.received, best->report.received);
-      if (order_of_logs > 0 || (order_of_logs == 0 && best->leaving && !member->leaving))
-        best = member;
-    }
-  return best;
-}
-
 static void
-start_promoting (LeadChange *change, const Member *candidate, int64_t now_ms)
+start_promoting (LeadChange *change, const LeadMember *candidate, int64_t now_ms)
 {
   enter (change, LEAD_PROMOTING, now_ms);
   change->candidate = candidate->key;
@@ -513,9 +367,9 @@
 static void
 step_stepping_down (LeadChange *change, const LeadSituation *situation)
 {
-  const Member *primary = find_member (change, change->old_primary);
+  const LeadMember *primary = lead_members_find (&change->members, change->old_primary);
 
-  if (!all_asked_ended (change))
+  if (!lead_members_all_ended (&change->members))
     return;
   if (primary != NULL && primary->answered && !primary->report.primary)
     {
@@ -530,16 +384,17 @@
 step_catching_up (LeadChange *change, const LeadSituation *situation)
 {
   const int64_t now_ms = situation->now_ms;
-  const Member *best;
+  const LeadMember *best;
 
-  if (!all_heard_ended (change))
+  if (!lead_members_heard_ended (&change->members))
     return;
-  if (greatest_pause (change) != 0 || leading_member (change, change->term + 1) != NULL)
+  if (lead_members_greatest_pause (&change->members) != 0
+      || lead_members_leading (&change->members, change->term + 1) != NULL)
     {
       end_change (change, false, now_ms);
       return;
     }
-  best = best_member (change, true);
+  best = lead_members_best (&change->members, false);
   if (best != NULL && best->key == change->old_primary
       && now_ms - change->phase_ms < CATCH_UP_LIMIT_MS)
     {
@@ -563,11 +418,11 @@
 static void
 step_pausing (LeadChange *change, const LeadSituation *situation)
 {
-  if (!all_asked_ended (change))
+  if (!lead_members_all_ended (&change->members))
     return;
-  for (uint32_t i = 0; i < change->count; i++)
+  for (uint32_t i = 0; i < change->members.count; i++)
     {
-      Member *member = &change->members[i];
+      LeadMember *member = &change->members.items[i];
 
       member->paused = member->answered && member->report.held_term == change->fence;
     }
@@ -575,61 +430,38 @@
   enter (change, LEAD_WAITING, situation->now_ms);
 }
 
-static uint32_t
-paused_count (const LeadChange *change)
-{
-  uint32_t count = 0;
-
-  for (uint32_t i = 0; i < change->count; i++)
-    count += change->members[i].paused;
-  return count;
-}
-
 /* Whether some paused log must hold every commit that was ever acknowledged. */
 static bool
-logs_suffice (const LeadChange *change, const LeadSituation *situation, const Member *best)
+logs_suffice (const LeadChange *change, const LeadSituation *situation, const LeadMember *best)
 {
-  if (paused_count (change) + situation->synchronous >= change->size)
+  if (lead_members_paused (&change->members) + situation->synchronous >= change->members.size)
     return true;
   return situation->all_obey && situation->all_tell
          && session_token_compare (best->report.received, situation->committed) >= 0;
 }
 
-static bool
-is_contested (const LeadChange *change)
-{
-  for (uint32_t i = 0; i < change->count; i++)
-    {
-      const Member *member = &change->members[i];
-
-      if (member->paused && member->answered && member->report.held_term != change->fence)
-        return true;
-    }
-  return false;
-}
-
 static void
 step_waiting (LeadChange *change, const LeadSituation *situation)
 {
   const int64_t now_ms = situation->now_ms;
-  const Member *leader;
-  Member *best;
+  const LeadMember *leader;
+  const LeadMember *best;
 
-  if (!all_heard_ended (change))
+  if (!lead_members_heard_ended (&change->members))
     return;
-  if (is_contested (change))
+  if (lead_members_is_contested (&change->members, change->fence))
     {
       end_change (change, false, now_ms);
       return;
     }
-  leader = leading_member (change, change->term);
+  leader = lead_members_leading (&change->members, change->term);
   if ((leader != NULL && (!change->stuck || leader->report.term > change->term))
       || now_ms - change->started_ms > WAIT_LIMIT_MS)
     {
       end_change (change, true, now_ms);
       return;
     }
-  best = best_member (change, false);
+  best = lead_members_best (&change->members, true);
   if (best == NULL || !logs_suffice (change, situation, best)
       || (!situation->all_obey && now_ms - change->paused_ms < change->options.right_ms))
     {
@@ -683,7 +515,7 @@
 step_confirming (LeadChange *change, const LeadSituation *situation)
 {
   const int64_t now_ms = situation->now_ms;
-  Member *candidate = find_member (change, change->candidate);
+  LeadMember *candidate = lead_members_find (&change->members, change->candidate);
 
   if (candidate != NULL && candidate->answered && candidate->report.primary
       && candidate->report.term > change->term)
--- a/src/policy/lead-change.h
+++ b/src/policy/lead-change.h
@@ -7,10 +7,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "policy/group-order.h"
+#include "policy/lead-members.h"
 
-/** Instances of one group that are told apart. */
-#define LEAD_MEMBERS_MAX 16
 /** Actions that one step can ask for. */
 #define LEAD_ACTIONS_MAX (2 * LEAD_MEMBERS_MAX)
 
