Reads leave the primary to writes also when a replica is some tens of milliseconds slower

A read on the primary now weighs 60 ms more (25 before), asking a replica that is probably behind 95 (60), so that a commit of a moment ago is still read where it is for sure (place-read, unchanged).

--- a/src/policy/placement.c
+++ b/src/policy/placement.c
@@ -1,13 +1,13 @@
 #include "policy/placement.h"
 
 /* Work that writes need the primary for weighs this much against a read there. */
-#define PRIMARY_PENALTY_MS 25
+#define PRIMARY_PENALTY_MS 60
 /* A zone away costs a hop and some money. */
 #define DOMAIN_PENALTY_MS 4
 /* The link between regions is narrow and paid for by volume. */
 #define REGION_PENALTY_MS 90
 /* A refusal means another round trip, at least. */
-#define BEHIND_PENALTY_MS 60
+#define BEHIND_PENALTY_MS 95
 #define REFUSED_PENALTY_MS 400
 /* An instance that leaves is asked only when no other can serve. */
 #define LEAVING_PENALTY_MS 100000
