The age of a list of instances is told with it

Cause: the three hosts that read the list for all were the ones that the store turned away. The others told each other of lists that they had read up to 4.5 s before, and each took what it heard for news of that moment: nobody read for 9 s (reader lines: hut-3 at 19.54 and 28.52 s).

Now a beat tells how old the reading is, counted from its sending, and a host that knows of no reading younger than 3 s and a turn of beats reads often itself.

--- a/src/cli/pool.c
+++ b/src/cli/pool.c
@@ -150,7 +150,10 @@
   if (daemon->discovery == NULL)
     return;
   beat->instances_hash = discovery_instances_hash (daemon->discovery);
-  discovery_set_reader (daemon->discovery, peer_mesh_rank (daemon->mesh) < STORE_READERS);
+  if (beat->instances_hash != 0)
+    beat->instances_age = (uint32_t) discovery_instances_age_ms (daemon->discovery);
+  discovery_set_reader (daemon->discovery, peer_mesh_rank (daemon->mesh) < STORE_READERS,
+                        peer_mesh_period_ms (daemon->mesh));
 }
 
 static void
@@ -188,7 +191,7 @@
 }
 
 static void
-on_heard (void *data, const struct sockaddr_in *from, const Pool__Beat *beat)
+on_heard (void *data, const struct sockaddr_in *from, const Pool__Beat *beat, int64_t sent_ms)
 {
   PoolDaemon *daemon = data;
   const Catalog *catalog = pool_server_catalog (daemon->server);
@@ -199,7 +202,8 @@
   if ((catalog == NULL || beat->config_version >= catalog->version) && beat->instances_hash != 0
       && inet_ntop (AF_INET, &from->sin_addr, address, sizeof address))
     snapshot_exchange_prefer (daemon->exchange, address);
-  discovery_hear (daemon->discovery, beat->config_version, beat->instances_hash);
+  discovery_hear (daemon->discovery, beat->config_version, beat->instances_hash,
+                  sent_ms == 0 ? 0 : sent_ms - beat->instances_age);
 }
 
 static void
--- a/src/pool/beat.pb-c.c
+++ b/src/pool/beat.pb-c.c
@@ -317,7 +317,7 @@
   (ProtobufCMessageInit) pool__service_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool__beat__field_descriptors[10] =
+static const ProtobufCFieldDescriptor pool__beat__field_descriptors[11] =
 {
   {
     "sender",
@@ -439,12 +439,25 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "instances_age",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pool__Beat, instances_age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool__beat__field_indices_by_name[] = {
   1,   /* field[1] = boot */
   6,   /* field[6] = config_version */
   3,   /* field[3] = echo */
   4,   /* field[4] = echo_age */
+  10,   /* field[10] = instances_age */
   8,   /* field[8] = instances_hash */
   9,   /* field[9] = known */
   5,   /* field[5] = leaving */
@@ -455,7 +468,7 @@
 static const ProtobufCIntRange pool__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 10 }
+  { 0, 11 }
 };
 const ProtobufCMessageDescriptor pool__beat__descriptor =
 {
@@ -465,7 +478,7 @@
   "Pool__Beat",
   "pool",
   sizeof(Pool__Beat),
-  10,
+  11,
   pool__beat__field_descriptors,
   pool__beat__field_indices_by_name,
   1,  pool__beat__number_ranges,
--- a/src/pool/beat.pb-c.h
+++ b/src/pool/beat.pb-c.h
@@ -99,9 +99,13 @@
   size_t n_services;
   Pool__ServiceBeat **services;
   /*
-   * of the list of instances that the sender read; 0 for none
+   * of the list of instances that the sender read; 0 for none ...
    */
   uint32_t instances_hash;
+  /*
+   * ... and the time since it was read
+   */
+  uint32_t instances_age;
   /*
    * Hosts that the sender knows, for a receiver that it has just heard for the first time: IPv4
    * address in the high half, port in the low one.
@@ -111,7 +115,7 @@
 };
 #define POOL__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL }
 
 
 /* Pool__ServiceBeat methods */
--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -16,9 +16,11 @@
 #define INSTANCES_SPACING_MS 300
 /* Time for a call, with connecting. */
 #define CALL_LIMIT_MS 1500
-/* A list is told to others while it is this fresh, and a host that hears of none for as long
- * reads often itself. */
+/* A list is told to others while it is this fresh. */
 #define NEWS_FRESH_MS 4500
+/* A host that knows of no reading younger than this, and a turn of beats, reads often itself:
+ * instances leave seconds after they said so. */
+#define NEWS_LIMIT_MS 3000
 /* Configurations are fetched on hearsay at most this often. */
 #define FETCH_SPACING_MS 800
 /* A host that starts asks another if the store has not answered by then. */
@@ -43,7 +45,7 @@
   bool store_lost;
   bool reader;
   int64_t read_done_ms;  /* the list was last read with success */
-  int64_t heard_news_ms; /* another host told of a list that it had just read */
+  int64_t heard_news_ms; /* another host read the list then, as it told */
   int64_t fetched_ms;
   bool fetching; /* the configuration, because another host has a newer one */
   uint64_t version;
@@ -235,12 +237,12 @@
 }
 
 void
-discovery_set_reader (Discovery *discovery, bool reader)
+discovery_set_reader (Discovery *discovery, bool reader, int64_t turn_ms)
 {
-  const int64_t now_ms = clock_now_ms ();
+  const int64_t news_ms = MAX (discovery->heard_news_ms, discovery->read_done_ms);
 
   // The hosts that should read may be out of reach of the store, or of this host.
-  reader = reader || now_ms - discovery->heard_news_ms > NEWS_FRESH_MS;
+  reader = reader || clock_now_ms () - news_ms > NEWS_LIMIT_MS + turn_ms;
   if (discovery->reader == reader)
     return;
   discovery->reader = reader;
@@ -263,13 +265,13 @@
 }
 
 void
-discovery_hear (Discovery *discovery, uint64_t version, uint32_t hash)
+discovery_hear (Discovery *discovery, uint64_t version, uint32_t hash, int64_t read_ms)
 {
   const Directory *directory = discovery->options.directory;
   const int64_t now_ms = clock_now_ms ();
 
   if (hash != 0)
-    discovery->heard_news_ms = now_ms;
+    discovery->heard_news_ms = MAX (discovery->heard_news_ms, read_ms);
   discovery->heard_version = MAX (discovery->heard_version, version);
   if (version > discovery->version
       && (discovery->store_lost
@@ -298,3 +300,9 @@
     return 0;
   return instance_list_hash (&discovery->list);
 }
+
+int64_t
+discovery_instances_age_ms (const Discovery *discovery)
+{
+  return clock_now_ms () - discovery->read_done_ms;
+}
--- a/src/pool/discovery.h
+++ b/src/pool/discovery.h
@@ -37,9 +37,9 @@
 
 /**
  * discovery_set_reader() - Whether this host is one of the few that read often; the others read
- * when they hear of news.
+ * when they hear of news, or know of no recent reading. @turn_ms: time in which each host is told.
  */
-void discovery_set_reader (Discovery *discovery, bool reader);
+void discovery_set_reader (Discovery *discovery, bool reader, int64_t turn_ms);
 
 /** discovery_take_snapshot() - What another host knows; older news are passed over. */
 void discovery_take_snapshot (Discovery *discovery, const Snapshot *snapshot);
@@ -47,11 +47,17 @@
 /** discovery_fill_snapshot() - Puts in the list of instances as this host knows it. */
 void discovery_fill_snapshot (const Discovery *discovery, Snapshot *snapshot);
 
-/** discovery_hear() - Another host has configuration @version and a list with @hash. */
-void discovery_hear (Discovery *discovery, uint64_t version, uint32_t hash);
+/**
+ * discovery_hear() - Another host has configuration @version, and read a list with @hash at
+ * @read_ms or later; @hash is 0 if it read none lately.
+ */
+void discovery_hear (Discovery *discovery, uint64_t version, uint32_t hash, int64_t read_ms);
 
 /** discovery_instances_hash() - Of the list, if it was read lately; 0 else. */
 uint32_t discovery_instances_hash (const Discovery *discovery);
 
+/** discovery_instances_age_ms() - Time since it was read. */
+int64_t discovery_instances_age_ms (const Discovery *discovery);
+
 /** discovery_look() - The list of instances may be out of date: read it soon. */
 void discovery_look (Discovery *discovery);
--- a/src/pool/peer-mesh.c
+++ b/src/pool/peer-mesh.c
@@ -296,13 +296,14 @@
   // It was sent after the beat that it echoes, so this is no later than its sending.
   if (beat->echo != 0)
     sent_ms = (int64_t) beat->echo + beat->echo_age;
-  mesh->options.heard (mesh->options.data, &peer->address, beat);
+  if (sent_ms > now_ms)
+    sent_ms = 0;
+  mesh->options.heard (mesh->options.data, &peer->address, beat, sent_ms);
   take_known (mesh, beat);
   if (appeared)
     introduce (mesh, peer);
   for (size_t i = 0; i < beat->n_services; i++)
-    mesh->options.take (mesh->options.data, beat->sender, beat->services[i],
-                        sent_ms <= now_ms ? sent_ms : 0);
+    mesh->options.take (mesh->options.data, beat->sender, beat->services[i], sent_ms);
 }
 
 static void
--- a/src/pool/peer-mesh.h
+++ b/src/pool/peer-mesh.h
@@ -25,8 +25,8 @@
  * @host: unique name of this host.
  * @fill: adds the services to a beat that is about to be sent.
  * @heard: what the host at @from said of the store.
- * @take: what @peer said of one service. @sent_ms is the earliest time on this host's clock
- *   at which it may have said so; 0 while that is not known.
+ * @take: what @peer said of one service. @sent_ms is, here and there, the earliest time on this
+ *   host's clock at which it may have said so; 0 while that is not known.
  * @ended: nothing more will be heard of @peer in this life.
  */
 typedef struct
@@ -38,7 +38,8 @@
   const char *address;
   uint16_t port;
   void (*fill) (void *data, Pool__Beat *beat);
-  void (*heard) (void *data, const struct sockaddr_in *from, const Pool__Beat *beat);
+  void (*heard) (void *data, const struct sockaddr_in *from, const Pool__Beat *beat,
+                 int64_t sent_ms);
   void (*take) (void *data, uint64_t peer, const Pool__ServiceBeat *beat, int64_t sent_ms);
   void (*ended) (void *data, uint64_t peer);
   void *data;
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -201,7 +201,7 @@
 }
 
 static void
-on_heard (void *data, const struct sockaddr_in *from, const Pool__Beat *beat)
+on_heard (void *data, const struct sockaddr_in *from, const Pool__Beat *beat, int64_t sent_ms)
 {
 }
 
--- a/tests/script-snapshot.c
+++ b/tests/script-snapshot.c
@@ -14,6 +14,7 @@
 
 #define HOSTS_MAX 4
 #define POLL_MS 10
+#define GOSSIP_MS 100
 
 typedef struct State State;
 
@@ -307,16 +308,34 @@
   g_error ("no host %s", name);
 }
 
-/* hear NAME OTHER: a beat of the other host arrives */
 static void
-hear (State *state, char **words)
+hear_host (Host *host, const Host *other)
 {
-  Host *host = find_host (state, script_word (words, 1));
-  const Host *other = find_host (state, script_word (words, 2));
-
+  if (other->catalog == NULL)
+    return;
   snapshot_exchange_prefer (host->exchange, other->address);
   discovery_hear (host->discovery, other->catalog->version,
-                  discovery_instances_hash (other->discovery));
+                  discovery_instances_hash (other->discovery),
+                  clock_now_ms () - discovery_instances_age_ms (other->discovery));
+}
+
+/* gossip DURATION: all hosts hear each other all the while, and none is to read often */
+static void
+gossip (State *state, gint64 duration_ms)
+{
+  const gint64 until_ms = clock_now_ms () + duration_ms;
+
+  while (clock_now_ms () < until_ms)
+    {
+      for (guint i = 0; i < state->host_count; i++)
+        {
+          for (guint k = 0; k < state->host_count; k++)
+            if (i != k)
+              hear_host (state->hosts[i], state->hosts[k]);
+          discovery_set_reader (state->hosts[i]->discovery, false, GOSSIP_MS);
+        }
+      run_for (state, GOSSIP_MS);
+    }
 }
 
 static void
@@ -351,7 +370,10 @@
   else if (strcmp (verb, "finds") == 0)
     find_host (state, script_word (words, 1))->store = store_state (script_word (words, 2));
   else if (strcmp (verb, "hear") == 0)
-    hear (state, words);
+    hear_host (find_host (state, script_word (words, 1)),
+               find_host (state, script_word (words, 2)));
+  else if (strcmp (verb, "gossip") == 0)
+    gossip (state, script_number (words, 1));
   else if (strcmp (verb, "run") == 0)
     run_for (state, script_number (words, 1));
   else if (strcmp (verb, "print") == 0)
