Remove a comment that was left over a function it does not describe

Found by reading the whole change: the words on silent instances belong to lead_members_heard_ended(), whose header has them; the split into lead-members left a copy above ask_all(). The object code of the file is the same, byte for byte (without debug information); run-tests 120 of 120.

--- a/src/policy/lead-change.c
+++ b/src/policy/lead-change.c
@@ -167,8 +167,6 @@
   };
 }
 
-/* The same, but for those that are silent: what the others say gets old while they are waited
- * for. */
 static void
 ask_all (LeadChange *change, int64_t now_ms)
 {
