Let the old primary step down before replicas resume

After all hosts were killed one of them found the slow primary unanswering, paused both replicas, waited for the leases to run out and promoted one. Then it resumed the other replica, which went on under the old primary (it still reported term 1): commits there ended again, and status reports of that replica gave leases to hosts that had not heard of the change. Change: a change of primary has one more phase, retiring. The old primary is told to step down, and the replicas resume when it has, when it is certainly down (it refuses connections), or after 950 ms of silence, by which it steps down by itself if it reaches its successor; and not while a host that this one hears from still relies on another primary, for 3 s at most. Tests: primary-change-old-primary-acts and -silent failed before (the replica resumed at once).

--- a/src/policy/lead-change.c
+++ b/src/policy/lead-change.c
@@ -24,6 +24,11 @@
 #define CONFIRM_POLL_MS 50
 /* A promotion that is not confirmed after this time is considered failed. */
 #define CONFIRM_LIMIT_MS 2500
+/* A primary that does not answer the command to step down does so by itself about a second after it
+ * reaches its successor. */
+#define RETIRE_LIMIT_MS 950
+/* The replicas resume after this time even if some host still relies on that primary. */
+#define FOLLOW_LIMIT_MS 3000
 /* A report is too old for a promotion after this time: this host may have been suspended since,
  * and another one may have changed the primary. */
 #define REPORT_VALID_MS 250
@@ -66,6 +71,7 @@
     [PRIMARY_CHANGE_WAITING] = "waiting",
     [PRIMARY_CHANGE_PROMOTING] = "promoting",
     [PRIMARY_CHANGE_CONFIRMING] = "confirming",
+    [PRIMARY_CHANGE_RETIRING] = "retiring",
   };
 
   return names[phase];
@@ -134,6 +140,12 @@
   change_members_record_timeout (&change->members, key);
 }
 
+void
+primary_change_record_down (PrimaryChange *change, uint32_t key)
+{
+  change_members_record_down (&change->members, key);
+}
+
 PrimaryChangePhase
 primary_change_phase (const PrimaryChange *change)
 {
@@ -518,6 +530,24 @@
   start_querying (change, input->now_ms);
 }
 
+/* A resumed replica follows the primary that it knows until it learns of the new one. While the old
+ * primary acts, commits there would end again, and hosts that have not heard of the change would
+ * acknowledge them. */
+static void
+step_retiring (PrimaryChange *change, const PrimaryChangeInput *input)
+{
+  const int64_t now_ms = input->now_ms;
+  ChangeMember *old = change_members_find_unretired (&change->members, change->candidate);
+
+  if (old == NULL || now_ms - change->phase_ms > FOLLOW_LIMIT_MS
+      || (input->all_follow && now_ms - change->phase_ms > RETIRE_LIMIT_MS))
+    {
+      end_change (change, true, now_ms);
+      return;
+    }
+  send_command (change, old, INSTANCE_COMMAND_STEP_DOWN, now_ms);
+}
+
 static void
 step_confirming (PrimaryChange *change, const PrimaryChangeInput *input)
 {
@@ -527,7 +557,8 @@
   if (candidate != NULL && candidate->responded && candidate->report.primary
       && candidate->report.term > change->term)
     {
-      end_change (change, true, now_ms);
+      enter_phase (change, PRIMARY_CHANGE_RETIRING, now_ms);
+      step_retiring (change, input);
       return;
     }
   if (candidate == NULL || now_ms - change->phase_ms > CONFIRM_LIMIT_MS)
@@ -596,6 +627,9 @@
     case PRIMARY_CHANGE_CONFIRMING:
       step_confirming (change, input);
       break;
+    case PRIMARY_CHANGE_RETIRING:
+      step_retiring (change, input);
+      break;
     case PRIMARY_CHANGE_PHASE_COUNT:
       break;
     }
--- a/src/policy/lead-change.h
+++ b/src/policy/lead-change.h
@@ -24,6 +24,7 @@
   PRIMARY_CHANGE_WAITING,    /* until no host relies on the old primary and enough logs are known */
   PRIMARY_CHANGE_PROMOTING,  /* the promotion request is in progress */
   PRIMARY_CHANGE_CONFIRMING, /* until the new primary reports that it is the primary */
+  PRIMARY_CHANGE_RETIRING,   /* until the old primary has stepped down, before replicas resume */
   PRIMARY_CHANGE_PHASE_COUNT
 } PrimaryChangePhase;
 
@@ -55,6 +56,7 @@
  * @all_acknowledged: every other host has confirmed that it no longer relies on the primary.
  * @all_know_position: all of them know a position of the primary in its term, so that @committed
  *   is valid.
+ * @all_follow: all of them that this host hears from rely on @primary.
  * @committed: none of them has acknowledged, or will acknowledge, a commit beyond it.
  * @synchronous: number of replicas that hold a commit before it is acknowledged.
  */
@@ -73,6 +75,7 @@
   uint64_t highest_fencing_token;
   bool all_acknowledged;
   bool all_know_position;
+  bool all_follow;
   SessionToken committed;
   uint32_t synchronous;
 } PrimaryChangeInput;
@@ -123,6 +126,10 @@
 /** primary_change_record_timeout() - @member did not answer a command. */
 void primary_change_record_timeout (PrimaryChange *change, uint32_t member);
 
+/** primary_change_record_down() - @member refused the connection for a command: it is not running.
+ */
+void primary_change_record_down (PrimaryChange *change, uint32_t member);
+
 /** primary_change_promotion_ended() - The promotion request ended. */
 void primary_change_promotion_ended (PrimaryChange *change, PromotionResult result, int64_t now_ms);
 
--- a/src/policy/lead-members.c
+++ b/src/policy/lead-members.c
@@ -56,7 +56,7 @@
     return;
   member->pending = false;
   member->responded = true;
-  member->unresponsive = false;
+  member->unresponsive = member->down = false;
   member->report = *report;
   member->report_ms = now_ms;
 }
@@ -71,6 +71,32 @@
   member->pending = false;
   member->responded = false;
   member->unresponsive = true;
+  member->down = false;
+}
+
+void
+change_members_record_down (ChangeMembers *members, uint32_t key)
+{
+  ChangeMember *member = change_members_find (members, key);
+
+  if (member == NULL)
+    return;
+  change_members_record_timeout (members, key);
+  member->down = true;
+}
+
+ChangeMember *
+change_members_find_unretired (ChangeMembers *members, uint32_t successor)
+{
+  for (uint32_t i = 0; i < members->count; i++)
+    {
+      ChangeMember *member = &members->items[i];
+      const bool is_replica = member->paused || (member->responded && !member->report.primary);
+
+      if (member->key != successor && !member->down && !is_replica)
+        return member;
+    }
+  return NULL;
 }
 
 bool
--- a/src/policy/lead-members.h
+++ b/src/policy/lead-members.h
@@ -17,6 +17,7 @@
  * @key: its identifier in the change. @leaving: it is leaving.
  * @pending: a command is in progress. @responded: it answered the last command.
  * @unresponsive: it did not answer the last command that ended.
+ * @down: the same, and it refused the connection, so that it is not running.
  * @report, @report_ms: its last answer and when that arrived.
  * @paused: it was paused by this change.
  */
@@ -27,6 +28,7 @@
   bool pending;
   bool responded;
   bool unresponsive;
+  bool down;
   int64_t report_ms;
   InstanceReport report;
   bool paused;
@@ -59,6 +61,15 @@
 /** change_members_record_timeout() - The instance did not answer a command. */
 void change_members_record_timeout (ChangeMembers *members, uint32_t key);
 
+/** change_members_record_down() - The instance is not running. */
+void change_members_record_down (ChangeMembers *members, uint32_t key);
+
+/**
+ * change_members_find_unretired() - An instance other than @successor that may still act as a
+ * primary of an earlier term; %NULL for none.
+ */
+ChangeMember *change_members_find_unretired (ChangeMembers *members, uint32_t successor);
+
 /** change_members_all_done() - Whether no command is in progress. */
 bool change_members_all_done (const ChangeMembers *members);
 
--- a/src/pool/lead-driver.c
+++ b/src/pool/lead-driver.c
@@ -330,6 +330,7 @@
   if (silent_ms >= fresh_ms)
     return;
   input->hosts++;
+  input->all_follow &= view->primary == input->primary;
   if (view->suspect && view->primary == input->primary)
     input->votes++;
   if (view->commits_stalled && view->primary == input->primary)
@@ -357,6 +358,7 @@
     .hosts = 1,
     .highest_fencing_token = manager->highest_fencing_token,
     .all_acknowledged = true,
+    .all_follow = true,
     .all_know_position = view.position.at_ms > 0,
     .committed = view.committed,
     .synchronous = manager->synchronous,
@@ -400,13 +402,15 @@
         service_group_record_report (manager->options.group, member, report, sent_ms);
       primary_change_record_report (manager->change, context->member, report, clock_now_ms ());
     }
+  else if (result == COMMAND_UNREACHABLE)
+    primary_change_record_down (manager->change, context->member);
   else
     primary_change_record_timeout (manager->change, context->member);
   talloc_free (context);
   run_step (manager);
   // No other host can have changed the primary during this host's change, so it leads for certain.
-  if (confirming && primary_change_phase (manager->change) == PRIMARY_CHANGE_IDLE && report != NULL
-      && result == COMMAND_ANSWERED && report->primary)
+  if (confirming && primary_change_phase (manager->change) != PRIMARY_CHANGE_CONFIRMING
+      && report != NULL && result == COMMAND_ANSWERED && report->primary)
     {
       service_group_confirm_primary (manager->options.group, sent_ms);
       pool_metrics_add (manager->options.metrics, POOL_LATENCY_CHANGE,
@@ -493,10 +497,11 @@
 update_fence (PrimaryChangeManager *manager, const PrimaryChangeInput *input)
 {
   const uint64_t own_token = primary_change_fencing_token (manager->change);
-  const uint64_t highest = MAX (input->peer_fencing_token, own_token);
+  const bool own_done = primary_change_fencing_token_term (own_token) <= input->term;
+  const uint64_t highest = MAX (input->peer_fencing_token, own_done ? 0 : own_token);
   const uint64_t acknowledged = own_token == 0 ? input->peer_fencing_token : 0;
 
-  manager->highest_fencing_token = MAX (manager->highest_fencing_token, highest);
+  manager->highest_fencing_token = MAX (manager->highest_fencing_token, MAX (highest, own_token));
   service_group_set_fenced (manager->options.group, highest != 0);
   if (manager->acknowledged_token == acknowledged)
     return;
--- a/tests/script-primary-change.c
+++ b/tests/script-primary-change.c
@@ -92,9 +92,12 @@
 
   g_strlcpy (host->name, script_word (words, 1), sizeof host->name);
   host->change = primary_change_new (&options);
-  host->input = (PrimaryChangeInput){
-    .hosts = 1, .votes = 1, .all_acknowledged = true, .all_know_position = true, .synchronous = 1
-  };
+  host->input = (PrimaryChangeInput){ .hosts = 1,
+                                      .votes = 1,
+                                      .all_acknowledged = true,
+                                      .all_know_position = true,
+                                      .all_follow = true,
+                                      .synchronous = 1 };
 }
 
 /* instance NAME primary|replica TERM POSITION */
@@ -138,6 +141,8 @@
     input->all_acknowledged = value != 0;
   else if (strcmp (key, "positions-known") == 0)
     input->all_know_position = value != 0;
+  else if (strcmp (key, "following") == 0)
+    input->all_follow = value != 0;
   else if (strcmp (key, "committed") == 0)
     input->committed = (SessionToken){ input->term, (guint64) value };
   else
@@ -211,6 +216,8 @@
 }
 
 /*
+ * answer HOST TIME down [INSTANCE...]: all pending commands are answered, but the named instances
+ * refuse connections
  * answer HOST TIME [but INSTANCE...]: all pending commands are answered, except by the named
  * instances, which time out
  * answer HOST TIME only INSTANCE...: only the named instances have answered so far
@@ -220,6 +227,7 @@
 {
   Host *host = find_host (state, script_word (words, 1));
   const bool only = strcmp (script_word (words, 3), "only") == 0;
+  const bool down = strcmp (script_word (words, 3), "down") == 0;
   guint32 left = 0;
 
   for (guint32 i = 0; i < host->pending_count; i++)
@@ -233,6 +241,11 @@
           host->pending[left++] = action;
           continue;
         }
+      if (down && named)
+        {
+          primary_change_record_down (host->change, action.member);
+          continue;
+        }
       if (!only && named)
         {
           primary_change_record_timeout (host->change, action.member);
