--- a/src/base/counters.c
+++ b/src/base/counters.c
@@ -15,6 +15,8 @@
   [COUNTER_CALLERS_OPEN] = { "callers_open", "gauge", "Caller connections open" },
   [COUNTER_PROTOCOL_ERRORS] = { "protocol_errors_total", "counter", "Malformed caller input" },
   [COUNTER_STATEMENTS] = { "statements_total", "counter", "Statements received" },
+  [COUNTER_STATEMENTS_FORWARDED]
+  = { "statements_forwarded_total", "counter", "Statements forwarded to an owner" },
   [COUNTER_STATEMENTS_RAN] = { "statements_ran_total", "counter", "Statements answered" },
   [COUNTER_STATEMENTS_NOT_RUN]
   = { "statements_not_run_total", "counter", "Statements rejected without running" },
--- a/src/cli/pool.c
+++ b/src/cli/pool.c
@@ -33,7 +33,10 @@
   { "domains", SETTING_TEXT, "{}", 0, 0, "JSON table of all failure domains and their regions" },
   { "listen", SETTING_TEXT, NULL, 0, 0, "IP:PORT for callers" },
   { "status-listen", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the readiness and metrics pages" },
-  { "peer-port", SETTING_NUMBER, "7440", 0, 65535, "UDP and TCP port for the other hosts" },
+  { "peer-port", SETTING_NUMBER, "7440", 0, 65535,
+    "port for the other hosts (UDP and TCP), and the next one (TCP)" },
+  { "owners-from", SETTING_NUMBER, "17", 2, 1000000,
+    "hosts from which on a few of them hold the connections to each service" },
   { "descriptor-limit", SETTING_NUMBER, "4096", 300, 1000000, "descriptors the process may open" },
   { "store", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the platform's store" },
   { "promoter", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the platform's promote call" },
@@ -51,6 +54,9 @@
 #define DRAIN_POLL_MS 100
 /* Number of hosts that poll the store often; several, as some may be unable to reach it. */
 #define STORE_READERS 3
+/* The same in each failure domain of a fleet with owners, and hosts there that take over. */
+#define DOMAIN_READERS 2
+#define DOMAIN_STANDBY_READERS 6
 /* Interval for checking whether the settings file has changed. */
 #define FILE_POLL_MS 2000
 /* File descriptors reserved for connections to instances and to the store, and for files. */
@@ -141,19 +147,42 @@
   pool_server_set_hosts_known (daemon->server);
 }
 
+/* Which hosts read the store often: a few of the fleet, or of each failure domain if it is large.
+ */
+static void
+set_reader (PoolDaemon *daemon)
+{
+  const bool owners = peer_mesh_has_owners (daemon->mesh);
+  const uint32_t rank
+      = owners ? peer_mesh_domain_rank (daemon->mesh) : peer_mesh_rank (daemon->mesh);
+  const ReaderRole role = {
+    .reader = rank < (owners ? DOMAIN_READERS : STORE_READERS),
+    .standby = !owners || rank < DOMAIN_STANDBY_READERS,
+    .follower = owners,
+    .round_ms = peer_mesh_round_ms (daemon->mesh),
+  };
+
+  discovery_set_role (daemon->discovery, &role);
+}
+
 static void
-fill_heartbeat (void *data, Pool__Beat *heartbeat)
+fill_heartbeat (void *data, Pool__Beat *heartbeat, bool services)
 {
   PoolDaemon *daemon = data;
 
-  pool_server_fill_heartbeat (daemon->server, heartbeat);
+  pool_server_fill_heartbeat (daemon->server, heartbeat, services);
   if (daemon->discovery == NULL)
     return;
   heartbeat->instances_hash = discovery_instances_hash (daemon->discovery);
   if (heartbeat->instances_hash != 0)
     heartbeat->instances_age = (uint32_t) discovery_instances_age_ms (daemon->discovery);
-  discovery_set_reader (daemon->discovery, peer_mesh_rank (daemon->mesh) < STORE_READERS,
-                        peer_mesh_round_ms (daemon->mesh));
+  set_reader (daemon);
+}
+
+static void
+send_services (void *data)
+{
+  pool_server_send_services (((PoolDaemon *) data)->server);
 }
 
 static void
@@ -202,7 +231,8 @@
   if (daemon->discovery == NULL)
     return;
   if ((catalog == NULL || heartbeat->config_version >= catalog->version)
-      && heartbeat->instances_hash != 0
+      && (heartbeat->instances_hash != 0
+          || (catalog != NULL && heartbeat->config_version > catalog->version))
       && inet_ntop (AF_INET, &from->sin_addr, address, sizeof address))
     snapshot_exchange_prefer (daemon->exchange, address);
   discovery_record_peer (daemon->discovery, heartbeat->config_version, heartbeat->instances_hash,
@@ -210,12 +240,12 @@
 }
 
 static void
-on_service_heartbeat (void *data, uint64_t peer, const Pool__ServiceBeat *heartbeat,
-                      int64_t sent_ms)
+on_service_heartbeat (void *data, uint64_t peer, uint64_t address,
+                      const Pool__ServiceBeat *heartbeat, int64_t sent_ms)
 {
   PoolDaemon *daemon = data;
 
-  pool_server_receive_heartbeat (daemon->server, peer, heartbeat, sent_ms);
+  pool_server_receive_heartbeat (daemon->server, peer, address, heartbeat, sent_ms);
 }
 
 static void
@@ -367,6 +397,7 @@
     .failure_domain = settings_text (settings, "failure-domain"),
     .region = settings_text (settings, "region"),
     .address = address,
+    .link_port = (uint16_t) (settings_number (settings, "peer-port") + 1),
     .session_limit = (uint32_t) settings_number (settings, "descriptor-limit") - DESCRIPTOR_RESERVE,
     .domain_region = domains,
     .codec = &platform_line_codec,
@@ -384,7 +415,12 @@
     .host = options.host,
     .address = address,
     .port = (uint16_t) settings_number (settings, "peer-port"),
+    .failure_domain = options.failure_domain,
+    .region = options.region,
+    .domain_region = domains,
+    .owners_from = (uint32_t) settings_number (settings, "owners-from"),
     .fill_heartbeat = fill_heartbeat,
+    .send_services = send_services,
     .heartbeat_received = on_heartbeat,
     .service_received = on_service_heartbeat,
     .peer_gone = on_peer_gone,
@@ -449,6 +485,8 @@
 
   daemon->discovery = discovery_new (daemon, &options);
   g_strlcpy (registry.self.id, settings_text (settings, "host"), sizeof registry.self.id);
+  g_strlcpy (registry.self.failure_domain, settings_text (settings, "failure-domain"),
+             sizeof registry.self.failure_domain);
   platform_format_address (settings_text (settings, "listen"), registry.self.address,
                            &registry.self.port);
   registry.self.port = (uint16_t) settings_number (settings, "peer-port");
--- a/src/pool/beat.pb-c.c
+++ b/src/pool/beat.pb-c.c
@@ -97,7 +97,7 @@
   assert(message->base.descriptor == &pool__beat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor pool__service_beat__field_descriptors[15] =
+static const ProtobufCFieldDescriptor pool__service_beat__field_descriptors[17] =
 {
   {
     "service",
@@ -279,6 +279,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "owners",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Pool__ServiceBeat, n_owners),
+    offsetof(Pool__ServiceBeat, owners),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "released",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pool__ServiceBeat, released),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool__service_beat__field_indices_by_name[] = {
   11,   /* field[11] = committed */
@@ -286,11 +310,13 @@
   8,   /* field[8] = fence */
   9,   /* field[9] = fence_obeyed */
   12,   /* field[12] = instances */
+  15,   /* field[15] = owners */
   5,   /* field[5] = position */
   6,   /* field[6] = position_age */
   4,   /* field[4] = position_term */
   1,   /* field[1] = primary */
   3,   /* field[3] = proof_age */
+  16,   /* field[16] = released */
   0,   /* field[0] = service */
   14,   /* field[14] = stuck */
   7,   /* field[7] = suspect */
@@ -300,7 +326,7 @@
 static const ProtobufCIntRange pool__service_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor pool__service_beat__descriptor =
 {
@@ -310,14 +336,14 @@
   "Pool__ServiceBeat",
   "pool",
   sizeof(Pool__ServiceBeat),
-  15,
+  17,
   pool__service_beat__field_descriptors,
   pool__service_beat__field_indices_by_name,
   1,  pool__service_beat__number_ranges,
   (ProtobufCMessageInit) pool__service_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool__beat__field_descriptors[11] =
+static const ProtobufCFieldDescriptor pool__beat__field_descriptors[13] =
 {
   {
     "sender",
@@ -451,12 +477,38 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failure_domain",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED32,
+    0,   /* quantifier_offset */
+    offsetof(Pool__Beat, failure_domain),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "draining",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pool__Beat, draining),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool__beat__field_indices_by_name[] = {
   1,   /* field[1] = boot */
   6,   /* field[6] = config_version */
+  12,   /* field[12] = draining */
   3,   /* field[3] = echo */
   4,   /* field[4] = echo_age */
+  11,   /* field[11] = failure_domain */
   10,   /* field[10] = instances_age */
   8,   /* field[8] = instances_hash */
   9,   /* field[9] = known */
@@ -468,7 +520,7 @@
 static const ProtobufCIntRange pool__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor pool__beat__descriptor =
 {
@@ -478,7 +530,7 @@
   "Pool__Beat",
   "pool",
   sizeof(Pool__Beat),
-  11,
+  13,
   pool__beat__field_descriptors,
   pool__beat__field_indices_by_name,
   1,  pool__beat__number_ranges,
--- a/src/pool/beat.pb-c.h
+++ b/src/pool/beat.pb-c.h
@@ -77,10 +77,19 @@
    */
   size_t n_wanted;
   uint32_t *wanted;
+  /*
+   * Hosts that the sender knows as owners of the service, as in Beat.known; some in each heartbeat.
+   */
+  size_t n_owners;
+  uint64_t *owners;
+  /*
+   * the sender no longer acts as an owner of the service
+   */
+  protobuf_c_boolean released;
 };
 #define POOL__SERVICE_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool__service_beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0 }
 
 
 struct  Pool__Beat
@@ -112,10 +121,18 @@
    */
   size_t n_known;
   uint64_t *known;
+  /*
+   * of the sender
+   */
+  uint32_t failure_domain;
+  /*
+   * the sender is shutting down: forward no sessions to it
+   */
+  protobuf_c_boolean draining;
 };
 #define POOL__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0 }
 
 
 /* Pool__ServiceBeat methods */
--- a/src/pool/directory.h
+++ b/src/pool/directory.h
@@ -37,12 +37,14 @@
 /**
  * struct HostEntry - A host in the host list.
  * @address: where other hosts reach it.
+ * @failure_domain: empty if the entry does not tell.
  */
 typedef struct
 {
   char id[CATALOG_NAME_BYTES];
   char address[CATALOG_NAME_BYTES];
   uint16_t port;
+  char failure_domain[CATALOG_NAME_BYTES];
 } HostEntry;
 
 /** HostsCallback - @hosts holds &struct HostEntry. */
--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -25,11 +25,15 @@
 #define LIST_MAX_AGE_MS 3000
 /* Minimum interval between fetches of the configuration caused by peers' heartbeats. */
 #define FETCH_MIN_INTERVAL_MS 800
+/* Minimum interval between a follower's requests to peers. */
+#define FOLLOW_INTERVAL_MS 200
 /* A starting host asks another host if the store has not answered by then. */
 #define START_WAIT_MS 250
 /* First and longest delay after a failed call. */
 #define RETRY_MS 200
 #define RETRY_MAX_MS 1000
+/* The same for a follower, of which a large fleet has hundreds. */
+#define FOLLOWER_RETRY_MAX_MS 4000
 
 struct Discovery
 {
@@ -46,8 +50,12 @@
   InstanceList list;
   bool store_lost;
   bool reader;
-  int64_t read_done_ms; /* last successful read of the list */
-  int64_t peer_read_ms; /* last read of the list that a peer reported */
+  bool follower;
+  int64_t list_read_ms; /* when the list in use was read from the store, by this or another host */
+  int64_t wanted_read_ms; /* the same of the list that was asked for */
+  int64_t asked_ms;       /* when a peer was last asked for newer data */
+  int64_t read_done_ms;   /* last successful read of the list */
+  int64_t peer_read_ms;   /* last read of the list that a peer reported */
   int64_t fetched_ms;
   bool fetching; /* fetching the configuration because a peer has a newer one */
   uint64_t version;
@@ -76,11 +84,11 @@
 }
 
 static int64_t
-next_retry_ms (int64_t *retry_ms)
+next_retry_ms (const Discovery *discovery, int64_t *retry_ms)
 {
   const int64_t delay_ms = *retry_ms;
 
-  *retry_ms = MIN (delay_ms * 2, RETRY_MAX_MS);
+  *retry_ms = MIN (delay_ms * 2, discovery->follower ? FOLLOWER_RETRY_MAX_MS : RETRY_MAX_MS);
   return delay_ms;
 }
 
@@ -112,9 +120,11 @@
 
   if (snapshot->catalog != NULL && snapshot->catalog->version > discovery->version)
     apply_catalog (discovery, snapshot->catalog);
-  // While the store can be read, its list is newer than any peer's.
-  if (snapshot->infos == NULL || !(lacks_list || (discovery->list.failed && snapshot->fresh)))
+  // While a host reads the store, its list is newer than any peer's.
+  if (snapshot->infos == NULL
+      || !(lacks_list || ((discovery->list.failed || discovery->follower) && snapshot->fresh)))
     return;
+  discovery->list_read_ms = MAX (discovery->list_read_ms, discovery->wanted_read_ms);
   instance_list_replace (&discovery->list, snapshot->infos);
   discovery->options.instances (discovery->options.data, discovery->list.infos);
 }
@@ -147,7 +157,7 @@
   if (result != DIRECTORY_OK)
     {
       timer_set (options->timers, &discovery->config_timer,
-                 next_retry_ms (&discovery->config_retry_ms));
+                 next_retry_ms (discovery, &discovery->config_retry_ms));
       request_snapshot_if_useful (discovery);
       return;
     }
@@ -184,14 +194,14 @@
     {
       instance_list_failed (&discovery->list);
       timer_set (options->timers, &discovery->instances_timer,
-                 next_retry_ms (&discovery->instances_retry_ms));
+                 next_retry_ms (discovery, &discovery->instances_retry_ms));
       request_snapshot_if_useful (discovery);
       return;
     }
   discovery->instances_retry_ms = RETRY_MS;
   timer_set (options->timers, &discovery->instances_timer,
              discovery->reader ? INSTANCES_INTERVAL_MS : INSTANCES_INTERVAL_LONG_MS);
-  discovery->read_done_ms = clock_now_ms ();
+  discovery->read_done_ms = discovery->list_read_ms = clock_now_ms ();
   instance_list_update (&discovery->list, infos, discovery->read_done_ms);
   options->instances (options->data, discovery->list.infos);
 }
@@ -239,12 +249,14 @@
 }
 
 void
-discovery_set_reader (Discovery *discovery, bool reader, int64_t round_ms)
+discovery_set_role (Discovery *discovery, const ReaderRole *role)
 {
   const int64_t last_read_ms = MAX (discovery->peer_read_ms, discovery->read_done_ms);
-
+  const bool reads_missing = clock_now_ms () - last_read_ms > LIST_MAX_AGE_MS + role->round_ms;
   // The designated readers may be cut off from the store or from this host.
-  reader = reader || clock_now_ms () - last_read_ms > LIST_MAX_AGE_MS + round_ms;
+  const bool reader = role->reader || (role->standby && reads_missing);
+
+  discovery->follower = role->follower && !reader;
   if (discovery->reader == reader)
     return;
   discovery->reader = reader;
@@ -266,6 +278,23 @@
     request_snapshot_if_useful (discovery);
 }
 
+/* A follower asks the peer that its heartbeat names for what it lacks. */
+static void
+follow_peer (Discovery *discovery, uint64_t version, uint32_t hash, int64_t read_ms)
+{
+  const int64_t now_ms = clock_now_ms ();
+  const bool newer_list = hash != 0 && hash != instance_list_hash (&discovery->list)
+                          && read_ms > discovery->list_read_ms;
+
+  if (!newer_list && version <= discovery->version)
+    return;
+  if (now_ms - discovery->asked_ms < FOLLOW_INTERVAL_MS)
+    return;
+  discovery->asked_ms = now_ms;
+  discovery->wanted_read_ms = newer_list ? read_ms : 0;
+  discovery->options.request_snapshot (discovery->options.data);
+}
+
 void
 discovery_record_peer (Discovery *discovery, uint64_t version, uint32_t hash, int64_t read_ms)
 {
@@ -275,6 +304,11 @@
   if (hash != 0)
     discovery->peer_read_ms = MAX (discovery->peer_read_ms, read_ms);
   discovery->peer_version = MAX (discovery->peer_version, version);
+  if (discovery->follower)
+    {
+      follow_peer (discovery, version, hash, read_ms);
+      return;
+    }
   if (version > discovery->version
       && (discovery->store_lost
           || (!discovery->synced && now_ms - discovery->created_ms >= START_WAIT_MS)))
--- a/src/pool/discovery.h
+++ b/src/pool/discovery.h
@@ -37,11 +37,23 @@
 Discovery *discovery_new (TALLOC_CTX *parent, const DiscoveryOptions *options);
 
 /**
- * discovery_set_reader() - Whether this host is one of the few that poll the store often. The
- * others read it when a peer reports a change, or when they know of no recent read by any host.
- * @round_ms: time in which a heartbeat reaches every host.
+ * struct ReaderRole - How often this host reads the store.
+ * @reader: it is one of the few that poll the store often. The others read it when a peer reports a
+ *   change.
+ * @standby: it becomes a reader when it knows of no recent read by any host.
+ * @follower: unless it is a reader, it takes changes from peers rather than from the store.
+ * @round_ms: time in which a heartbeat reaches every host that depends on it.
  */
-void discovery_set_reader (Discovery *discovery, bool reader, int64_t round_ms);
+typedef struct
+{
+  bool reader;
+  bool standby;
+  bool follower;
+  int64_t round_ms;
+} ReaderRole;
+
+/** discovery_set_role() - Sets the role that applies from now on. */
+void discovery_set_role (Discovery *discovery, const ReaderRole *role);
 
 /** discovery_apply_snapshot() - Applies another host's data; older data is ignored. */
 void discovery_apply_snapshot (Discovery *discovery, const Snapshot *snapshot);
--- a/src/pool/host-registry.c
+++ b/src/pool/host-registry.c
@@ -5,6 +5,9 @@
 /* Interval between reads of the host list. New hosts also become known by their heartbeats, and
  * through the hosts that receive those. */
 #define READ_INTERVAL_MS 30000
+/* The list is read again soon after the start: many hosts may start at once, and the first read
+ * lacks those that registered later. */
+#define SECOND_READ_MS 3000
 #define RETRY_MS 300
 #define CALL_TIMEOUT_MS 1500
 
@@ -13,6 +16,7 @@
   HostRegistryOptions options;
   Timer timer;
   bool registered;
+  bool read_once;
   bool leaving;
 };
 
@@ -46,7 +50,13 @@
 
   if (result == DIRECTORY_OK && !registry->leaving)
     registry->options.hosts (registry->options.data, hosts);
-  schedule (registry, result == DIRECTORY_OK ? READ_INTERVAL_MS : RETRY_MS);
+  if (result != DIRECTORY_OK)
+    {
+      schedule (registry, RETRY_MS);
+      return;
+    }
+  schedule (registry, registry->read_once ? READ_INTERVAL_MS : SECOND_READ_MS);
+  registry->read_once = true;
 }
 
 static void
--- a/src/pool/instance-pool.c
+++ b/src/pool/instance-pool.c
@@ -543,6 +543,13 @@
     }
 }
 
+void
+instance_pool_close_idle (InstancePool *pool)
+{
+  while (pool->idle.length > 0)
+    remove_connection (g_queue_peek_tail (&pool->idle));
+}
+
 uint32_t
 instance_pool_in_use (const InstancePool *pool)
 {
--- a/src/pool/instance-pool.h
+++ b/src/pool/instance-pool.h
@@ -103,6 +103,9 @@
 /** instance_pool_close() - Refuses all waiting requests; connections in use stay until released. */
 void instance_pool_close (InstancePool *pool);
 
+/** instance_pool_close_idle() - Closes the connections that nobody uses. */
+void instance_pool_close_idle (InstancePool *pool);
+
 /** instance_pool_in_use() - Number of granted connections. */
 uint32_t instance_pool_in_use (const InstancePool *pool);
 
--- a/src/pool/lead-driver.c
+++ b/src/pool/lead-driver.c
@@ -26,6 +26,9 @@
 /* A host that went silent still counts in the division of connections for this time plus one
  * heartbeat round, after which its connections are closed at the instance. */
 #define CONNECTIONS_KEPT_MS 3000
+/* In a fleet with owners, the view of an owner that went silent is kept for this time, in which its
+ * connections end and its leases run out. */
+#define OWNER_VIEW_KEPT_MS 10000
 #define AGE_UNKNOWN 0
 
 typedef struct
@@ -59,7 +62,7 @@
   uint64_t acknowledged_token;
   bool suspect;
   PrimaryChangePhase logged_phase;
-  int64_t created_ms;
+  int64_t active_since_ms;
   int64_t started_ms;
   bool step_running;
 };
@@ -88,7 +91,7 @@
   };
 
   manager->options = *options;
-  manager->created_ms = clock_now_ms ();
+  manager->active_since_ms = clock_now_ms ();
   manager->change = primary_change_new (&change_options);
   manager->peers = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   talloc_set_destructor (manager, manager_destroy);
@@ -205,7 +208,30 @@
 static int64_t
 round_ms (const PrimaryChangeManager *manager)
 {
-  return peer_mesh_round_ms (manager->options.mesh);
+  return peer_mesh_service_round_ms (manager->options.mesh);
+}
+
+/* Calls @callback for every host that may use the service: all of them, or its owners. */
+static void
+for_each_peer (const PrimaryChangeManager *manager,
+               void (*callback) (void *data, const PeerState *peer), void *data)
+{
+  GHashTableIter iter;
+  void *id, *value;
+
+  if (!peer_mesh_has_owners (manager->options.mesh))
+    {
+      peer_mesh_foreach (manager->options.mesh, callback, data);
+      return;
+    }
+  g_hash_table_iter_init (&iter, manager->peers);
+  while (g_hash_table_iter_next (&iter, &id, &value))
+    {
+      const PeerView *view = value;
+      const PeerState state = { .id = *(const uint64_t *) id, .heard_ms = view->heard_ms };
+
+      callback (data, &state);
+    }
 }
 
 typedef struct
@@ -249,7 +275,7 @@
       DemandCount counting = { manager, member_key (members[i]), now_ms, &demand };
       InstancePoolLimits limits;
 
-      peer_mesh_foreach (manager->options.mesh, count_demand, &counting);
+      for_each_peer (manager, count_demand, &counting);
       limits = (InstancePoolLimits){
         .connections = connection_share (&demand),
         .statements = connection_share_statements (&demand),
@@ -367,10 +393,14 @@
       = manager->suspect || input->commits_stalled || (input->primary != 0 && member == NULL);
   input->votes = input->suspect;
   count.stalled_votes = input->commits_stalled;
-  peer_mesh_foreach (manager->options.mesh, count_peer, &count);
+  for_each_peer (manager, count_peer, &count);
+  // Another host may act as an owner without this one having heard of it yet: the leases of such a
+  // host have to run out.
+  if (peer_mesh_has_owners (manager->options.mesh))
+    input->all_acknowledged = input->all_know_position = false;
   // A host with little traffic of its own may miss the stall that the others see.
   input->commits_stalled |= count.stalled_votes * 2 >= input->hosts && count.stalled_votes > 0;
-  if (now_ms - manager->created_ms < STARTUP_GRACE_MS)
+  if (now_ms - manager->active_since_ms < STARTUP_GRACE_MS)
     {
       input->votes = 0;
       input->leaving = false;
@@ -507,7 +537,7 @@
     return;
   // A host with a change of its own does not step back from it by acknowledging another token.
   manager->acknowledged_token = acknowledged;
-  peer_mesh_send_now (manager->options.mesh);
+  peer_mesh_send_services_now (manager->options.mesh);
 }
 
 static void
@@ -550,7 +580,7 @@
   update_fence (manager, &input);
   log_phase (manager, &input);
   if (primary_change_fencing_token (manager->change) != token_before)
-    peer_mesh_send_now (manager->options.mesh);
+    peer_mesh_send_services_now (manager->options.mesh);
   for (uint32_t i = 0; i < count; i++)
     switch (actions[i].kind)
       {
@@ -608,12 +638,40 @@
   manager->suspect = member->unresponsive;
   log_event (LOG_LEVEL_NOTICE, "suspect", "service=%s instance=%s value=%d",
              service_group_name (manager->options.group), view.primary, manager->suspect);
-  peer_mesh_send_now (manager->options.mesh);
+  peer_mesh_send_services_now (manager->options.mesh);
+}
+
+bool
+primary_change_manager_is_idle (const PrimaryChangeManager *manager)
+{
+  return primary_change_phase (manager->change) == PRIMARY_CHANGE_IDLE;
+}
+
+void
+primary_change_manager_activate (PrimaryChangeManager *manager)
+{
+  g_hash_table_remove_all (manager->peers);
+  manager->active_since_ms = clock_now_ms ();
+}
+
+/* Drops the views of hosts that have not been heard from for long, which were owners once. */
+static void
+drop_old_views (PrimaryChangeManager *manager, int64_t now_ms)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, manager->peers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (now_ms - ((const PeerView *) value)->heard_ms > OWNER_VIEW_KEPT_MS)
+      g_hash_table_iter_remove (&iter);
 }
 
 void
 primary_change_manager_tick (PrimaryChangeManager *manager, int64_t now_ms)
 {
+  if (peer_mesh_has_owners (manager->options.mesh))
+    drop_old_views (manager, now_ms);
   share_connections (manager, now_ms);
   check_primary (manager);
   run_step (manager);
--- a/src/pool/lead-driver.h
+++ b/src/pool/lead-driver.h
@@ -51,5 +51,14 @@
 /** primary_change_manager_forget_peer() - Drops the view of @peer, which is gone. */
 void primary_change_manager_forget_peer (PrimaryChangeManager *manager, uint64_t peer);
 
+/** primary_change_manager_is_idle() - Whether no change of primary is in progress on this host. */
+bool primary_change_manager_is_idle (const PrimaryChangeManager *manager);
+
+/**
+ * primary_change_manager_activate() - This host starts to act as an owner of the service, after a
+ * time in which it did not follow it.
+ */
+void primary_change_manager_activate (PrimaryChangeManager *manager);
+
 /** primary_change_manager_tick() - Applies time limits. */
 void primary_change_manager_tick (PrimaryChangeManager *manager, int64_t now_ms);
--- a/src/pool/peer-mesh.c
+++ b/src/pool/peer-mesh.c
@@ -18,6 +18,9 @@
 #define HOSTS_PER_HEARTBEAT 8
 /* Minimum interval between heartbeats sent after a change. */
 #define HEARTBEAT_MIN_INTERVAL_MS 4
+/* In a fleet with owners: hosts of this failure domain, and of the others, per heartbeat. */
+#define NEAR_HOSTS_PER_HEARTBEAT 4
+#define FAR_HOSTS_PER_HEARTBEAT 1
 /* A host not heard from for this time is removed. */
 #define REMOVE_TIMEOUT_MS 30000
 /* A host not heard from for this time plus two rounds is logged as lost. */
@@ -30,9 +33,14 @@
 {
   PeerState state;
   struct sockaddr_in address;
+  uint64_t packed_address;
   uint64_t boot;
-  uint64_t sent;       /* "sent" of its last heartbeat */
-  int64_t received_ms; /* when that heartbeat came */
+  uint64_t sent;                   /* "sent" of its last heartbeat */
+  int64_t received_ms;             /* when that heartbeat came */
+  uint64_t listed_id;              /* by the host list, before it was heard from */
+  char failure_domain[NAME_BYTES]; /* empty while unknown */
+  bool near;                       /* in this host's failure domain */
+  bool draining;
   bool lost;
 } Peer;
 
@@ -42,16 +50,31 @@
   int fd;
   struct tevent_fd *fde;
   GPtrArray *peers;
+  GHashTable *by_address; /* packed address to Peer */
+  GPtrArray *near_peers;  /* rebuilt with the view */
+  GPtrArray *far_peers;
+  HostView *view; /* %NULL when it has to be built again */
+  guint next_near;
+  guint next_far;
   struct sockaddr_in self_address;
   uint64_t self_id;
   uint64_t boot;
   int64_t last_sent_ms;
+  int64_t periodic_ms; /* last heartbeats sent at the regular interval */
   guint next_peer;
   bool broadcast_due; /* something changed: the next heartbeat goes to all hosts */
+  bool services_due;  /* a service changed: its view goes to the owners at once */
+  bool draining;
   bool leaving;
   Timer timer;
 };
 
+static uint64_t
+host_id (const char *name)
+{
+  return XXH64 (name, strlen (name), 0);
+}
+
 uint32_t
 peer_mesh_name_hash (const char *name)
 {
@@ -64,23 +87,44 @@
   timer_clear (&mesh->timer);
   TALLOC_FREE (mesh->fde);
   close (mesh->fd);
+  g_hash_table_destroy (mesh->by_address);
+  g_ptr_array_free (mesh->near_peers, true);
+  g_ptr_array_free (mesh->far_peers, true);
+  g_free (mesh->view);
   g_ptr_array_set_free_func (mesh->peers, g_free);
   g_ptr_array_free (mesh->peers, true);
   return 0;
 }
 
+static uint64_t
+pack_address (const struct sockaddr_in *address)
+{
+  return (uint64_t) ntohl (address->sin_addr.s_addr) << 32 | ntohs (address->sin_port);
+}
+
+static struct sockaddr_in
+unpack_address (uint64_t packed)
+{
+  return (struct sockaddr_in){
+    .sin_family = AF_INET,
+    .sin_port = htons ((uint16_t) packed),
+    .sin_addr.s_addr = htonl ((uint32_t) (packed >> 32)),
+  };
+}
+
 static Peer *
 find_peer (const PeerMesh *mesh, const struct sockaddr_in *address)
 {
-  for (guint i = 0; i < mesh->peers->len; i++)
-    {
-      Peer *peer = mesh->peers->pdata[i];
+  const uint64_t packed = pack_address (address);
 
-      if (peer->address.sin_addr.s_addr == address->sin_addr.s_addr
-          && peer->address.sin_port == address->sin_port)
-        return peer;
-    }
-  return NULL;
+  return g_hash_table_lookup (mesh->by_address, &packed);
+}
+
+static void
+invalidate_view (PeerMesh *mesh)
+{
+  g_free (mesh->view);
+  mesh->view = NULL;
 }
 
 static Peer *
@@ -91,6 +135,9 @@
   peer->address = *address;
   peer->state.known_ms = clock_now_ms ();
   g_ptr_array_add (mesh->peers, peer);
+  peer->packed_address = pack_address (address);
+  g_hash_table_insert (mesh->by_address, &peer->packed_address, peer);
+  invalidate_view (mesh);
   return peer;
 }
 
@@ -102,6 +149,8 @@
   log_event (LOG_LEVEL_NOTICE, "peer_ended", "peer=%016" G_GINT64_MODIFIER "x reason=%s", id,
              reason);
   g_ptr_array_remove_fast (mesh->peers, peer);
+  g_hash_table_remove (mesh->by_address, &peer->packed_address);
+  invalidate_view (mesh);
   if (id != 0)
     mesh->options.peer_gone (mesh->options.data, id);
 }
@@ -133,13 +182,15 @@
 }
 
 static void
-init_heartbeat (PeerMesh *mesh, Pool__Beat *heartbeat)
+init_heartbeat (PeerMesh *mesh, Pool__Beat *heartbeat, bool services)
 {
   pool__beat__init (heartbeat);
   heartbeat->sender = mesh->self_id;
   heartbeat->boot = mesh->boot;
   heartbeat->leaving = mesh->leaving;
-  mesh->options.fill_heartbeat (mesh->options.data, heartbeat);
+  heartbeat->draining = mesh->draining;
+  heartbeat->failure_domain = peer_mesh_name_hash (mesh->options.failure_domain);
+  mesh->options.fill_heartbeat (mesh->options.data, heartbeat, services);
 }
 
 static void
@@ -154,6 +205,34 @@
   g_free (heartbeat->services);
 }
 
+bool
+peer_mesh_has_owners (const PeerMesh *mesh)
+{
+  return mesh->peers->len + 1 >= mesh->options.owners_from;
+}
+
+static void
+send_in_turn (PeerMesh *mesh, const GPtrArray *peers, guint *next, guint count,
+              Pool__Beat *heartbeat)
+{
+  for (guint i = 0; i < MIN (count, peers->len); i++)
+    send_heartbeat (mesh, peers->pdata[(*next)++ % peers->len], heartbeat);
+}
+
+/* Heartbeats of a fleet with owners: to this host's failure domain, and to few other hosts. */
+static void
+send_sparse_heartbeats (PeerMesh *mesh, bool to_domain)
+{
+  Pool__Beat heartbeat;
+
+  peer_mesh_view (mesh);
+  init_heartbeat (mesh, &heartbeat, false);
+  send_in_turn (mesh, mesh->near_peers, &mesh->next_near,
+                to_domain ? mesh->near_peers->len : NEAR_HOSTS_PER_HEARTBEAT, &heartbeat);
+  send_in_turn (mesh, mesh->far_peers, &mesh->next_far, FAR_HOSTS_PER_HEARTBEAT, &heartbeat);
+  clear_heartbeat (&heartbeat);
+}
+
 static void
 send_heartbeats (PeerMesh *mesh, bool to_all)
 {
@@ -161,18 +240,17 @@
   Pool__Beat heartbeat;
 
   mesh->last_sent_ms = clock_now_ms ();
-  init_heartbeat (mesh, &heartbeat);
+  if (peer_mesh_has_owners (mesh))
+    {
+      send_sparse_heartbeats (mesh, to_all);
+      return;
+    }
+  init_heartbeat (mesh, &heartbeat, true);
   for (guint i = 0; i < count; i++)
     send_heartbeat (mesh, mesh->peers->pdata[mesh->next_peer++ % mesh->peers->len], &heartbeat);
   clear_heartbeat (&heartbeat);
 }
 
-static uint64_t
-pack_address (const struct sockaddr_in *address)
-{
-  return (uint64_t) ntohl (address->sin_addr.s_addr) << 32 | ntohs (address->sin_port);
-}
-
 /* Sends a new host the addresses of the known hosts: those that could not reach the store when they
  * started may be missing from the host list. */
 static void
@@ -181,7 +259,7 @@
   uint64_t known[KNOWN_HOSTS_MAX];
   Pool__Beat heartbeat;
 
-  init_heartbeat (mesh, &heartbeat);
+  init_heartbeat (mesh, &heartbeat, !peer_mesh_has_owners (mesh));
   heartbeat.known = known;
   for (guint i = 0; i < mesh->peers->len && heartbeat.n_known < KNOWN_HOSTS_MAX; i++)
     {
@@ -194,22 +272,32 @@
   clear_heartbeat (&heartbeat);
 }
 
+/* Time in which heartbeats reach every host of the other failure domains. */
+static int64_t
+far_round_ms (const PeerMesh *mesh)
+{
+  return (int64_t) mesh->peers->len / FAR_HOSTS_PER_HEARTBEAT * HEARTBEAT_INTERVAL_MS;
+}
+
 static void
 remove_silent_peers (PeerMesh *mesh, int64_t now_ms)
 {
+  const bool sparse = peer_mesh_has_owners (mesh);
+
   for (guint i = mesh->peers->len; i > 0; i--)
     {
       Peer *peer = mesh->peers->pdata[i - 1];
       const int64_t silent_ms = now_ms - MAX (peer->state.heard_ms, peer->state.known_ms);
 
-      if (!peer->lost && peer->state.heard_ms > 0
+      if (!peer->lost && peer->state.heard_ms > 0 && (peer->near || !sparse)
           && silent_ms > LOST_TIMEOUT_MS + 2 * peer_mesh_round_ms (mesh))
         {
           peer->lost = true;
+          invalidate_view (mesh);
           log_event (LOG_LEVEL_NOTICE, "peer_lost", "peer=%016" G_GINT64_MODIFIER "x",
                      peer->state.id);
         }
-      if (silent_ms <= REMOVE_TIMEOUT_MS)
+      if (silent_ms <= REMOVE_TIMEOUT_MS + (peer->near || !sparse ? 0 : far_round_ms (mesh)))
         continue;
       remove_peer (mesh, peer, "silent");
       g_free (peer);
@@ -221,10 +309,20 @@
 {
   PeerMesh *mesh = data;
 
+  const int64_t now_ms = clock_now_ms ();
+  const bool periodic = now_ms - mesh->periodic_ms >= HEARTBEAT_INTERVAL_MS;
+
   timer_set (mesh->options.timers, &mesh->timer, HEARTBEAT_INTERVAL_MS);
-  remove_silent_peers (mesh, clock_now_ms ());
-  send_heartbeats (mesh, mesh->broadcast_due);
-  mesh->broadcast_due = false;
+  if (periodic)
+    {
+      mesh->periodic_ms = now_ms;
+      remove_silent_peers (mesh, now_ms);
+    }
+  if (periodic || mesh->broadcast_due)
+    send_heartbeats (mesh, mesh->broadcast_due || mesh->draining);
+  if (peer_mesh_has_owners (mesh) && (periodic || mesh->services_due))
+    mesh->options.send_services (mesh->options.data);
+  mesh->broadcast_due = mesh->services_due = false;
 }
 
 /* Returns whether the host was new. */
@@ -247,18 +345,39 @@
 
   for (size_t i = 0; i < heartbeat->n_known; i++)
     {
-      const struct sockaddr_in address = {
-        .sin_family = AF_INET,
-        .sin_port = htons ((uint16_t) heartbeat->known[i]),
-        .sin_addr.s_addr = htonl ((uint32_t) (heartbeat->known[i] >> 32)),
-      };
+      const struct sockaddr_in address = unpack_address (heartbeat->known[i]);
 
       added |= add_host (mesh, &address);
     }
-  if (added)
+  if (added && !peer_mesh_has_owners (mesh))
     peer_mesh_send_now (mesh);
 }
 
+static void
+set_failure_domain (PeerMesh *mesh, Peer *peer, const char *failure_domain)
+{
+  if (strcmp (peer->failure_domain, failure_domain) == 0)
+    return;
+  g_strlcpy (peer->failure_domain, failure_domain, sizeof peer->failure_domain);
+  peer->near = strcmp (failure_domain, mesh->options.failure_domain) == 0;
+  invalidate_view (mesh);
+}
+
+/* Heartbeats carry the hash of the failure domain's name. */
+static void
+record_failure_domain (PeerMesh *mesh, Peer *peer, uint32_t hash)
+{
+  GHashTableIter iter;
+  void *name;
+
+  if (*peer->failure_domain != '\0' && peer_mesh_name_hash (peer->failure_domain) == hash)
+    return;
+  g_hash_table_iter_init (&iter, mesh->options.domain_region);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    if (peer_mesh_name_hash (name) == hash)
+      set_failure_domain (mesh, peer, name);
+}
+
 static void
 handle_heartbeat (PeerMesh *mesh, const struct sockaddr_in *from, const Pool__Beat *heartbeat)
 {
@@ -290,8 +409,12 @@
   if (peer->state.id == 0 || peer->lost)
     log_event (LOG_LEVEL_NOTICE, "peer_heard", "peer=%016" G_GINT64_MODIFIER "x",
                heartbeat->sender);
+  if (peer->lost || peer->state.id != heartbeat->sender || peer->draining != heartbeat->draining)
+    invalidate_view (mesh);
   peer->lost = false;
+  peer->draining = heartbeat->draining;
   peer->state.id = heartbeat->sender;
+  record_failure_domain (mesh, peer, heartbeat->failure_domain);
   peer->boot = heartbeat->boot;
   peer->sent = heartbeat->sent;
   peer->received_ms = peer->state.heard_ms = now_ms;
@@ -305,8 +428,8 @@
   if (is_new)
     send_known_hosts (mesh, peer);
   for (size_t i = 0; i < heartbeat->n_services; i++)
-    mesh->options.service_received (mesh->options.data, heartbeat->sender, heartbeat->services[i],
-                                    sent_ms);
+    mesh->options.service_received (mesh->options.data, heartbeat->sender, peer->packed_address,
+                                    heartbeat->services[i], sent_ms);
 }
 
 static void
@@ -314,7 +437,7 @@
 {
   PeerMesh *mesh = data;
   uint8_t bytes[DATAGRAM_BYTES];
-  struct sockaddr_in from;
+  struct sockaddr_in from = { 0 };
   socklen_t length = sizeof from;
   ssize_t size;
 
@@ -338,9 +461,12 @@
   PeerMesh *mesh = talloc_zero (parent, PeerMesh);
 
   mesh->options = *options;
-  mesh->self_id = XXH64 (options->host, strlen (options->host), 0);
+  mesh->self_id = host_id (options->host);
   mesh->boot = (uint64_t) g_get_real_time () ^ ((uint64_t) clock_now_us () << 20);
   mesh->peers = g_ptr_array_new ();
+  mesh->near_peers = g_ptr_array_new ();
+  mesh->far_peers = g_ptr_array_new ();
+  mesh->by_address = g_hash_table_new (g_int64_hash, g_int64_equal);
   mesh->self_address
       = (struct sockaddr_in){ .sin_family = AF_INET, .sin_port = htons (options->port) };
   mesh->fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -367,9 +493,17 @@
     {
       const HostEntry *host = &g_array_index (hosts, HostEntry, i);
       struct sockaddr_in address = { .sin_family = AF_INET, .sin_port = htons (host->port) };
+      Peer *peer;
 
-      if (inet_pton (AF_INET, host->address, &address.sin_addr) == 1)
-        add_host (mesh, &address);
+      if (inet_pton (AF_INET, host->address, &address.sin_addr) != 1)
+        continue;
+      add_host (mesh, &address);
+      peer = find_peer (mesh, &address);
+      if (peer == NULL)
+        continue;
+      peer->listed_id = *host->id == '\0' ? 0 : host_id (host->id);
+      if (*host->failure_domain != '\0')
+        set_failure_domain (mesh, peer, host->failure_domain);
     }
   peer_mesh_send_now (mesh);
 }
@@ -396,6 +530,7 @@
   HostEntry host = { .port = ntohs (mesh->self_address.sin_port) };
 
   inet_ntop (AF_INET, &mesh->self_address.sin_addr, host.address, sizeof host.address);
+  g_strlcpy (host.failure_domain, mesh->options.failure_domain, sizeof host.failure_domain);
   g_array_append_val (hosts, host);
   for (guint i = 0; i < mesh->peers->len; i++)
     {
@@ -403,6 +538,7 @@
 
       host.port = ntohs (peer->address.sin_port);
       inet_ntop (AF_INET, &peer->address.sin_addr, host.address, sizeof host.address);
+      g_strlcpy (host.failure_domain, peer->failure_domain, sizeof host.failure_domain);
       g_array_append_val (hosts, host);
     }
 }
@@ -410,9 +546,135 @@
 int64_t
 peer_mesh_round_ms (const PeerMesh *mesh)
 {
-  const guint heartbeats = (mesh->peers->len + HOSTS_PER_HEARTBEAT - 1) / HOSTS_PER_HEARTBEAT;
+  const bool sparse = peer_mesh_has_owners (mesh);
+  const guint hosts = sparse ? mesh->near_peers->len : mesh->peers->len;
+  const guint per_heartbeat = sparse ? NEAR_HOSTS_PER_HEARTBEAT : HOSTS_PER_HEARTBEAT;
+
+  return MAX ((hosts + per_heartbeat - 1) / per_heartbeat, 1) * HEARTBEAT_INTERVAL_MS;
+}
+
+int64_t
+peer_mesh_service_round_ms (const PeerMesh *mesh)
+{
+  return peer_mesh_has_owners (mesh) ? HEARTBEAT_INTERVAL_MS : peer_mesh_round_ms (mesh);
+}
+
+void
+peer_mesh_send_services_now (PeerMesh *mesh)
+{
+  if (!peer_mesh_has_owners (mesh))
+    {
+      peer_mesh_send_now (mesh);
+      return;
+    }
+  if (mesh->services_due)
+    return;
+  mesh->services_due = true;
+  timer_set (mesh->options.timers, &mesh->timer, 0);
+}
+
+void
+peer_mesh_send_service (PeerMesh *mesh, Pool__ServiceBeat *service, const uint64_t *addresses,
+                        uint32_t count)
+{
+  Pool__Beat heartbeat;
+
+  init_heartbeat (mesh, &heartbeat, false);
+  heartbeat.services = &service;
+  heartbeat.n_services = 1;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const struct sockaddr_in address = unpack_address (addresses[i]);
+
+      add_host (mesh, &address);
+      if (addresses[i] != pack_address (&mesh->self_address))
+        send_heartbeat (mesh, find_peer (mesh, &address), &heartbeat);
+    }
+}
+
+static void
+fill_host (const PeerMesh *mesh, uint64_t id, const struct sockaddr_in *address,
+           const char *failure_domain, Host *host)
+{
+  const char *region = g_hash_table_lookup (mesh->options.domain_region, failure_domain);
+
+  memset (host, 0, sizeof *host);
+  g_snprintf (host->id, sizeof host->id, "%016" G_GINT64_MODIFIER "x", id);
+  g_strlcpy (host->failure_domain, failure_domain, sizeof host->failure_domain);
+  g_strlcpy (host->region, region == NULL ? "" : region, sizeof host->region);
+  inet_ntop (AF_INET, &address->sin_addr, host->address, sizeof host->address);
+  host->gossip_port = ntohs (address->sin_port);
+  host->link_port = (uint16_t) (host->gossip_port + 1);
+  host->id_hash = id;
+}
+
+const HostView *
+peer_mesh_view (PeerMesh *mesh)
+{
+  if (mesh->view != NULL)
+    return mesh->view;
+  mesh->view = g_malloc (sizeof (HostView) + (mesh->peers->len + 1) * sizeof (Host));
+  *mesh->view = (HostView){ .count = 1 };
+  g_ptr_array_set_size (mesh->near_peers, 0);
+  g_ptr_array_set_size (mesh->far_peers, 0);
+  fill_host (mesh, mesh->self_id, &mesh->self_address, mesh->options.failure_domain,
+             &mesh->view->hosts[0]);
+  for (guint i = 0; i < mesh->peers->len; i++)
+    {
+      Peer *peer = mesh->peers->pdata[i];
+      uint64_t id;
+
+      g_ptr_array_add (peer->near ? mesh->near_peers : mesh->far_peers, peer);
+      id = peer->state.id != 0 || peer->near ? peer->state.id : peer->listed_id;
+      if (id != 0 && !peer->lost && !peer->draining && *peer->failure_domain != '\0')
+        fill_host (mesh, id, &peer->address, peer->failure_domain,
+                   &mesh->view->hosts[mesh->view->count++]);
+    }
+  host_view_sort (mesh->view);
+  return mesh->view;
+}
+
+bool
+peer_mesh_is_draining (const PeerMesh *mesh, uint64_t id)
+{
+  for (guint i = 0; i < mesh->peers->len; i++)
+    {
+      const Peer *peer = mesh->peers->pdata[i];
+
+      if (peer->state.id == id)
+        return peer->draining;
+    }
+  return true;
+}
+
+uint64_t
+peer_mesh_pack_address (const Host *host)
+{
+  struct in_addr address = { 0 };
 
-  return MAX (heartbeats, 1) * HEARTBEAT_INTERVAL_MS;
+  inet_pton (AF_INET, host->address, &address);
+  return (uint64_t) ntohl (address.s_addr) << 32 | host->gossip_port;
+}
+
+void
+peer_mesh_drain (PeerMesh *mesh)
+{
+  mesh->draining = true;
+  peer_mesh_send_now (mesh);
+}
+
+uint32_t
+peer_mesh_domain_rank (const PeerMesh *mesh)
+{
+  uint32_t rank = 0;
+
+  for (guint i = 0; i < mesh->near_peers->len; i++)
+    {
+      const Peer *peer = mesh->near_peers->pdata[i];
+
+      rank += peer->state.id != 0 && !peer->lost && peer->state.id < mesh->self_id;
+    }
+  return rank;
 }
 
 void
--- a/src/pool/peer-mesh.h
+++ b/src/pool/peer-mesh.h
@@ -2,6 +2,10 @@
  * DOC: Heartbeats between pooling daemons: small datagrams at a fixed interval, to a few hosts at a
  * time in turn, and to all hosts at once after a change. A host passes on what it has received, and
  * sends a new host the addresses of the others.
+ *
+ * In a fleet with owners (see service-owners.h) heartbeats carry no services: a host sends
+ * them to hosts of its failure domain in turn, rarely to others, and the view of a service goes to
+ * the owners of that service only.
  */
 #pragma once
 
@@ -16,6 +20,7 @@
 #include "base/counters.h"
 #include "base/timer-queue.h"
 #include "pool/beat.pb-c.h"
+#include "policy/ownership.h"
 #include "pool/directory.h"
 
 typedef struct PeerMesh PeerMesh;
@@ -23,11 +28,14 @@
 /**
  * struct PeerMeshOptions - Where to listen, and callbacks.
  * @host: unique name of this host.
- * @fill_heartbeat: adds the services to a heartbeat that is about to be sent.
+ * @failure_domain, @region: location of this host. @domain_region: failure domain to region.
+ * @owners_from: services have owners in a fleet of this many hosts or more.
+ * @fill_heartbeat: fills a heartbeat that is about to be sent, with the services if @services.
+ * @send_services: time to send the views of services, see peer_mesh_send_service().
  * @heartbeat_received: the host at @from reported its view of the store.
- * @service_received: @peer reported its view of one service. In both callbacks @sent_ms is the
- *   earliest time on this host's clock at which the heartbeat may have been sent; 0 while that is
- *   unknown.
+ * @service_received: @peer, at @address, reported its view of one service. In both callbacks
+ * @sent_ms is the earliest time on this host's clock at which the heartbeat may have been sent; 0
+ * while that is unknown.
  * @peer_gone: no more heartbeats will come from this incarnation of @peer.
  */
 typedef struct
@@ -38,11 +46,16 @@
   const char *host;
   const char *address;
   uint16_t port;
-  void (*fill_heartbeat) (void *data, Pool__Beat *heartbeat);
+  const char *failure_domain;
+  const char *region;
+  GHashTable *domain_region;
+  uint32_t owners_from;
+  void (*fill_heartbeat) (void *data, Pool__Beat *heartbeat, bool services);
+  void (*send_services) (void *data);
   void (*heartbeat_received) (void *data, const struct sockaddr_in *from,
                               const Pool__Beat *heartbeat, int64_t sent_ms);
-  void (*service_received) (void *data, uint64_t peer, const Pool__ServiceBeat *heartbeat,
-                            int64_t sent_ms);
+  void (*service_received) (void *data, uint64_t peer, uint64_t address,
+                            const Pool__ServiceBeat *heartbeat, int64_t sent_ms);
   void (*peer_gone) (void *data, uint64_t peer);
   void *data;
 } PeerMeshOptions;
@@ -62,6 +75,40 @@
 /** peer_mesh_round_ms() - Time in which a heartbeat reaches every host while nothing changes. */
 int64_t peer_mesh_round_ms (const PeerMesh *mesh);
 
+/** peer_mesh_has_owners() - Whether the fleet is so large that services have owners. */
+bool peer_mesh_has_owners (const PeerMesh *mesh);
+
+/** peer_mesh_send_services_now() - Sends the views of services now, because one changed. */
+void peer_mesh_send_services_now (PeerMesh *mesh);
+
+/** peer_mesh_send_service() - Sends the view of one service to the hosts at @addresses. */
+void peer_mesh_send_service (PeerMesh *mesh, Pool__ServiceBeat *service, const uint64_t *addresses,
+                             uint32_t count);
+
+/**
+ * peer_mesh_service_round_ms() - Time in which the view of a service reaches every host that needs
+ * it, while nothing changes.
+ */
+int64_t peer_mesh_service_round_ms (const PeerMesh *mesh);
+
+/**
+ * peer_mesh_view() - Live hosts that take sessions, including this one; valid until the next
+ * heartbeat. The link port of a host is the one after its heartbeat port.
+ */
+const HostView *peer_mesh_view (PeerMesh *mesh);
+
+/** peer_mesh_is_draining() - Whether the host with @id is shutting down. */
+bool peer_mesh_is_draining (const PeerMesh *mesh, uint64_t id);
+
+/** peer_mesh_pack_address() - Address and heartbeat port of @host in one number. */
+uint64_t peer_mesh_pack_address (const Host *host);
+
+/** peer_mesh_drain() - Notifies the hosts that this host is shutting down and takes no sessions. */
+void peer_mesh_drain (PeerMesh *mesh);
+
+/** peer_mesh_domain_rank() - The same as peer_mesh_rank(), in this host's failure domain only. */
+uint32_t peer_mesh_domain_rank (const PeerMesh *mesh);
+
 /** peer_mesh_leave() - Notifies all hosts that this host is stopping. */
 void peer_mesh_leave (PeerMesh *mesh);
 
--- a/src/pool/pool-server.c
+++ b/src/pool/pool-server.c
@@ -8,6 +8,8 @@
 #include "base/log.h"
 #include "base/stream.h"
 #include "base/verdict.h"
+#include "policy/owner-set.h"
+#include "policy/service-owners.h"
 #include "pool/lead-driver.h"
 #include "pool/pool-session.h"
 
@@ -22,11 +24,29 @@
 /* Log lines per second for statements that ran, and for statements that did not. */
 #define RAN_LINES_PER_S 10
 #define NOT_RUN_LINES_PER_S 30
+/* This host stops acting as an owner of a service that no session has used for this time. */
+#define OWNER_IDLE_MS 10000
+/* An owner that was not heard of for this time no longer gets the views of its service. */
+#define OWNER_KNOWN_MS 5000
+/* Other owners named in each view of a service. */
+#define OWNERS_PER_HEARTBEAT 4
+/* Owners per failure domain that get the views, whether they act or not: those that would take
+ * over are ready then. */
+#define STANDBY_OWNERS 1
+/* No session is forwarded to an owner for this time after it was lost. */
+#define OWNER_AVOID_MS 2000
+/* Interval at which forwarded sessions are checked for draining owners and changed routes. */
+#define FORWARD_CHECK_MS 250
 
 typedef struct
 {
   ServiceGroup *group;
   PrimaryChangeManager *change_manager;
+  uint32_t owners; /* per failure domain, in a fleet with owners */
+  bool active;     /* this host acts as an owner */
+  int64_t used_ms;
+  OwnerSet owner_set; /* other owners, from heartbeats */
+  uint32_t next_owner;
 } Service;
 
 struct PoolServer
@@ -35,6 +55,10 @@
   PoolServerOptions options;
   int listen_fd;
   struct tevent_fd *listen_fde;
+  int link_fd; /* for sessions that other hosts forward */
+  struct tevent_fd *link_fde;
+  GHashTable *avoided; /* id of an owner to the end of the time, in ms */
+  int64_t forwards_checked_ms;
   GHashTable *sessions;
   Catalog *catalog;
   GHashTable *groups; /* service name to Service */
@@ -55,6 +79,7 @@
 
   timer_clear (&server->tick);
   TALLOC_FREE (server->listen_fde);
+  TALLOC_FREE (server->link_fde);
   g_hash_table_iter_init (&iter, server->sessions);
   while (g_hash_table_iter_next (&iter, &session, NULL))
     {
@@ -66,7 +91,9 @@
   g_array_free (server->instances, true);
   if (server->catalog != NULL)
     catalog_unref (server->catalog);
+  g_hash_table_destroy (server->avoided);
   close (server->listen_fd);
+  close (server->link_fd);
   return 0;
 }
 
@@ -78,12 +105,24 @@
 
   while (g_hash_table_size (server->sessions) < server->options.session_limit
          && (fd = stream_accept (server->listen_fd)) >= 0)
-    pool_session_new (server, fd);
+    pool_session_new (server, fd, false);
   // Further callers wait in the kernel's accept queue until a session ends.
   if (g_hash_table_size (server->sessions) >= server->options.session_limit)
     tevent_fd_set_flags (server->listen_fde, 0);
 }
 
+/* Sessions of other hosts are accepted beyond the limit on callers, whose hosts bound them. */
+static void
+on_accept_forwarded (struct tevent_context *events, struct tevent_fd *fde, uint16_t flags,
+                     void *data)
+{
+  PoolServer *server = data;
+  int fd;
+
+  while ((fd = stream_accept (server->link_fd)) >= 0)
+    pool_session_new (server, fd, true);
+}
+
 static void
 close_idle_sessions (PoolServer *server, int64_t now_ms)
 {
@@ -98,12 +137,56 @@
       const bool waits_for_caller
           = close_transactions && pool_session_idle_ms (session, now_ms) > 0;
 
+      // The host that forwards a session closes it between two statements.
+      if (pool_session_is_forwarded (session) && !close_transactions)
+        continue;
       if (close_all || pool_session_is_idle (session) || waits_for_caller)
         pool_session_close (session);
     }
   g_list_free (sessions);
 }
 
+static void
+check_forwarded_sessions (PoolServer *server, int64_t now_ms)
+{
+  GList *sessions;
+
+  if (!pool_server_has_owners (server) || now_ms - server->forwards_checked_ms < FORWARD_CHECK_MS)
+    return;
+  server->forwards_checked_ms = now_ms;
+  sessions = g_hash_table_get_keys (server->sessions);
+  for (GList *node = sessions; node != NULL; node = node->next)
+    pool_session_check_forward (node->data);
+  g_list_free (sessions);
+}
+
+static void send_view (PoolServer *server, Service *service, bool released);
+
+/* In a fleet with owners, this host acts for a service while sessions use it. */
+static void
+update_activity (PoolServer *server, Service *service, int64_t now_ms)
+{
+  if (!pool_server_has_owners (server) || service_group_is_used (service->group))
+    service->used_ms = now_ms;
+  if (service->used_ms > 0 && now_ms - service->used_ms < OWNER_IDLE_MS)
+    {
+      if (service->active)
+        return;
+      service->active = true;
+      log_event (LOG_LEVEL_NOTICE, "owner", "service=%s value=1",
+                 service_group_name (service->group));
+      primary_change_manager_activate (service->change_manager);
+      send_view (server, service, false);
+      return;
+    }
+  if (!service->active || !primary_change_manager_is_idle (service->change_manager))
+    return;
+  service->active = false;
+  log_event (LOG_LEVEL_NOTICE, "owner", "service=%s value=0", service_group_name (service->group));
+  service_group_close_idle (service->group);
+  send_view (server, service, true);
+}
+
 static void
 on_tick (void *data)
 {
@@ -116,11 +199,15 @@
   g_hash_table_iter_init (&iter, server->groups);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const Service *service = value;
+      Service *service = value;
 
+      update_activity (server, service, now_ms);
+      if (!service->active)
+        continue;
       service_group_tick (service->group, now_ms);
       primary_change_manager_tick (service->change_manager, now_ms);
     }
+  check_forwarded_sessions (server, now_ms);
   if (server->drain_started_ms > 0 && now_ms - server->drain_started_ms >= LEAVE_NOTICE_MS)
     close_idle_sessions (server, now_ms);
 }
@@ -130,24 +217,32 @@
                  const PoolServerOptions *options, GError **error)
 {
   int fd = stream_listen (options->address, options->port, false);
+  int link_fd = stream_listen (options->address, options->link_port, false);
   PoolServer *server;
 
-  if (fd < 0)
+  if (fd < 0 || link_fd < 0)
     {
-      g_set_error (error, PERIDOTSTEP_ERROR, PERIDOTSTEP_ERROR_IO, "cannot listen on %s port %u",
-                   options->address, options->port);
+      close (fd);
+      close (link_fd);
+      g_set_error (error, PERIDOTSTEP_ERROR, PERIDOTSTEP_ERROR_IO,
+                   "cannot listen on %s ports %u and %u", options->address, options->port,
+                   options->link_port);
       return NULL;
     }
   server = talloc_zero (parent, PoolServer);
   server->events = events;
   server->options = *options;
   server->listen_fd = fd;
+  server->link_fd = link_fd;
+  server->avoided = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   server->log_limits[VERDICT_RAN].lines_per_s = RAN_LINES_PER_S;
   server->log_limits[VERDICT_NOT_RUN].lines_per_s = NOT_RUN_LINES_PER_S;
   server->sessions = g_hash_table_new (NULL, NULL);
   server->groups = g_hash_table_new (g_str_hash, g_str_equal);
   server->instances = g_array_new (false, true, sizeof (InstanceInfo));
   server->listen_fde = tevent_add_fd (events, server, fd, TEVENT_FD_READ, on_accept, server);
+  server->link_fde
+      = tevent_add_fd (events, server, link_fd, TEVENT_FD_READ, on_accept_forwarded, server);
   server->tick.fired = on_tick;
   server->tick.data = server;
   timer_set (options->timers, &server->tick, TICK_MS);
@@ -243,6 +338,8 @@
           assign_instances (server, service->group);
         }
       primary_change_manager_configure (service->change_manager, entry);
+      service->owners = service_owners_per_domain (
+          entry->connection_limit, g_hash_table_size (server->options.domain_region));
     }
 }
 
@@ -266,11 +363,147 @@
 }
 
 ServiceGroup *
-pool_server_group (const PoolServer *server, const char *service)
+pool_server_group (PoolServer *server, const char *service)
+{
+  Service *found = g_hash_table_lookup (server->groups, service);
+
+  if (found == NULL)
+    return NULL;
+  // Using the group makes this host an owner of the service.
+  found->used_ms = clock_now_ms ();
+  if (!found->active)
+    update_activity (server, found, found->used_ms);
+  return found->group;
+}
+
+bool
+pool_server_has_owners (const PoolServer *server)
+{
+  return peer_mesh_has_owners (server->options.mesh);
+}
+
+static bool
+is_avoided (PoolServer *server, uint64_t id)
 {
+  const int64_t *until_ms = g_hash_table_lookup (server->avoided, &id);
+
+  if (until_ms == NULL)
+    return false;
+  if (clock_now_ms () < *until_ms)
+    return true;
+  g_hash_table_remove (server->avoided, &id);
+  return false;
+}
+
+void
+pool_server_avoid_owner (PoolServer *server, uint64_t id)
+{
+  const int64_t until_ms = clock_now_ms () + OWNER_AVOID_MS;
+
+  g_hash_table_replace (server->avoided, g_memdup2 (&id, sizeof id),
+                        g_memdup2 (&until_ms, sizeof until_ms));
+}
+
+bool
+pool_server_is_draining_owner (const PoolServer *server, uint64_t id)
+{
+  return peer_mesh_is_draining (server->options.mesh, id);
+}
+
+static OwnerRequest
+owner_request (const PoolServer *server, const Service *service)
+{
+  return (OwnerRequest){
+    .service = service_group_name (service->group),
+    .failure_domain = server->options.failure_domain,
+    .region = server->options.region,
+    .owners = service->owners,
+  };
+}
+
+OwnerChoice
+pool_server_find_owner (PoolServer *server, const char *service, uint64_t session, uint32_t attempt,
+                        Host *owner)
+{
+  const HostView *view = peer_mesh_view (server->options.mesh);
   const Service *found = g_hash_table_lookup (server->groups, service);
+  OwnerRequest request;
+  int index;
+
+  if (found == NULL)
+    return OWNER_NONE;
+  request = owner_request (server, found);
+  request.session = session;
+  index = service_owners_pick (view, &request, attempt);
+  if (index < 0)
+    return OWNER_NONE;
+  if (view->hosts[index].id_hash == peer_mesh_self_id (server->options.mesh))
+    return OWNER_SELF;
+  if (is_avoided (server, view->hosts[index].id_hash))
+    return OWNER_AVOIDED;
+  *owner = view->hosts[index];
+  return OWNER_OTHER;
+}
+
+/* Adds the hosts that are expected to act as owners, or to take over from one. */
+static void
+add_expected_owners (PoolServer *server, Service *service, int64_t expires_ms)
+{
+  const HostView *view = peer_mesh_view (server->options.mesh);
+  OwnerRequest request = owner_request (server, service);
+  GHashTableIter iter;
+  void *domain, *region;
+
+  g_hash_table_iter_init (&iter, server->options.domain_region);
+  while (g_hash_table_iter_next (&iter, &domain, &region))
+    {
+      request.failure_domain = domain;
+      request.region = region;
+      if (!host_view_has_domain (view, domain))
+        continue;
+      for (uint32_t i = 0; i < service->owners + STANDBY_OWNERS; i++)
+        {
+          const int index = service_owners_pick (view, &request, i);
 
-  return found == NULL ? NULL : found->group;
+          if (index >= 0 && view->hosts[index].id_hash != peer_mesh_self_id (server->options.mesh))
+            owner_set_add (&service->owner_set, peer_mesh_pack_address (&view->hosts[index]),
+                           expires_ms);
+        }
+    }
+}
+
+static void
+send_view (PoolServer *server, Service *service, bool released)
+{
+  const int64_t now_ms = clock_now_ms ();
+  OwnerSet *set = &service->owner_set;
+  uint64_t owners[OWNERS_PER_HEARTBEAT];
+  Pool__ServiceBeat entry = POOL__SERVICE_BEAT__INIT;
+
+  if (!pool_server_has_owners (server))
+    return;
+  owner_set_expire (set, now_ms);
+  add_expected_owners (server, service, now_ms + OWNER_KNOWN_MS);
+  primary_change_manager_fill_heartbeat (service->change_manager, &entry);
+  entry.released = released;
+  entry.owners = owners;
+  for (uint32_t i = 0; i < MIN (set->count, OWNERS_PER_HEARTBEAT); i++)
+    owners[entry.n_owners++] = set->addresses[service->next_owner++ % set->count];
+  peer_mesh_send_service (server->options.mesh, &entry, set->addresses, set->count);
+  g_free (entry.instances);
+  g_free (entry.wanted);
+}
+
+void
+pool_server_send_services (PoolServer *server)
+{
+  GHashTableIter iter;
+  void *value;
+
+  g_hash_table_iter_init (&iter, server->groups);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const Service *) value)->active)
+      send_view (server, value, false);
 }
 
 void
@@ -286,12 +519,14 @@
 }
 
 void
-pool_server_fill_heartbeat (PoolServer *server, Pool__Beat *heartbeat)
+pool_server_fill_heartbeat (PoolServer *server, Pool__Beat *heartbeat, bool services)
 {
   GHashTableIter iter;
   void *service;
 
   heartbeat->config_version = server->catalog == NULL ? 0 : server->catalog->version;
+  if (!services)
+    return;
   heartbeat->services = g_new0 (Pool__ServiceBeat *, g_hash_table_size (server->groups));
   g_hash_table_iter_init (&iter, server->groups);
   while (g_hash_table_iter_next (&iter, NULL, &service))
@@ -304,21 +539,47 @@
     }
 }
 
-void
-pool_server_receive_heartbeat (PoolServer *server, uint64_t peer,
-                               const Pool__ServiceBeat *heartbeat, int64_t sent_ms)
+static Service *
+find_by_hash (const PoolServer *server, uint32_t hash)
 {
   GHashTableIter iter;
   void *name, *service;
 
   g_hash_table_iter_init (&iter, server->groups);
   while (g_hash_table_iter_next (&iter, &name, &service))
-    if (peer_mesh_name_hash (name) == heartbeat->service)
-      {
-        primary_change_manager_receive_heartbeat (((const Service *) service)->change_manager, peer,
-                                                  heartbeat, sent_ms);
-        return;
-      }
+    if (peer_mesh_name_hash (name) == hash)
+      return service;
+  return NULL;
+}
+
+static void
+record_owners (PoolServer *server, Service *service, uint64_t address,
+               const Pool__ServiceBeat *heartbeat)
+{
+  const int64_t expires_ms = clock_now_ms () + OWNER_KNOWN_MS;
+
+  if (heartbeat->released)
+    owner_set_remove (&service->owner_set, address);
+  else
+    owner_set_add (&service->owner_set, address, expires_ms);
+  for (size_t i = 0; i < heartbeat->n_owners; i++)
+    owner_set_add (&service->owner_set, heartbeat->owners[i], expires_ms);
+}
+
+void
+pool_server_receive_heartbeat (PoolServer *server, uint64_t peer, uint64_t address,
+                               const Pool__ServiceBeat *heartbeat, int64_t sent_ms)
+{
+  Service *service = find_by_hash (server, heartbeat->service);
+
+  if (service == NULL)
+    return;
+  if (pool_server_has_owners (server))
+    record_owners (server, service, address, heartbeat);
+  if (heartbeat->released)
+    primary_change_manager_forget_peer (service->change_manager, peer);
+  else if (service->active || !pool_server_has_owners (server))
+    primary_change_manager_receive_heartbeat (service->change_manager, peer, heartbeat, sent_ms);
 }
 
 void
@@ -374,6 +635,7 @@
     return;
   server->drain_started_ms = clock_now_ms ();
   server->drain_limit_ms = limit_ms;
+  peer_mesh_drain (server->options.mesh);
   log_event (LOG_LEVEL_NOTICE, "draining", "sessions=%u limit_ms=%" G_GINT64_FORMAT,
              g_hash_table_size (server->sessions), limit_ms);
 }
--- a/src/pool/pool-server.h
+++ b/src/pool/pool-server.h
@@ -12,6 +12,7 @@
 
 #include "base/counters.h"
 #include "base/timer-queue.h"
+#include "policy/ownership.h"
 #include "pool/catalog.h"
 #include "pool/codec.h"
 #include "pool/directory.h"
@@ -26,7 +27,8 @@
  * @host: unique name.
  * @failure_domain, @region: location of this host.
  * @address, @port: where callers connect.
- * @session_limit: sessions open at once.
+ * @link_port: where other hosts forward sessions to.
+ * @session_limit: sessions of callers open at once.
  * @domain_region: failure domain to region, for the whole deployment.
  * @directory: platform calls, to change primaries.
  * @mesh: heartbeats with the other hosts.
@@ -39,6 +41,7 @@
   const char *region;
   const char *address;
   uint16_t port;
+  uint16_t link_port;
   uint32_t session_limit;
   GHashTable *domain_region;
   const Codec *codec;
@@ -70,8 +73,8 @@
 /** pool_server_set_instances() - Sets the current instance list. */
 void pool_server_set_instances (PoolServer *server, const GArray *infos);
 
-/** pool_server_group() - Group of @service, or %NULL. */
-ServiceGroup *pool_server_group (const PoolServer *server, const char *service);
+/** pool_server_group() - Group of @service, or %NULL; this host becomes an owner of the service. */
+ServiceGroup *pool_server_group (PoolServer *server, const char *service);
 
 /** pool_server_set_hosts_known() - The other hosts are known, so primaries can be relied on. */
 void pool_server_set_hosts_known (PoolServer *server);
@@ -79,14 +82,45 @@
 /** pool_server_knows_hosts() - Whether the other hosts are known. */
 bool pool_server_knows_hosts (const PoolServer *server);
 
-/** pool_server_fill_heartbeat() - Adds this host's view of all services to @heartbeat. */
-void pool_server_fill_heartbeat (PoolServer *server, Pool__Beat *heartbeat);
+/**
+ * pool_server_fill_heartbeat() - Fills @heartbeat, with this host's view of all services if
+ * @services.
+ */
+void pool_server_fill_heartbeat (PoolServer *server, Pool__Beat *heartbeat, bool services);
+
+/** pool_server_send_services() - Sends the views of the services that this host acts for. */
+void pool_server_send_services (PoolServer *server);
+
+/** pool_server_has_owners() - Whether the fleet is so large that services have owners. */
+bool pool_server_has_owners (const PoolServer *server);
+
+/** enum OwnerChoice - Where a session is to be served. */
+typedef enum
+{
+  OWNER_NONE,
+  OWNER_SELF,
+  OWNER_OTHER,
+  OWNER_AVOIDED /* that owner was lost a moment ago */
+} OwnerChoice;
+
+/**
+ * pool_server_find_owner() - Owner of @service to try as number @attempt for a session; @owner is
+ * set for %OWNER_OTHER.
+ */
+OwnerChoice pool_server_find_owner (PoolServer *server, const char *service, uint64_t session,
+                                    uint32_t attempt, Host *owner);
+
+/** pool_server_avoid_owner() - The owner with @id was lost: no sessions go to it for a while. */
+void pool_server_avoid_owner (PoolServer *server, uint64_t id);
+
+/** pool_server_is_draining_owner() - Whether the owner with @id is shutting down. */
+bool pool_server_is_draining_owner (const PoolServer *server, uint64_t id);
 
 /**
  * pool_server_receive_heartbeat() - Records @peer's view of one service, see
  * &struct PeerMeshOptions.
  */
-void pool_server_receive_heartbeat (PoolServer *server, uint64_t peer,
+void pool_server_receive_heartbeat (PoolServer *server, uint64_t peer, uint64_t address,
                                     const Pool__ServiceBeat *heartbeat, int64_t sent_ms);
 
 /** pool_server_forget_peer() - Drops the views of @peer, which is gone. */
--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -5,11 +5,15 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "pool/forward.pb-c.h"
+#include "pool/session-forward.h"
 
 /* Pipelined input buffered while a statement runs; reading pauses beyond it. */
 #define INPUT_LIMIT_BYTES (1024 * 1024)
 /* A caller that does not read its answers is disconnected at this backlog. */
 #define OUTPUT_LIMIT_BYTES (4 * 1024 * 1024)
+/* Longest first message of a host that forwards a session. */
+#define PREFACE_LIMIT_BYTES 1024
 
 static int
 session_destroy (PoolSession *session)
@@ -23,6 +27,7 @@
   statement_done (&session->begin);
   session_values_done (&session->values);
   g_free (session->database_name);
+  g_free (session->forwarded_service);
   pool_server_remove_session (session->server, session);
   counter_add (session->options->counters, COUNTER_CALLERS_OPEN, -1);
   return 0;
@@ -240,10 +245,19 @@
   pool_session_close (session);
 }
 
+/* Whether the host that forwards the session has the same route for it; a host with an older
+ * configuration than the other one must not serve it. */
+static bool
+route_matches (const PoolSession *session, const Database *database)
+{
+  return !session->forwarded || strcmp (session->forwarded_service, database->service) == 0;
+}
+
 static void
-open_session (PoolSession *session, char *database)
+open_session (PoolSession *session, char *database, GBytes *message)
 {
   Catalog *catalog = pool_server_catalog (session->server);
+  const Database *route;
 
   if (session->database_name != NULL)
     {
@@ -257,24 +271,36 @@
       end_with_error (session, ANSWER_OVERLOADED, "starting");
       return;
     }
-  if (catalog_database (catalog, database) == NULL)
+  route = catalog_database (catalog, database);
+  if (route == NULL)
     {
       end_with_error (session, ANSWER_UNKNOWN_DATABASE, database);
       return;
     }
+  if (session->forwarded
+      && (!pool_server_is_ready (session->server) || !route_matches (session, route)))
+    {
+      end_with_error (session, ANSWER_OVERLOADED, "not ready to serve it");
+      return;
+    }
+  if (!session->forwarded && pool_server_has_owners (session->server))
+    {
+      session_forward_open (session, message);
+      return;
+    }
   session->options->codec->write_ready (session_output (session), 'I', (SessionToken){ 0 });
   stream_flush (session->stream);
 }
 
 static void
-handle_message (PoolSession *session, CallerMessage *message)
+handle_message (PoolSession *session, CallerMessage *message, GBytes *bytes)
 {
   switch (message->kind)
     {
     case CALLER_MESSAGE_NONE:
       return;
     case CALLER_MESSAGE_OPEN:
-      open_session (session, message->database);
+      open_session (session, message->database, bytes);
       return;
     case CALLER_MESSAGE_STATEMENT:
       session->statement = message->statement;
@@ -297,6 +323,59 @@
     }
 }
 
+/* Reads the first message of a host that forwards a session; returns false while it is incomplete,
+ * and after a malformed one, which closes the session. */
+static bool
+read_preface (PoolSession *session)
+{
+  const GByteArray *input = stream_input (session->stream);
+  Pool__ForwardOpen *message;
+  guint32 length;
+
+  if (input->len < sizeof length)
+    return false;
+  memcpy (&length, input->data, sizeof length);
+  length = GUINT32_FROM_BE (length);
+  if (length > PREFACE_LIMIT_BYTES)
+    {
+      session->closing = true;
+      return false;
+    }
+  if (input->len < sizeof length + length)
+    return false;
+  message = pool__forward_open__unpack (NULL, length, input->data + sizeof length);
+  if (message == NULL)
+    {
+      log_event (LOG_LEVEL_WARNING, "forward_malformed", "session=%" PRIu64 " bytes=%u",
+                 session->id, length);
+      session->closing = true;
+      return false;
+    }
+  session->forwarded_service = g_strdup (message->service);
+  log_event (LOG_LEVEL_DEBUG, "session_forwarded",
+             "session=%" PRIu64 " from=%s from_session=%" PRIu64 " service=%s", session->id,
+             message->host, message->session, message->service);
+  pool__forward_open__free_unpacked (message, NULL);
+  stream_consume (session->stream, (guint) sizeof length + length);
+  return true;
+}
+
+static void
+process_message (PoolSession *session, CallerMessage *message, const guint8 *data, size_t length)
+{
+  GBytes *bytes;
+
+  if (session->forward != NULL)
+    {
+      session_forward_message (session, message, data, length);
+      return;
+    }
+  bytes = message->kind == CALLER_MESSAGE_OPEN ? g_bytes_new (data, length) : NULL;
+  handle_message (session, message, bytes);
+  if (bytes != NULL)
+    g_bytes_unref (bytes);
+}
+
 void
 session_process_input (PoolSession *session)
 {
@@ -307,12 +386,15 @@
     {
       const GByteArray *input = stream_input (session->stream);
       CallerMessage message;
-      size_t used = session->options->codec->read_caller (input->data, input->len, &message);
+      size_t used;
 
+      if (session->forwarded && session->forwarded_service == NULL && !read_preface (session))
+        break;
+      used = session->options->codec->read_caller (input->data, input->len, &message);
       if (used == 0)
         break;
+      process_message (session, &message, input->data, used);
       stream_consume (session->stream, (guint) used);
-      handle_message (session, &message);
     }
   session->processing = false;
   if (session->closing)
@@ -349,12 +431,26 @@
 
 static const StreamEvents session_events = { on_readable, on_drained, on_closed };
 
+bool
+pool_session_is_forwarded (const PoolSession *session)
+{
+  return session->forwarded;
+}
+
+void
+pool_session_check_forward (PoolSession *session)
+{
+  if (session->forward != NULL)
+    session_forward_check (session);
+}
+
 PoolSession *
-pool_session_new (PoolServer *server, int fd)
+pool_session_new (PoolServer *server, int fd, bool forwarded)
 {
   PoolSession *session = talloc_zero (server, PoolSession);
 
   session->server = server;
+  session->forwarded = forwarded;
   session->options = pool_server_options (server);
   session->id = pool_server_next_id (server);
   session->stream = stream_new (session, pool_server_events (server), fd, &session_events, session);
--- a/src/pool/pool-session.h
+++ b/src/pool/pool-session.h
@@ -12,9 +12,19 @@
 #include "pool/pool-server.h"
 
 typedef struct PoolSession PoolSession;
+typedef struct SessionForward SessionForward;
 
-/** pool_session_new() - Session on the accepted socket @fd; it frees itself when it ends. */
-PoolSession *pool_session_new (PoolServer *server, int fd);
+/**
+ * pool_session_new() - Session on the accepted socket @fd; it frees itself when it ends.
+ * @forwarded: the connection comes from another host, which forwards the session.
+ */
+PoolSession *pool_session_new (PoolServer *server, int fd, bool forwarded);
+
+/** pool_session_is_forwarded() - Whether another host forwards it to this one. */
+bool pool_session_is_forwarded (const PoolSession *session);
+
+/** pool_session_check_forward() - See session_forward_check(); no effect on other sessions. */
+void pool_session_check_forward (PoolSession *session);
 
 /** pool_session_close() - Closes the session now, whatever its state. */
 void pool_session_close (PoolSession *session);
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -630,3 +630,21 @@
   if (group->waiters.length > 0 && needs_reports (group, now_ms))
     probe (group, now_ms);
 }
+
+bool
+service_group_is_used (const ServiceGroup *group)
+{
+  if (group->fenced || group->waiters.length > 0 || group->retired->len > 0)
+    return true;
+  for (uint32_t i = 0; i < group->count; i++)
+    if (instance_pool_demand (group->members[i]->pool) > 0)
+      return true;
+  return false;
+}
+
+void
+service_group_close_idle (ServiceGroup *group)
+{
+  for (uint32_t i = 0; i < group->count; i++)
+    instance_pool_close_idle (group->members[i]->pool);
+}
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -197,5 +197,11 @@
 /** service_group_set_fenced() - Whether the primary is being replaced and must not be relied on. */
 void service_group_set_fenced (ServiceGroup *group, bool fenced);
 
+/** service_group_is_used() - Whether connections are in use, or sessions wait for the group. */
+bool service_group_is_used (const ServiceGroup *group);
+
+/** service_group_close_idle() - Closes the connections that nobody uses. */
+void service_group_close_idle (ServiceGroup *group);
+
 /** service_group_tick() - Applies time limits. */
 void service_group_tick (ServiceGroup *group, int64_t now_ms);
--- a/src/pool/session-state.h
+++ b/src/pool/session-state.h
@@ -1,7 +1,8 @@
 /**
  * DOC: Internals of a caller's session, shared by the files that implement it: pool-session.c
  * handles the caller's messages, session-route.c chooses an instance and gets a connection,
- * session-run.c runs the statement, and session-answer.c answers the caller.
+ * session-run.c runs the statement, session-answer.c answers the caller, and session-forward.c
+ * hands the session to another host.
  */
 #pragma once
 
@@ -73,6 +74,10 @@
   GroupWaiter waiter;
   Timer timer;
   int64_t idle_since_ms;
+
+  bool forwarded;          /* another host forwards it to this one */
+  char *forwarded_service; /* that the other host expects; %NULL before its first message */
+  SessionForward *forward; /* %NULL if this host serves the session */
 };
 
 /* Implemented in session-answer.c. */
--- a/src/pool/snapshot.c
+++ b/src/pool/snapshot.c
@@ -95,6 +95,7 @@
       pool__snapshot_host__init (entry);
       entry->address = mutable_text (host->address);
       entry->port = host->port;
+      entry->failure_domain = mutable_text (host->failure_domain);
       message->hosts[message->n_hosts++] = entry;
     }
 }
@@ -200,7 +201,8 @@
         || message->instances[i]->port > G_MAXUINT16)
       return false;
   for (size_t i = 0; i < message->n_hosts; i++)
-    if (!is_name (message->hosts[i]->address) || message->hosts[i]->port > G_MAXUINT16)
+    if (!is_name (message->hosts[i]->address) || message->hosts[i]->port > G_MAXUINT16
+        || strlen (message->hosts[i]->failure_domain) >= CATALOG_NAME_BYTES)
       return false;
   return true;
 }
@@ -240,6 +242,8 @@
       HostEntry host = { .port = (uint16_t) message->hosts[i]->port };
 
       g_strlcpy (host.address, message->hosts[i]->address, sizeof host.address);
+      g_strlcpy (host.failure_domain, message->hosts[i]->failure_domain,
+                 sizeof host.failure_domain);
       g_array_append_val (hosts, host);
     }
   return hosts;
--- a/src/pool/snapshot.pb-c.c
+++ b/src/pool/snapshot.pb-c.c
@@ -567,7 +567,7 @@
   (ProtobufCMessageInit) pool__snapshot_instance__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool__snapshot_host__field_descriptors[2] =
+static const ProtobufCFieldDescriptor pool__snapshot_host__field_descriptors[3] =
 {
   {
     "address",
@@ -593,15 +593,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failure_domain",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pool__SnapshotHost, failure_domain),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool__snapshot_host__field_indices_by_name[] = {
   0,   /* field[0] = address */
+  2,   /* field[2] = failure_domain */
   1,   /* field[1] = port */
 };
 static const ProtobufCIntRange pool__snapshot_host__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor pool__snapshot_host__descriptor =
 {
@@ -611,7 +624,7 @@
   "Pool__SnapshotHost",
   "pool",
   sizeof(Pool__SnapshotHost),
-  2,
+  3,
   pool__snapshot_host__field_descriptors,
   pool__snapshot_host__field_indices_by_name,
   1,  pool__snapshot_host__number_ranges,
--- a/src/pool/snapshot.pb-c.h
+++ b/src/pool/snapshot.pb-c.h
@@ -79,10 +79,11 @@
   ProtobufCMessage base;
   char *address;
   uint32_t port;
+  char *failure_domain;
 };
 #define POOL__SNAPSHOT_HOST__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool__snapshot_host__descriptor) \
-    , (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, 0, (char *)protobuf_c_empty_string }
 
 
 struct  Pool__Snapshot
--- a/tests/fuzz.c
+++ b/tests/fuzz.c
@@ -264,7 +264,7 @@
       = { .name = (char *) "sales", .service = (char *) "ledger", .priority = PRIORITY_URGENT };
   const InstanceInfo info
       = { "i-1", "ledger", "10.0.0.1", 5000, "north-1", 1700000000000, 5, false, true };
-  const HostEntry host = { "", "10.0.0.2", 7440 };
+  const HostEntry host = { .address = "10.0.0.2", .port = 7440, .failure_domain = "north-1" };
   Snapshot snapshot = { .catalog = catalog_new (3), .fresh = true };
   GByteArray *bytes = g_byte_array_new ();
 
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -38,7 +38,7 @@
   PoolServer *server;
   guint16 port;
   guint16 peer_port;
-} Host;
+} TestHost;
 
 typedef struct
 {
@@ -57,11 +57,12 @@
   Directory directory;
   guint64 highest_token;
   guint promotes;
-  Host *hosts[HOSTS_MAX];
+  TestHost *hosts[HOSTS_MAX];
   guint host_count;
   Caller callers[CALLERS_MAX];
   guint caller_count;
   Catalog *catalog;
+  guint owners_from; /* hosts from which on services have owners; 0 for never */
   Timer wake;
 };
 
@@ -197,9 +198,9 @@
 }
 
 static void
-fill_heartbeat (void *data, Pool__Beat *heartbeat)
+fill_heartbeat (void *data, Pool__Beat *heartbeat, bool services)
 {
-  pool_server_fill_heartbeat (((Host *) data)->server, heartbeat);
+  pool_server_fill_heartbeat (((TestHost *) data)->server, heartbeat, services);
 }
 
 static void
@@ -209,15 +210,22 @@
 }
 
 static void
-receive_heartbeat (void *data, uint64_t peer, const Pool__ServiceBeat *heartbeat, int64_t sent_ms)
+receive_heartbeat (void *data, uint64_t peer, uint64_t address, const Pool__ServiceBeat *heartbeat,
+                   int64_t sent_ms)
 {
-  pool_server_receive_heartbeat (((Host *) data)->server, peer, heartbeat, sent_ms);
+  pool_server_receive_heartbeat (((TestHost *) data)->server, peer, address, heartbeat, sent_ms);
 }
 
 static void
 on_peer_gone (void *data, uint64_t peer)
 {
-  pool_server_forget_peer (((Host *) data)->server, peer);
+  pool_server_forget_peer (((TestHost *) data)->server, peer);
+}
+
+static void
+send_services (void *data)
+{
+  pool_server_send_services (((TestHost *) data)->server);
 }
 
 static void
@@ -251,6 +259,23 @@
   return ntohs (address.sin_port);
 }
 
+/* A free port whose successor is free too: sessions are forwarded to the port after the peers'. */
+static guint16
+free_port_pair (void)
+{
+  for (;;)
+    {
+      const guint16 port = free_port (SOCK_DGRAM);
+      const int fd
+          = port == G_MAXUINT16 ? -1 : stream_listen ("127.0.0.1", (guint16) (port + 1), false);
+
+      if (fd < 0)
+        continue;
+      close (fd);
+      return port;
+    }
+}
+
 static void
 announce_hosts (State *state)
 {
@@ -262,17 +287,19 @@
 
       g_strlcpy (entry.id, state->hosts[i]->name, sizeof entry.id);
       g_strlcpy (entry.address, "127.0.0.1", sizeof entry.address);
+      g_strlcpy (entry.failure_domain, "north-1", sizeof entry.failure_domain);
       g_array_append_val (entries, entry);
     }
   for (guint i = 0; i < state->host_count; i++)
-    {
-      peer_mesh_add_hosts (state->hosts[i]->mesh, entries);
-      pool_server_set_hosts_known (state->hosts[i]->server);
-    }
+    if (state->hosts[i]->server != NULL)
+      {
+        peer_mesh_add_hosts (state->hosts[i]->mesh, entries);
+        pool_server_set_hosts_known (state->hosts[i]->server);
+      }
   g_array_free (entries, true);
 }
 
-static Host *
+static TestHost *
 find_host (State *state, const char *name)
 {
   for (guint i = 0; i < state->host_count; i++)
@@ -283,7 +310,7 @@
 
 /* Tells @host about one other host only, as if it could not read the host list. */
 static void
-announce_to (Host *host, const Host *other)
+announce_to (TestHost *host, const TestHost *other)
 {
   GArray *entries = g_array_new (false, true, sizeof (HostEntry));
   HostEntry entry = { .address = "127.0.0.1", .port = other->peer_port };
@@ -300,15 +327,20 @@
 {
   const char *name = script_word (words, 1);
   const char *other = script_word (words, 2);
-  Host *host = talloc_zero (state, Host);
+  TestHost *host = talloc_zero (state, TestHost);
   PeerMeshOptions mesh = {
     .events = state->events,
     .timers = state->timers,
     .counters = &host->counters,
     .host = host->name,
     .address = "127.0.0.1",
-    .port = free_port (SOCK_DGRAM),
+    .port = free_port_pair (),
+    .failure_domain = "north-1",
+    .region = "north",
+    .domain_region = state->regions,
+    .owners_from = state->owners_from == 0 ? HOSTS_MAX + 1 : state->owners_from,
     .fill_heartbeat = fill_heartbeat,
+    .send_services = send_services,
     .heartbeat_received = on_heartbeat,
     .service_received = receive_heartbeat,
     .peer_gone = on_peer_gone,
@@ -320,6 +352,7 @@
     .region = "north",
     .address = "127.0.0.1",
     .port = free_port (SOCK_STREAM),
+    .link_port = (uint16_t) (mesh.port + 1),
     .session_limit = CALLERS_MAX,
     .domain_region = state->regions,
     .codec = &platform_line_codec,
@@ -474,7 +507,8 @@
   catalog_unref (state->catalog);
   state->catalog = make_catalog (version, with_sales);
   for (guint i = 0; i < state->host_count; i++)
-    pool_server_set_catalog (state->hosts[i]->server, state->catalog);
+    if (state->hosts[i]->server != NULL)
+      pool_server_set_catalog (state->hosts[i]->server, state->catalog);
 }
 
 /* await INSTANCE: waits until it serves databases with strict reads */
@@ -503,7 +537,7 @@
 
 /* known_hosts HOST: prints the number of hosts that it knows, including itself */
 static void
-print_known_hosts (const Host *host, GString *out)
+print_known_hosts (const TestHost *host, GString *out)
 {
   GArray *hosts = g_array_new (false, true, sizeof (HostEntry));
 
@@ -515,11 +549,11 @@
 /* heartbeat HOST: prints the number of instances in its heartbeat, those that it wants connections
  * to */
 static void
-print_heartbeat (const Host *host, GString *out)
+print_heartbeat (const TestHost *host, GString *out)
 {
   Pool__Beat heartbeat = POOL__BEAT__INIT;
 
-  pool_server_fill_heartbeat (host->server, &heartbeat);
+  pool_server_fill_heartbeat (host->server, &heartbeat, true);
   for (size_t i = 0; i < heartbeat.n_services; i++)
     {
       g_string_append_printf (out, "%zu instances\n", heartbeat.services[i]->n_instances);
@@ -545,6 +579,37 @@
     }
 }
 
+/* stop HOST: the daemon ends at once */
+static void
+stop_host (TestHost *host)
+{
+  TALLOC_FREE (host->server);
+  TALLOC_FREE (host->mesh);
+}
+
+/* owner HOST: prints whether HOST serves sessions itself */
+static void
+print_owner (TestHost *host, GString *out)
+{
+  Host owner;
+
+  switch (pool_server_find_owner (host->server, "ledger", 0, 0, &owner))
+    {
+    case OWNER_SELF:
+      g_string_append (out, "itself\n");
+      return;
+    case OWNER_OTHER:
+      g_string_append (out, "another host\n");
+      return;
+    case OWNER_AVOIDED:
+      g_string_append (out, "avoided\n");
+      return;
+    case OWNER_NONE:
+      g_string_append (out, "none\n");
+      return;
+    }
+}
+
 static void
 send_raw (State *state, char **words, GString *out)
 {
@@ -579,6 +644,16 @@
     print_answer (state, find_caller (state, script_word (words, 1)), out);
   else if (strcmp (verb, "fault") == 0)
     set_fault (state, words);
+  else if (strcmp (verb, "owners_from") == 0)
+    state->owners_from = (guint) script_number (words, 1);
+  else if (strcmp (verb, "stop") == 0)
+    stop_host (find_host (state, script_word (words, 1)));
+  else if (strcmp (verb, "owner") == 0)
+    print_owner (find_host (state, script_word (words, 1)), out);
+  else if (strcmp (verb, "forwarded") == 0)
+    g_string_append_printf (out, "%" PRIu64 " statements\n",
+                            counter_get (&find_host (state, script_word (words, 1))->counters,
+                                         COUNTER_STATEMENTS_FORWARDED));
   else if (strcmp (verb, "leave") == 0)
     {
       fake_group_set_leaving (state->group, script_word (words, 1));
--- a/tests/script-snapshot.c
+++ b/tests/script-snapshot.c
@@ -324,6 +324,7 @@
 gossip (State *state, gint64 duration_ms)
 {
   const gint64 until_ms = clock_now_ms () + duration_ms;
+  const ReaderRole role = { .standby = true, .round_ms = GOSSIP_MS };
 
   while (clock_now_ms () < until_ms)
     {
@@ -332,7 +333,7 @@
           for (guint k = 0; k < state->host_count; k++)
             if (i != k)
               deliver_heartbeat (state->hosts[i], state->hosts[k]);
-          discovery_set_reader (state->hosts[i]->discovery, false, GOSSIP_MS);
+          discovery_set_role (state->hosts[i]->discovery, &role);
         }
       run_for (state, GOSSIP_MS);
     }
--- a/tests/script.h
+++ b/tests/script.h
@@ -36,3 +36,4 @@
 extern const ScriptKind script_store;
 extern const ScriptKind script_load;
 extern const ScriptKind script_snapshot;
+extern const ScriptKind script_owners;
