Read escape strings and dollar tags with digits in statement texts

Cause: sql_text_is_single () took two statements for one after E'\'' and after a dollar tag with a digit (select $a1$ ' $a1$; select 2): a caller could slip a second statement past the check. Change: a word of one letter e before a quote begins an escape string; tags may hold digits, but not begin with one; a dollar sign inside a word begins no tag.

--- a/src/base/sql-text.c
+++ b/src/base/sql-text.c
@@ -203,15 +203,18 @@
     }
 }
 
-/* Returns the end of the quoted string or identifier that starts at @at. */
+/* Returns the end of the quoted string or identifier that starts at @at. With @escapes a backslash
+ * escapes the character after it. */
 static const char *
-skip_quoted (const char *at)
+skip_quoted (const char *at, bool escapes)
 {
   char quote = *at++;
 
   while (*at != '\0')
     {
-      if (*at == quote && at[1] == quote)
+      if (escapes && *at == '\\' && at[1] != '\0')
+        at += 2;
+      else if (*at == quote && at[1] == quote)
         at += 2;
       else if (*at == quote)
         return at + 1;
@@ -229,8 +232,9 @@
   const char *tag_end = at + 1;
   size_t length;
 
-  while (isalpha ((unsigned char) *tag_end) || *tag_end == '_')
-    tag_end++;
+  if (!isdigit ((unsigned char) *tag_end))
+    while (isalnum ((unsigned char) *tag_end) || *tag_end == '_')
+      tag_end++;
   if (*tag_end != '$')
     return at + 1;
   length = (size_t) (tag_end - at) + 1;
@@ -240,6 +244,27 @@
   return at + strlen (at);
 }
 
+static bool
+is_word_character (char character)
+{
+  return isalnum ((unsigned char) character) || character == '_' || character == '$'
+         || (unsigned char) character >= 0x80;
+}
+
+/* Returns the end of the keyword, identifier or number that starts at @at, together with the string
+ * behind it if the word is the prefix of an escape string. */
+static const char *
+skip_word (const char *at)
+{
+  const char *end = at;
+
+  while (is_word_character (*end))
+    end++;
+  if (end == at + 1 && tolower ((unsigned char) *at) == 'e' && *end == '\'')
+    return skip_quoted (end, true);
+  return end;
+}
+
 bool
 sql_text_is_single (const char *sql)
 {
@@ -250,9 +275,11 @@
       if (after != sql)
         sql = after;
       else if (*sql == '\'' || *sql == '"')
-        sql = skip_quoted (sql);
+        sql = skip_quoted (sql, false);
       else if (*sql == '$')
         sql = skip_dollar_quoted (sql);
+      else if (is_word_character (*sql))
+        sql = skip_word (sql);
       else if (*sql == ';')
         return *sql_text_skip_comments (sql + 1) == '\0';
       else
