--- a/src/pool/pool-server.c
+++ b/src/pool/pool-server.c
@@ -30,9 +30,11 @@
 #define OWNER_KNOWN_MS 5000
 /* Other owners named in each view of a service. */
 #define OWNERS_PER_HEARTBEAT 4
-/* Owners per failure domain that get the views, whether they act or not: those that would take
- * over are ready then. */
+/* Owners per failure domain that would take over from one. They get a view now and then, in case
+ * that they act already. */
 #define STANDBY_OWNERS 1
+/* One in this many views goes to them, and names other owners. */
+#define EXTENDED_VIEW_INTERVAL 4
 /* No session is forwarded to an owner for this time after it was lost. */
 #define OWNER_AVOID_MS 2000
 /* Interval at which forwarded sessions are checked for draining owners and changed routes. */
@@ -47,6 +49,7 @@
   int64_t used_ms;
   OwnerSet owner_set; /* other owners, from heartbeats */
   uint32_t next_owner;
+  uint32_t views_sent;
 } Service;
 
 struct PoolServer
@@ -176,6 +179,7 @@
       log_event (LOG_LEVEL_NOTICE, "owner", "service=%s value=1",
                  service_group_name (service->group));
       primary_change_manager_activate (service->change_manager);
+      service->views_sent = 0;
       send_view (server, service, false);
       return;
     }
@@ -445,9 +449,10 @@
   return OWNER_OTHER;
 }
 
-/* Adds the hosts that are expected to act as owners, or to take over from one. */
+/* Adds the hosts whose rank in their failure domain is from @from to below @to to @set. */
 static void
-add_expected_owners (PoolServer *server, Service *service, int64_t expires_ms)
+add_expected_owners (PoolServer *server, const Service *service, uint32_t from, uint32_t to,
+                     int64_t expires_ms, OwnerSet *set)
 {
   const HostView *view = peer_mesh_view (server->options.mesh);
   OwnerRequest request = owner_request (server, service);
@@ -461,13 +466,12 @@
       request.region = region;
       if (!host_view_has_domain (view, domain))
         continue;
-      for (uint32_t i = 0; i < service->owners + STANDBY_OWNERS; i++)
+      for (uint32_t i = from; i < to; i++)
         {
           const int index = service_owners_pick (view, &request, i);
 
           if (index >= 0 && view->hosts[index].id_hash != peer_mesh_self_id (server->options.mesh))
-            owner_set_add (&service->owner_set, peer_mesh_pack_address (&view->hosts[index]),
-                           expires_ms);
+            owner_set_add (set, peer_mesh_pack_address (&view->hosts[index]), expires_ms);
         }
     }
 }
@@ -476,20 +480,27 @@
 send_view (PoolServer *server, Service *service, bool released)
 {
   const int64_t now_ms = clock_now_ms ();
+  const bool extended = released || service->views_sent++ % EXTENDED_VIEW_INTERVAL == 0;
   OwnerSet *set = &service->owner_set;
+  OwnerSet targets;
   uint64_t owners[OWNERS_PER_HEARTBEAT];
   Pool__ServiceBeat entry = POOL__SERVICE_BEAT__INIT;
 
   if (!pool_server_has_owners (server))
     return;
   owner_set_expire (set, now_ms);
-  add_expected_owners (server, service, now_ms + OWNER_KNOWN_MS);
+  add_expected_owners (server, service, 0, service->owners, now_ms + OWNER_KNOWN_MS, set);
   primary_change_manager_fill_heartbeat (service->change_manager, &entry);
   entry.released = released;
   entry.owners = owners;
-  for (uint32_t i = 0; i < MIN (set->count, OWNERS_PER_HEARTBEAT); i++)
-    owners[entry.n_owners++] = set->addresses[service->next_owner++ % set->count];
-  peer_mesh_send_service (server->options.mesh, &entry, set->addresses, set->count);
+  if (extended)
+    for (uint32_t i = 0; i < MIN (set->count, OWNERS_PER_HEARTBEAT); i++)
+      owners[entry.n_owners++] = set->addresses[service->next_owner++ % set->count];
+  targets = *set;
+  if (extended)
+    add_expected_owners (server, service, service->owners, service->owners + STANDBY_OWNERS, now_ms,
+                         &targets);
+  peer_mesh_send_service (server->options.mesh, &entry, targets.addresses, targets.count);
   g_free (entry.instances);
   g_free (entry.wanted);
 }
