--- a/src/base/log-budget.c
+++ b/src/base/log-rate-limit.c
@@ -1,4 +1,4 @@
-#include "base/log-budget.h"
+#include "base/log-rate-limit.h"
 
 bool
 log_rate_limit_allow (LogRateLimit *limit, int64_t now_ms, uint32_t *dropped)
--- a/src/base/pause-gate.c
+++ b/src/base/thread-pause.c
@@ -1,4 +1,4 @@
-#include "base/pause-gate.h"
+#include "base/thread-pause.h"
 
 #include <pthread.h>
 #include <glib.h>
--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -13,10 +13,10 @@
 
 #include "base/clock.h"
 #include "base/log.h"
-#include "base/pause-gate.h"
+#include "base/thread-pause.h"
 #include "daemon/config-replica.h"
 #include "daemon/store-thread.h"
-#include "policy/config-chain.h"
+#include "policy/config-sync.h"
 #include "policy/drain.h"
 #include "policy/membership.h"
 #include "runtime/link-table.h"
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -10,7 +10,7 @@
 #include "base/verdict.h"
 #include "daemon/admin-http.h"
 #include "daemon/control.h"
-#include "pipeline/worker-parts.h"
+#include "pipeline/worker-handlers.h"
 #include "runtime/worker.h"
 
 /* The threads of a daemon. */
--- a/src/load/load-record.c
+++ b/src/load/load-results.c
@@ -1,4 +1,4 @@
-#include "load/load-record.h"
+#include "load/load-results.h"
 
 #include <stdlib.h>
 #include <string.h>
--- a/src/load/load-run.h
+++ b/src/load/load-run.h
@@ -3,7 +3,7 @@
  */
 #pragma once
 
-#include "load/load-record.h"
+#include "load/load-results.h"
 
 /** load_run() - Runs the load; false if the set-up failed, with the reason printed to stderr. */
 bool load_run (const LoadOptions *options, LoadResults *results);
--- a/src/load/load-session.h
+++ b/src/load/load-session.h
@@ -9,7 +9,7 @@
 #include <talloc.h>
 #include <tevent.h>
 
-#include "load/load-record.h"
+#include "load/load-results.h"
 
 typedef struct LoadSession LoadSession;
 
--- a/src/load/replay.c
+++ b/src/load/replay.c
@@ -7,7 +7,7 @@
 
 #include "policy/admission-queue.h"
 #include "policy/replica-choice.h"
-#include "policy/request-fate.h"
+#include "policy/request-failure.h"
 
 #define LINE_BYTES 4096
 #define DIFFERENCES_PRINTED 20
--- a/src/pipeline/owner-job.c
+++ b/src/pipeline/owner-job.c
@@ -6,7 +6,7 @@
 #include "base/log.h"
 #include "base/verdict.h"
 #include "pipeline/job-statement.h"
-#include "policy/request-fate.h"
+#include "policy/request-failure.h"
 
 /* A response up to this size is sent once it is complete; a larger one is streamed. */
 #define BUFFERED_RESPONSE_BYTES (64 * 1024)
--- a/src/pipeline/request.h
+++ b/src/pipeline/request.h
@@ -11,7 +11,7 @@
 #include "config/service-config.h"
 #include "runtime/worker.h"
 #include "pipeline/session.h"
-#include "policy/request-fate.h"
+#include "policy/request-failure.h"
 
 typedef struct Request Request;
 
--- a/src/pipeline/traced-choice.h
+++ b/src/pipeline/traced-choice.h
@@ -6,7 +6,7 @@
 
 #include "base/trace.h"
 #include "policy/replica-choice.h"
-#include "policy/request-fate.h"
+#include "policy/request-failure.h"
 
 /** struct ChoiceInput - Everything on which a choice depends. @read is false for writes. */
 typedef struct
--- a/src/pipeline/worker-parts.c
+++ b/src/pipeline/worker-handlers.c
@@ -1,4 +1,4 @@
-#include "pipeline/worker-parts.h"
+#include "pipeline/worker-handlers.h"
 
 #include "pipeline/caller-table.h"
 #include "pipeline/owner-table.h"
--- a/src/policy/lead-members.c
+++ b/src/policy/change-members.c
@@ -1,4 +1,4 @@
-#include "policy/lead-members.h"
+#include "policy/change-members.h"
 
 #include <string.h>
 
--- a/src/policy/config-chain.c
+++ b/src/policy/config-sync.c
@@ -1,4 +1,4 @@
-#include "policy/config-chain.h"
+#include "policy/config-sync.h"
 
 /* A daemon that is not a poller, and polls only because it has no version or has lost most peers,
  * does so this many times less often. */
--- a/src/policy/lead-change.c
+++ b/src/policy/primary-change.c
@@ -1,8 +1,8 @@
-#include "policy/lead-change.h"
+#include "policy/primary-change.h"
 
 #include <glib.h>
 
-#include "policy/lead-members.h"
+#include "policy/change-members.h"
 
 /* Delay per rank, that is per host that would make the change before this one. */
 #define RANK_DELAY_MS 350
--- a/src/policy/lead-change.h
+++ b/src/policy/primary-change.h
@@ -8,7 +8,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "policy/lead-members.h"
+#include "policy/change-members.h"
 
 /** Maximum number of actions of one step. */
 #define PRIMARY_CHANGE_ACTIONS_MAX (2 * CHANGE_MEMBERS_MAX)
--- a/src/policy/request-fate.c
+++ b/src/policy/request-failure.c
@@ -1,4 +1,4 @@
-#include "policy/request-fate.h"
+#include "policy/request-failure.h"
 
 static FailureAction
 retry_or_refuse (const RequestState *state)
--- a/src/pool/answer.c
+++ b/src/pool/answer-code.c
@@ -1,4 +1,4 @@
-#include "pool/answer.h"
+#include "pool/answer-code.h"
 
 typedef struct
 {
--- a/src/pool/codec.h
+++ b/src/pool/codec.h
@@ -12,7 +12,7 @@
 
 #include "policy/instance-command.h"
 #include "policy/session-token.h"
-#include "pool/answer.h"
+#include "pool/answer-code.h"
 #include "pool/statement.h"
 
 /** enum CallerMessageKind - Messages from a caller. */
--- a/src/pool/order-line.c
+++ b/src/pool/command-channel.c
@@ -1,7 +1,7 @@
-#include "pool/order-line.h"
+#include "pool/command-channel.h"
 
 #include "base/clock.h"
-#include "pool/backend-line.h"
+#include "pool/instance-connection.h"
 
 /* Timeout of a command, including connecting; a busy instance reports that it is busy at once. */
 #define COMMAND_TIMEOUT_MS 400
--- a/src/pool/backend-line.c
+++ b/src/pool/instance-connection.c
@@ -1,4 +1,4 @@
-#include "pool/backend-line.h"
+#include "pool/instance-connection.h"
 
 #include <errno.h>
 
--- a/src/pool/instance-pool.h
+++ b/src/pool/instance-pool.h
@@ -9,7 +9,7 @@
 #include <talloc.h>
 #include <tevent.h>
 
-#include "pool/backend-line.h"
+#include "pool/instance-connection.h"
 #include "pool/catalog.h"
 
 typedef struct InstancePool InstancePool;
--- a/src/pool/pool-server.c
+++ b/src/pool/pool-server.c
@@ -4,13 +4,13 @@
 #include <unistd.h>
 
 #include "base/clock.h"
-#include "base/log-budget.h"
+#include "base/log-rate-limit.h"
 #include "base/log.h"
 #include "base/stream.h"
 #include "base/verdict.h"
 #include "policy/owner-set.h"
 #include "policy/service-owners.h"
-#include "pool/lead-driver.h"
+#include "pool/primary-change-manager.h"
 #include "pool/pool-session.h"
 
 /* Interval at which time limits are checked. */
--- a/src/pool/lead-driver.c
+++ b/src/pool/primary-change-manager.c
@@ -1,4 +1,4 @@
-#include "pool/lead-driver.h"
+#include "pool/primary-change-manager.h"
 
 #include <string.h>
 
@@ -7,7 +7,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "policy/connection-share.h"
-#include "policy/lead-change.h"
+#include "policy/primary-change.h"
 
 /* A peer's view is valid for two heartbeat rounds plus this time. */
 #define PEER_VIEW_FRESH_MS 300
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -15,7 +15,7 @@
 #include "policy/position-history.h"
 #include "pool/catalog.h"
 #include "pool/instance-pool.h"
-#include "pool/order-line.h"
+#include "pool/command-channel.h"
 
 typedef struct ServiceGroup ServiceGroup;
 
--- a/src/runtime/worker.c
+++ b/src/runtime/worker.c
@@ -8,7 +8,7 @@
 #include <urcu.h>
 
 #include "base/log.h"
-#include "base/pause-gate.h"
+#include "base/thread-pause.h"
 #include "runtime/link-table.h"
 
 /* A worker with its private data. */
--- a/tests/fault-matrix.c
+++ b/tests/fault-matrix.c
@@ -3,7 +3,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "matrix-world.h"
+#include "fault-simulation.h"
 
 /* Expected outcomes as reported to the caller. */
 #define R 'R' /* ran */
--- a/tests/matrix-world.c
+++ b/tests/fault-simulation.c
@@ -1,4 +1,4 @@
-#include "matrix-world.h"
+#include "fault-simulation.h"
 
 #include <string.h>
 
--- a/tests/matrix-world.h
+++ b/tests/fault-simulation.h
@@ -8,7 +8,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "policy/request-fate.h"
+#include "policy/request-failure.h"
 
 /** enum Fault - The faults of the fault matrix, as they affect one request. */
 typedef enum
--- a/tests/script-primary-change.c
+++ b/tests/script-primary-change.c
@@ -5,7 +5,7 @@
 #include <inttypes.h>
 #include <string.h>
 
-#include "policy/lead-change.h"
+#include "policy/primary-change.h"
 #include "script.h"
 
 #define HOSTS_MAX 3
--- a/tests/script-small.c
+++ b/tests/script-small.c
@@ -5,7 +5,7 @@
 
 #include "policy/conn-health.h"
 #include "policy/drain.h"
-#include "policy/request-fate.h"
+#include "policy/request-failure.h"
 #include "policy/retry-budget.h"
 #include "policy/session-token.h"
 #include "script.h"
--- a/tests/script-chain.c
+++ b/tests/script-sync.c
@@ -3,7 +3,7 @@
  */
 #include <string.h>
 
-#include "policy/config-chain.h"
+#include "policy/config-sync.h"
 #include "script.h"
 
 static void *
