Let most hosts of a large fleet take the configuration from their peers

Change: a follower looks at the configuration itself once a minute only; a host that becomes a reader watches again at once. Known addresses go to new hosts of the own failure domain.

--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -25,6 +25,8 @@
 #define LIST_MAX_AGE_MS 3000
 /* Minimum interval between fetches of the configuration caused by peers' heartbeats. */
 #define FETCH_MIN_INTERVAL_MS 800
+/* Interval between a follower's own looks at the configuration, which it learns from peers. */
+#define FOLLOWER_CONFIG_INTERVAL_MS 60000
 /* Minimum interval between a follower's requests to peers. */
 #define FOLLOW_INTERVAL_MS 200
 /* A starting host asks another host if the store has not answered by then. */
@@ -42,7 +44,8 @@
   Timer instances_timer;
   int64_t created_ms;
   uint64_t revision;
-  bool synced; /* the newest configuration was read and is being watched */
+  bool config_pending; /* a call for the configuration is under way */
+  bool synced;         /* the newest configuration was read and is being watched */
   int64_t config_retry_ms;
   int64_t instances_retry_ms;
   int64_t read_ms;
@@ -147,6 +150,7 @@
   Discovery *discovery = data;
   const DiscoveryOptions *options = &discovery->options;
 
+  discovery->config_pending = false;
   if (result == DIRECTORY_COMPACTED)
     {
       discovery->synced = false;
@@ -165,7 +169,8 @@
   discovery->revision = MAX (discovery->revision, revision);
   discovery->synced = true;
   apply_catalog (discovery, catalog);
-  timer_set (options->timers, &discovery->config_timer, 0);
+  timer_set (options->timers, &discovery->config_timer,
+             discovery->follower ? FOLLOWER_CONFIG_INTERVAL_MS : 0);
 }
 
 static void
@@ -174,6 +179,7 @@
   Discovery *discovery = data;
   const Directory *directory = discovery->options.directory;
 
+  discovery->config_pending = true;
   if (discovery->synced)
     directory->watch_configuration (directory->self, discovery->revision,
                                     discovery->reader ? WATCH_WAIT_MS : WATCH_WAIT_LONG_MS,
@@ -255,8 +261,11 @@
   const bool reads_missing = clock_now_ms () - last_read_ms > LIST_MAX_AGE_MS + role->round_ms;
   // The designated readers may be cut off from the store or from this host.
   const bool reader = role->reader || (role->standby && reads_missing);
+  const bool stops_following = discovery->follower && (reader || !role->follower);
 
   discovery->follower = role->follower && !reader;
+  if (stops_following && !discovery->config_pending)
+    timer_set (discovery->options.timers, &discovery->config_timer, 0);
   if (discovery->reader == reader)
     return;
   discovery->reader = reader;
--- a/src/pool/peer-mesh.c
+++ b/src/pool/peer-mesh.c
@@ -425,7 +425,7 @@
     sent_ms = 0;
   mesh->options.heartbeat_received (mesh->options.data, &peer->address, heartbeat, sent_ms);
   add_known_hosts (mesh, heartbeat);
-  if (is_new)
+  if (is_new && (peer->near || !peer_mesh_has_owners (mesh)))
     send_known_hosts (mesh, peer);
   for (size_t i = 0; i < heartbeat->n_services; i++)
     mesh->options.service_received (mesh->options.data, heartbeat->sender, peer->packed_address,
--- a/tests/script-snapshot.c
+++ b/tests/script-snapshot.c
@@ -37,6 +37,7 @@
   Catalog *catalog;
   guint instances; /* known to the host */
   guint lists;     /* number of instance lists applied */
+  guint calls;     /* to the store, since they were last printed */
 } Host;
 
 typedef struct
@@ -138,6 +139,7 @@
                   .instances = instances,
                   .data = data,
                   .timer = { .fired = on_call_due } };
+  host->calls++;
   call->timer.data = call;
   timer_set (host->state->timers, &call->timer, host->store == STORE_SILENT ? timeout_ms : POLL_MS);
 }
@@ -339,6 +341,19 @@
     }
 }
 
+/* role HOST reader|follower: its role in a fleet with owners, with no part as a standby reader */
+static void
+set_role (Host *host, const char *name)
+{
+  const ReaderRole role = {
+    .reader = strcmp (name, "reader") == 0,
+    .follower = true,
+    .round_ms = GOSSIP_MS,
+  };
+
+  discovery_set_role (host->discovery, &role);
+}
+
 static void
 print_host (const Host *host, GString *out)
 {
@@ -375,6 +390,15 @@
                        find_host (state, script_word (words, 2)));
   else if (strcmp (verb, "gossip") == 0)
     gossip (state, script_number (words, 1));
+  else if (strcmp (verb, "role") == 0)
+    set_role (find_host (state, script_word (words, 1)), script_word (words, 2));
+  else if (strcmp (verb, "calls") == 0)
+    {
+      Host *host = find_host (state, script_word (words, 1));
+
+      g_string_append_printf (out, "%s\n", host->calls == 0 ? "none" : "some");
+      host->calls = 0;
+    }
   else if (strcmp (verb, "run") == 0)
     run_for (state, script_number (words, 1));
   else if (strcmp (verb, "print") == 0)
