--- a/src/pool/pool-server.c
+++ b/src/pool/pool-server.c
@@ -8,9 +8,7 @@
 #include "base/log.h"
 #include "base/stream.h"
 #include "base/verdict.h"
-#include "policy/owner-set.h"
-#include "policy/service-owners.h"
-#include "pool/primary-change-manager.h"
+#include "pool/hosted-service.h"
 #include "pool/pool-session.h"
 
 /* Interval at which time limits are checked. */
@@ -24,34 +22,11 @@
 /* Log lines per second for statements that ran, and for statements that did not. */
 #define RAN_LINES_PER_S 10
 #define NOT_RUN_LINES_PER_S 30
-/* This host stops acting as an owner of a service that no session has used for this time. */
-#define OWNER_IDLE_MS 10000
-/* An owner that was not heard of for this time no longer gets the views of its service. */
-#define OWNER_KNOWN_MS 5000
-/* Other owners named in each view of a service. */
-#define OWNERS_PER_HEARTBEAT 4
-/* Owners per failure domain that would take over from one. They get a view now and then, in case
- * that they act already. */
-#define STANDBY_OWNERS 1
-/* One in this many views goes to them, and names other owners. */
-#define EXTENDED_VIEW_INTERVAL 4
 /* No session is forwarded to an owner for this time after it was lost. */
 #define OWNER_AVOID_MS 2000
 /* Interval at which forwarded sessions are checked for draining owners and changed routes. */
 #define FORWARD_CHECK_MS 250
 
-typedef struct
-{
-  ServiceGroup *group;
-  PrimaryChangeManager *change_manager;
-  uint32_t owners; /* per failure domain, in a fleet with owners */
-  bool active;     /* this host acts as an owner */
-  int64_t used_ms;
-  OwnerSet owner_set; /* other owners, from heartbeats */
-  uint32_t next_owner;
-  uint32_t views_sent;
-} Service;
-
 struct PoolServer
 {
   struct tevent_context *events;
@@ -64,7 +39,7 @@
   int64_t forwards_checked_ms;
   GHashTable *sessions;
   Catalog *catalog;
-  GHashTable *groups; /* service name to Service */
+  GHashTable *services; /* name to HostedService */
   bool hosts_known;
   GArray *instances; /* InstanceInfo */
   Timer tick;
@@ -90,7 +65,7 @@
       pool_session_close (session);
     }
   g_hash_table_destroy (server->sessions);
-  g_hash_table_destroy (server->groups);
+  g_hash_table_destroy (server->services);
   g_array_free (server->instances, true);
   if (server->catalog != NULL)
     catalog_unref (server->catalog);
@@ -163,34 +138,6 @@
   g_list_free (sessions);
 }
 
-static void send_view (PoolServer *server, Service *service, bool released);
-
-/* In a fleet with owners, this host acts for a service while sessions use it. */
-static void
-update_activity (PoolServer *server, Service *service, int64_t now_ms)
-{
-  if (!pool_server_has_owners (server) || service_group_is_used (service->group))
-    service->used_ms = now_ms;
-  if (service->used_ms > 0 && now_ms - service->used_ms < OWNER_IDLE_MS)
-    {
-      if (service->active)
-        return;
-      service->active = true;
-      log_event (LOG_LEVEL_NOTICE, "owner", "service=%s value=1",
-                 service_group_name (service->group));
-      primary_change_manager_activate (service->change_manager);
-      service->views_sent = 0;
-      send_view (server, service, false);
-      return;
-    }
-  if (!service->active || !primary_change_manager_is_idle (service->change_manager))
-    return;
-  service->active = false;
-  log_event (LOG_LEVEL_NOTICE, "owner", "service=%s value=0", service_group_name (service->group));
-  service_group_close_idle (service->group);
-  send_view (server, service, true);
-}
-
 static void
 on_tick (void *data)
 {
@@ -200,17 +147,9 @@
   void *value;
 
   timer_set (server->options.timers, &server->tick, TICK_MS);
-  g_hash_table_iter_init (&iter, server->groups);
+  g_hash_table_iter_init (&iter, server->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      Service *service = value;
-
-      update_activity (server, service, now_ms);
-      if (!service->active)
-        continue;
-      service_group_tick (service->group, now_ms);
-      primary_change_manager_tick (service->change_manager, now_ms);
-    }
+    hosted_service_tick (value, now_ms);
   check_forwarded_sessions (server, now_ms);
   if (server->drain_started_ms > 0 && now_ms - server->drain_started_ms >= LEAVE_NOTICE_MS)
     close_idle_sessions (server, now_ms);
@@ -242,7 +181,7 @@
   server->log_limits[VERDICT_RAN].lines_per_s = RAN_LINES_PER_S;
   server->log_limits[VERDICT_NOT_RUN].lines_per_s = NOT_RUN_LINES_PER_S;
   server->sessions = g_hash_table_new (NULL, NULL);
-  server->groups = g_hash_table_new (g_str_hash, g_str_equal);
+  server->services = g_hash_table_new (g_str_hash, g_str_equal);
   server->instances = g_array_new (false, true, sizeof (InstanceInfo));
   server->listen_fde = tevent_add_fd (events, server, fd, TEVENT_FD_READ, on_accept, server);
   server->link_fde
@@ -282,33 +221,33 @@
   g_array_free (group_infos, true);
 }
 
-static Service *
+static HostedService *
 add_service (PoolServer *server, const char *name)
 {
   const PoolServerOptions *options = &server->options;
-  const ServiceGroupOptions group_options = {
-    .events = server->events,
-    .timers = options->timers,
-    .codec = options->codec,
-    .failure_domain = options->failure_domain,
-    .region = options->region,
-    .domain_region = options->domain_region,
-    .refresh_instances = options->refresh_instances,
-    .data = options->data,
-  };
-  PrimaryChangeManagerOptions manager_options = {
-    .directory = options->directory,
-    .mesh = options->mesh,
-    .counters = options->counters,
-    .metrics = options->metrics,
-    .host = options->host,
+  const HostedServiceOptions service_options = {
+    .group = {
+      .events = server->events,
+      .timers = options->timers,
+      .codec = options->codec,
+      .failure_domain = options->failure_domain,
+      .region = options->region,
+      .domain_region = options->domain_region,
+      .refresh_instances = options->refresh_instances,
+      .data = options->data,
+    },
+    .manager = {
+      .directory = options->directory,
+      .mesh = options->mesh,
+      .counters = options->counters,
+      .metrics = options->metrics,
+      .host = options->host,
+    },
   };
-  Service *service = talloc_zero (server, Service);
+  HostedService *service = hosted_service_new (server, &service_options, name);
 
-  service->group = service_group_new (service, &group_options, name);
-  manager_options.group = service->group;
-  service->change_manager = primary_change_manager_new (service, &manager_options);
-  g_hash_table_insert (server->groups, (void *) service_group_name (service->group), service);
+  g_hash_table_insert (server->services,
+                       (void *) service_group_name (hosted_service_group (service)), service);
   return service;
 }
 
@@ -334,16 +273,14 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const ServiceEntry *entry = value;
-      Service *service = g_hash_table_lookup (server->groups, entry->name);
+      HostedService *service = g_hash_table_lookup (server->services, entry->name);
 
       if (service == NULL)
         {
           service = add_service (server, entry->name);
-          assign_instances (server, service->group);
+          assign_instances (server, hosted_service_group (service));
         }
-      primary_change_manager_configure (service->change_manager, entry);
-      service->owners = service_owners_per_domain (
-          entry->connection_limit, g_hash_table_size (server->options.domain_region));
+      hosted_service_configure (service, entry);
     }
 }
 
@@ -361,23 +298,20 @@
 
   g_array_set_size (server->instances, 0);
   g_array_append_vals (server->instances, infos->data, infos->len);
-  g_hash_table_iter_init (&iter, server->groups);
+  g_hash_table_iter_init (&iter, server->services);
   while (g_hash_table_iter_next (&iter, NULL, &service))
-    assign_instances (server, ((const Service *) service)->group);
+    assign_instances (server, hosted_service_group (service));
 }
 
 ServiceGroup *
 pool_server_group (PoolServer *server, const char *service)
 {
-  Service *found = g_hash_table_lookup (server->groups, service);
+  HostedService *found = g_hash_table_lookup (server->services, service);
 
   if (found == NULL)
     return NULL;
-  // Using the group makes this host an owner of the service.
-  found->used_ms = clock_now_ms ();
-  if (!found->active)
-    update_activity (server, found, found->used_ms);
-  return found->group;
+  hosted_service_use (found);
+  return hosted_service_group (found);
 }
 
 bool
@@ -414,107 +348,28 @@
   return peer_mesh_is_draining (server->options.mesh, id);
 }
 
-static OwnerRequest
-owner_request (const PoolServer *server, const Service *service)
-{
-  return (OwnerRequest){
-    .service = service_group_name (service->group),
-    .failure_domain = server->options.failure_domain,
-    .region = server->options.region,
-    .owners = service->owners,
-  };
-}
-
 OwnerChoice
 pool_server_find_owner (PoolServer *server, const char *service, uint64_t session, uint32_t attempt,
                         Host *owner)
 {
-  const HostView *view = peer_mesh_view (server->options.mesh);
-  const Service *found = g_hash_table_lookup (server->groups, service);
-  OwnerRequest request;
-  int index;
+  const HostedService *found = g_hash_table_lookup (server->services, service);
 
-  if (found == NULL)
-    return OWNER_NONE;
-  request = owner_request (server, found);
-  request.session = session;
-  index = service_owners_pick (view, &request, attempt);
-  if (index < 0)
+  if (found == NULL || !hosted_service_pick_owner (found, session, attempt, owner))
     return OWNER_NONE;
-  if (view->hosts[index].id_hash == peer_mesh_self_id (server->options.mesh))
+  if (owner->id_hash == peer_mesh_self_id (server->options.mesh))
     return OWNER_SELF;
-  if (is_avoided (server, view->hosts[index].id_hash))
-    return OWNER_AVOIDED;
-  *owner = view->hosts[index];
-  return OWNER_OTHER;
-}
-
-/* Adds the hosts whose rank in their failure domain is from @from to below @to to @set. */
-static void
-add_expected_owners (PoolServer *server, const Service *service, uint32_t from, uint32_t to,
-                     int64_t expires_ms, OwnerSet *set)
-{
-  const HostView *view = peer_mesh_view (server->options.mesh);
-  OwnerRequest request = owner_request (server, service);
-  GHashTableIter iter;
-  void *domain, *region;
-
-  g_hash_table_iter_init (&iter, server->options.domain_region);
-  while (g_hash_table_iter_next (&iter, &domain, &region))
-    {
-      request.failure_domain = domain;
-      request.region = region;
-      if (!host_view_has_domain (view, domain))
-        continue;
-      for (uint32_t i = from; i < to; i++)
-        {
-          const int index = service_owners_pick (view, &request, i);
-
-          if (index >= 0 && view->hosts[index].id_hash != peer_mesh_self_id (server->options.mesh))
-            owner_set_add (set, peer_mesh_pack_address (&view->hosts[index]), expires_ms);
-        }
-    }
-}
-
-static void
-send_view (PoolServer *server, Service *service, bool released)
-{
-  const int64_t now_ms = clock_now_ms ();
-  const bool extended = released || service->views_sent++ % EXTENDED_VIEW_INTERVAL == 0;
-  OwnerSet *set = &service->owner_set;
-  OwnerSet targets;
-  uint64_t owners[OWNERS_PER_HEARTBEAT];
-  Pool__ServiceBeat entry = POOL__SERVICE_BEAT__INIT;
-
-  if (!pool_server_has_owners (server))
-    return;
-  owner_set_expire (set, now_ms);
-  add_expected_owners (server, service, 0, service->owners, now_ms + OWNER_KNOWN_MS, set);
-  primary_change_manager_fill_heartbeat (service->change_manager, &entry);
-  entry.released = released;
-  entry.owners = owners;
-  if (extended)
-    for (uint32_t i = 0; i < MIN (set->count, OWNERS_PER_HEARTBEAT); i++)
-      owners[entry.n_owners++] = set->addresses[service->next_owner++ % set->count];
-  targets = *set;
-  if (extended)
-    add_expected_owners (server, service, service->owners, service->owners + STANDBY_OWNERS, now_ms,
-                         &targets);
-  peer_mesh_send_service (server->options.mesh, &entry, targets.addresses, targets.count);
-  g_free (entry.instances);
-  g_free (entry.wanted);
+  return is_avoided (server, owner->id_hash) ? OWNER_AVOIDED : OWNER_OTHER;
 }
 
 void
 pool_server_send_services (PoolServer *server)
 {
   GHashTableIter iter;
-  void *value;
+  void *service;
 
-  g_hash_table_iter_init (&iter, server->groups);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((const Service *) value)->active)
-      send_view (server, value, false);
+  g_hash_table_iter_init (&iter, server->services);
+  while (g_hash_table_iter_next (&iter, NULL, &service))
+    hosted_service_send_view (service);
 }
 
 void
@@ -538,59 +393,32 @@
   heartbeat->config_version = server->catalog == NULL ? 0 : server->catalog->version;
   if (!services)
     return;
-  heartbeat->services = g_new0 (Pool__ServiceBeat *, g_hash_table_size (server->groups));
-  g_hash_table_iter_init (&iter, server->groups);
+  heartbeat->services = g_new0 (Pool__ServiceBeat *, g_hash_table_size (server->services));
+  g_hash_table_iter_init (&iter, server->services);
   while (g_hash_table_iter_next (&iter, NULL, &service))
     {
       Pool__ServiceBeat *entry = g_new (Pool__ServiceBeat, 1);
 
       pool__service_beat__init (entry);
-      primary_change_manager_fill_heartbeat (((const Service *) service)->change_manager, entry);
+      hosted_service_fill_heartbeat (service, entry);
       heartbeat->services[heartbeat->n_services++] = entry;
     }
 }
 
-static Service *
-find_by_hash (const PoolServer *server, uint32_t hash)
-{
-  GHashTableIter iter;
-  void *name, *service;
-
-  g_hash_table_iter_init (&iter, server->groups);
-  while (g_hash_table_iter_next (&iter, &name, &service))
-    if (peer_mesh_name_hash (name) == hash)
-      return service;
-  return NULL;
-}
-
-static void
-record_owners (PoolServer *server, Service *service, uint64_t address,
-               const Pool__ServiceBeat *heartbeat)
-{
-  const int64_t expires_ms = clock_now_ms () + OWNER_KNOWN_MS;
-
-  if (heartbeat->released)
-    owner_set_remove (&service->owner_set, address);
-  else
-    owner_set_add (&service->owner_set, address, expires_ms);
-  for (size_t i = 0; i < heartbeat->n_owners; i++)
-    owner_set_add (&service->owner_set, heartbeat->owners[i], expires_ms);
-}
-
 void
 pool_server_receive_heartbeat (PoolServer *server, uint64_t peer, uint64_t address,
                                const Pool__ServiceBeat *heartbeat, int64_t sent_ms)
 {
-  Service *service = find_by_hash (server, heartbeat->service);
+  GHashTableIter iter;
+  void *name, *service;
 
-  if (service == NULL)
-    return;
-  if (pool_server_has_owners (server))
-    record_owners (server, service, address, heartbeat);
-  if (heartbeat->released)
-    primary_change_manager_forget_peer (service->change_manager, peer);
-  else if (service->active || !pool_server_has_owners (server))
-    primary_change_manager_receive_heartbeat (service->change_manager, peer, heartbeat, sent_ms);
+  g_hash_table_iter_init (&iter, server->services);
+  while (g_hash_table_iter_next (&iter, &name, &service))
+    if (peer_mesh_name_hash (name) == heartbeat->service)
+      {
+        hosted_service_receive (service, peer, address, heartbeat, sent_ms);
+        return;
+      }
 }
 
 void
@@ -599,9 +427,9 @@
   GHashTableIter iter;
   void *service;
 
-  g_hash_table_iter_init (&iter, server->groups);
+  g_hash_table_iter_init (&iter, server->services);
   while (g_hash_table_iter_next (&iter, NULL, &service))
-    primary_change_manager_forget_peer (((const Service *) service)->change_manager, peer);
+    hosted_service_forget_peer (service, peer);
 }
 
 bool
