Rank hosts by the current list of peers, and bound forwarded sessions

Change: the list is built anew before use; an owner at its limit closes the connection, and the other host serves the session otherwise; a session counts for two descriptors. Tests: pool-forward-rank, pool-forward-full.

--- a/src/cli/pool.c
+++ b/src/cli/pool.c
@@ -61,6 +61,8 @@
 #define FILE_POLL_MS 2000
 /* File descriptors reserved for connections to instances and to the store, and for files. */
 #define DESCRIPTOR_RESERVE 250
+/* A session that is forwarded has a connection to its owner too. */
+#define DESCRIPTORS_PER_SESSION 2
 
 typedef struct
 {
@@ -398,7 +400,9 @@
     .region = settings_text (settings, "region"),
     .address = address,
     .link_port = (uint16_t) (settings_number (settings, "peer-port") + 1),
-    .session_limit = (uint32_t) settings_number (settings, "descriptor-limit") - DESCRIPTOR_RESERVE,
+    .session_limit
+    = ((uint32_t) settings_number (settings, "descriptor-limit") - DESCRIPTOR_RESERVE)
+      / DESCRIPTORS_PER_SESSION,
     .domain_region = domains,
     .codec = &platform_line_codec,
     .counters = &daemon->counters,
--- a/src/pool/peer-mesh.c
+++ b/src/pool/peer-mesh.c
@@ -51,7 +51,7 @@
   struct tevent_fd *fde;
   GPtrArray *peers;
   GHashTable *by_address; /* packed address to Peer */
-  GPtrArray *near_peers;  /* rebuilt with the view */
+  GPtrArray *near_peers;  /* built with the view: call peer_mesh_view() before use */
   GPtrArray *far_peers;
   HostView *view; /* %NULL when it has to be built again */
   guint next_near;
@@ -664,10 +664,12 @@
 }
 
 uint32_t
-peer_mesh_domain_rank (const PeerMesh *mesh)
+peer_mesh_domain_rank (PeerMesh *mesh)
 {
   uint32_t rank = 0;
 
+  // Peers may have been removed since the lists were built.
+  peer_mesh_view (mesh);
   for (guint i = 0; i < mesh->near_peers->len; i++)
     {
       const Peer *peer = mesh->near_peers->pdata[i];
--- a/src/pool/peer-mesh.h
+++ b/src/pool/peer-mesh.h
@@ -107,7 +107,7 @@
 void peer_mesh_drain (PeerMesh *mesh);
 
 /** peer_mesh_domain_rank() - The same as peer_mesh_rank(), in this host's failure domain only. */
-uint32_t peer_mesh_domain_rank (const PeerMesh *mesh);
+uint32_t peer_mesh_domain_rank (PeerMesh *mesh);
 
 /** peer_mesh_leave() - Notifies all hosts that this host is stopping. */
 void peer_mesh_leave (PeerMesh *mesh);
--- a/src/pool/pool-server.c
+++ b/src/pool/pool-server.c
@@ -89,7 +89,7 @@
     tevent_fd_set_flags (server->listen_fde, 0);
 }
 
-/* Sessions of other hosts are accepted beyond the limit on callers, whose hosts bound them. */
+/* At the limit the other host has to be told at once, so that it serves the session otherwise. */
 static void
 on_accept_forwarded (struct tevent_context *events, struct tevent_fd *fde, uint16_t flags,
                      void *data)
@@ -98,7 +98,10 @@
   int fd;
 
   while ((fd = stream_accept (server->link_fd)) >= 0)
-    pool_session_new (server, fd, true);
+    if (g_hash_table_size (server->sessions) < server->options.session_limit)
+      pool_session_new (server, fd, true);
+    else
+      close (fd);
 }
 
 static void
--- a/src/pool/pool-server.h
+++ b/src/pool/pool-server.h
@@ -28,7 +28,7 @@
  * @failure_domain, @region: location of this host.
  * @address, @port: where callers connect.
  * @link_port: where other hosts forward sessions to.
- * @session_limit: sessions of callers open at once.
+ * @session_limit: sessions open at once, of callers and forwarded by other hosts.
  * @domain_region: failure domain to region, for the whole deployment.
  * @directory: platform calls, to change primaries.
  * @mesh: heartbeats with the other hosts.
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -18,7 +18,8 @@
 #include "script.h"
 
 #define HOSTS_MAX 4
-#define CALLERS_MAX 8
+#define CALLERS_MAX 10
+#define SESSION_LIMIT 8
 /* Longest wait for an answer; after that the script prints that there was none. */
 #define ANSWER_LIMIT_MS 6000
 #define POLL_MS 10
@@ -353,7 +354,7 @@
     .address = "127.0.0.1",
     .port = free_port (SOCK_STREAM),
     .link_port = (uint16_t) (mesh.port + 1),
-    .session_limit = CALLERS_MAX,
+    .session_limit = SESSION_LIMIT,
     .domain_region = state->regions,
     .codec = &platform_line_codec,
     .counters = &host->counters,
@@ -587,6 +588,15 @@
   TALLOC_FREE (host->mesh);
 }
 
+/* depart HOST: the daemon ends after it has told the others */
+static void
+depart (State *state, TestHost *host)
+{
+  peer_mesh_leave (host->mesh);
+  run_for (state, POLL_MS);
+  stop_host (host);
+}
+
 /* owner HOST: prints whether HOST serves sessions itself */
 static void
 print_owner (TestHost *host, GString *out)
@@ -648,6 +658,11 @@
     state->owners_from = (guint) script_number (words, 1);
   else if (strcmp (verb, "stop") == 0)
     stop_host (find_host (state, script_word (words, 1)));
+  else if (strcmp (verb, "depart") == 0)
+    depart (state, find_host (state, script_word (words, 1)));
+  else if (strcmp (verb, "rank") == 0)
+    g_string_append_printf (
+        out, "%u\n", peer_mesh_domain_rank (find_host (state, script_word (words, 1))->mesh));
   else if (strcmp (verb, "owner") == 0)
     print_owner (find_host (state, script_word (words, 1)), out);
   else if (strcmp (verb, "forwarded") == 0)
