Give services owners from 33 hosts on

Three readers of the whole fleet do at that size, as before. Change: owners-from is 33 by default; the deployments with owners have 61 to 295 hosts.

--- a/src/cli/pool.c
+++ b/src/cli/pool.c
@@ -35,7 +35,7 @@
   { "status-listen", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the readiness and metrics pages" },
   { "peer-port", SETTING_NUMBER, "7440", 0, 65535,
     "port for the other hosts (UDP and TCP), and the next one (TCP)" },
-  { "owners-from", SETTING_NUMBER, "17", 2, 1000000,
+  { "owners-from", SETTING_NUMBER, "33", 2, 1000000,
     "hosts from which on a few of them hold the connections to each service" },
   { "descriptor-limit", SETTING_NUMBER, "4096", 300, 1000000, "descriptors the process may open" },
   { "store", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the platform's store" },
