Log the era of the store and revisions that fall

The client decodes the header with which the store counts its returns from a backup; each answer carries it (StoreAnswer), as does the result of a write. Discovery logs store_restored when it changes, revision_fell (at most two lines a second) when an answer has a lower revision than an earlier one, and counts both returns and refused watches. No decision changes yet.

Test: store-era.

--- a/src/adapter/http-client.c
+++ b/src/adapter/http-client.c
@@ -27,6 +27,7 @@
   CURL *easy;
   struct curl_slist *headers;
   GString *body;
+  const char *response_header;
   HttpDone done;
   void *data;
 };
@@ -49,26 +50,39 @@
   g_free (call);
 }
 
+static char *
+copy_response_header (const HttpCall *call)
+{
+  struct curl_header *header;
+
+  if (call->response_header == NULL
+      || curl_easy_header (call->easy, call->response_header, 0, CURLH_HEADER, -1, &header)
+             != CURLHE_OK)
+    return NULL;
+  return g_strdup (header->value);
+}
+
 static void
 finish (HttpCall *call, CURLcode code)
 {
   const HttpDone done = call->done;
   void *data = call->data;
   GString *body = call->body;
-  long status = 0;
+  char *header = code == CURLE_OK ? copy_response_header (call) : NULL;
+  HttpResponse response = { .header = header, .body = body->str, .length = body->len };
   curl_off_t pretransfer_us = 0;
-  bool unsent;
 
-  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+  curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &response.status);
   curl_easy_getinfo (call->easy, CURLINFO_PRETRANSFER_TIME_T, &pretransfer_us);
   // The pre-transfer time stays 0 if no connection was established.
-  unsent = code != CURLE_OK && pretransfer_us == 0;
+  response.unsent = code != CURLE_OK && pretransfer_us == 0;
   if (code != CURLE_OK)
-    status = 0;
+    response.status = 0;
   call->body = g_string_new ("");
   call_free (call);
-  done (data, status, unsent, body->str, body->len);
+  done (data, &response);
   g_string_free (body, true);
+  g_free (header);
 }
 
 static void
@@ -216,6 +230,7 @@
   call->client = client;
   call->easy = easy;
   call->body = g_string_new ("");
+  call->response_header = request->response_header;
   call->done = request->done;
   call->data = request->data;
   // Suppress "Expect: 100-continue", which would cost a round trip.
--- a/src/adapter/http-client.h
+++ b/src/adapter/http-client.h
@@ -17,15 +17,29 @@
 typedef struct HttpCall HttpCall;
 
 /**
- * HttpDone - Completion callback. @status is the HTTP status, or 0 if there was no response; the
- * server may then have executed the request, unless @unsent is set: no connection was established.
+ * struct HttpResponse - Outcome of a request.
+ * @status: HTTP status, or 0 if there was no response; the server may then have executed the
+ *   request, unless @unsent is set: no connection was established.
+ * @header: value of the header named in the request; %NULL if the response lacks it.
+ * @body: @length bytes.
  */
-typedef void (*HttpDone) (void *data, long status, bool unsent, const char *body, size_t length);
+typedef struct
+{
+  long status;
+  bool unsent;
+  const char *header;
+  const char *body;
+  size_t length;
+} HttpResponse;
+
+/** HttpDone - Completion callback; @response is valid during the call. */
+typedef void (*HttpDone) (void *data, const HttpResponse *response);
 
 /**
  * struct HttpRequest - One request; everything but @data is copied.
  * @method: "GET" or "POST". @url: absolute URL. @body: JSON, or %NULL.
  * @headers: additional headers, %NULL-terminated; may be %NULL.
+ * @response_header: static name of the response header to return; may be %NULL.
  * @timeout_ms: limit for the whole request; then the connection is closed.
  * @abort_unsent: on a timeout, data that the server has not received is discarded, so that it
  *   can't execute the request later.
@@ -36,6 +50,7 @@
   const char *url;
   const char *body;
   const char *const *headers;
+  const char *response_header;
   int64_t timeout_ms;
   bool abort_unsent;
   HttpDone done;
--- a/src/pool/directory.h
+++ b/src/pool/directory.h
@@ -24,15 +24,27 @@
 /** directory_result_name() - Name of @result in log lines. */
 const char *directory_result_name (DirectoryResult result);
 
+/**
+ * struct StoreAnswer - What every answer of the store tells.
+ * @era: rises when the store comes back from a backup, without the latest changes; 0 if the answer
+ *   does not tell.
+ * @revision: of the store at the time of the answer; issued again in a later era.
+ */
+typedef struct
+{
+  DirectoryResult result;
+  uint64_t era;
+  uint64_t revision;
+} StoreAnswer;
+
 /**
  * ConfigurationCallback - @catalog is %NULL if there is none or no newer one; the receiver takes a
- * reference to keep it. @revision is the revision to watch from.
+ * reference to keep it. The revision of @answer is the one to watch from.
  */
-typedef void (*ConfigurationCallback) (void *data, DirectoryResult result, Catalog *catalog,
-                                       uint64_t revision);
+typedef void (*ConfigurationCallback) (void *data, const StoreAnswer *answer, Catalog *catalog);
 
 /** InstancesCallback - @infos holds &struct InstanceInfo; unreadable entries are skipped. */
-typedef void (*InstancesCallback) (void *data, DirectoryResult result, const GArray *infos);
+typedef void (*InstancesCallback) (void *data, const StoreAnswer *answer, const GArray *infos);
 
 /**
  * struct HostEntry - A host in the host list.
@@ -48,7 +60,10 @@
 } HostEntry;
 
 /** HostsCallback - @hosts holds &struct HostEntry. */
-typedef void (*HostsCallback) (void *data, DirectoryResult result, const GArray *hosts);
+typedef void (*HostsCallback) (void *data, const StoreAnswer *answer, const GArray *hosts);
+
+/** StoreCallback - A write to the store ended with @answer. */
+typedef void (*StoreCallback) (void *data, const StoreAnswer *answer);
 
 /** DirectoryCallback - The call ended with @result. */
 typedef void (*DirectoryCallback) (void *data, DirectoryResult result);
@@ -78,6 +93,6 @@
   void (*get_instances) (void *self, int64_t timeout_ms, InstancesCallback done, void *data);
   void (*get_hosts) (void *self, int64_t timeout_ms, HostsCallback done, void *data);
   void (*put_host) (void *self, const HostEntry *host, bool unregister, int64_t timeout_ms,
-                    DirectoryCallback done, void *data);
+                    StoreCallback done, void *data);
   void (*promote) (void *self, const PromoteRequest *request, DirectoryCallback done, void *data);
 } Directory;
--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -1,6 +1,7 @@
 #include "pool/discovery.h"
 
 #include "base/clock.h"
+#include "base/log-rate-limit.h"
 #include "base/log.h"
 #include "policy/instance-list.h"
 
@@ -36,6 +37,8 @@
 #define RETRY_MAX_MS 1000
 /* The same for a follower, of which a large fleet has hundreds. */
 #define FOLLOWER_RETRY_MAX_MS 4000
+/* Log lines per second for answers with a revision lower than an earlier one. */
+#define REVISION_LINES_PER_S 2
 
 struct Discovery
 {
@@ -43,7 +46,9 @@
   Timer config_timer;
   Timer instances_timer;
   int64_t created_ms;
+  uint64_t era; /* of the store, in its latest answer; 0 while unknown */
   uint64_t revision;
+  LogRateLimit revision_log;
   bool config_pending; /* a call for the configuration is under way */
   bool synced;         /* the newest configuration was read and is being watched */
   int64_t config_retry_ms;
@@ -86,6 +91,34 @@
              directory_result_name (result));
 }
 
+static void
+record_era (Discovery *discovery, const StoreAnswer *answer)
+{
+  if (answer->era == 0 || answer->era == discovery->era)
+    return;
+  if (discovery->era != 0)
+    {
+      pool_metrics_count (discovery->options.metrics, POOL_COUNT_STORE_RESTORED);
+      log_event (LOG_LEVEL_WARNING, "store_restored",
+                 "era=%" G_GUINT64_FORMAT " previous=%" G_GUINT64_FORMAT
+                 " revision=%" G_GUINT64_FORMAT " watched_from=%" G_GUINT64_FORMAT,
+                 answer->era, discovery->era, answer->revision, discovery->revision);
+    }
+  discovery->era = answer->era;
+}
+
+static void
+log_revision_fell (Discovery *discovery, const StoreAnswer *answer)
+{
+  uint32_t dropped;
+
+  if (log_rate_limit_allow (&discovery->revision_log, clock_now_ms (), &dropped))
+    log_event (LOG_LEVEL_NOTICE, "revision_fell",
+               "era=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
+               " watched_from=%" G_GUINT64_FORMAT " suppressed=%u",
+               answer->era, answer->revision, discovery->revision, dropped);
+}
+
 static int64_t
 next_retry_ms (const Discovery *discovery, int64_t *retry_ms)
 {
@@ -145,20 +178,22 @@
 }
 
 static void
-on_configuration (void *data, DirectoryResult result, Catalog *catalog, uint64_t revision)
+on_configuration (void *data, const StoreAnswer *answer, Catalog *catalog)
 {
   Discovery *discovery = data;
   const DiscoveryOptions *options = &discovery->options;
 
   discovery->config_pending = false;
-  if (result == DIRECTORY_COMPACTED)
+  record_era (discovery, answer);
+  if (answer->result == DIRECTORY_COMPACTED)
     {
+      pool_metrics_count (options->metrics, POOL_COUNT_FEED_GONE);
       discovery->synced = false;
       timer_set (options->timers, &discovery->config_timer, 0);
       return;
     }
-  record_store_result (discovery, result == DIRECTORY_OK, result);
-  if (result != DIRECTORY_OK)
+  record_store_result (discovery, answer->result == DIRECTORY_OK, answer->result);
+  if (answer->result != DIRECTORY_OK)
     {
       timer_set (options->timers, &discovery->config_timer,
                  next_retry_ms (discovery, &discovery->config_retry_ms));
@@ -166,7 +201,9 @@
       return;
     }
   discovery->config_retry_ms = RETRY_MS;
-  discovery->revision = MAX (discovery->revision, revision);
+  if (answer->revision < discovery->revision)
+    log_revision_fell (discovery, answer);
+  discovery->revision = MAX (discovery->revision, answer->revision);
   discovery->synced = true;
   apply_catalog (discovery, catalog);
   timer_set (options->timers, &discovery->config_timer,
@@ -189,14 +226,15 @@
 }
 
 static void
-on_instances (void *data, DirectoryResult result, const GArray *infos)
+on_instances (void *data, const StoreAnswer *answer, const GArray *infos)
 {
   Discovery *discovery = data;
   const DiscoveryOptions *options = &discovery->options;
 
   discovery->reading = false;
   pool_metrics_add (options->metrics, POOL_LATENCY_STORE, clock_now_ms () - discovery->read_ms);
-  if (result != DIRECTORY_OK)
+  record_era (discovery, answer);
+  if (answer->result != DIRECTORY_OK)
     {
       instance_list_failed (&discovery->list);
       timer_set (options->timers, &discovery->instances_timer,
@@ -232,6 +270,7 @@
 
   discovery->options = *options;
   discovery->reader = true;
+  discovery->revision_log.lines_per_s = REVISION_LINES_PER_S;
   discovery->config_retry_ms = discovery->instances_retry_ms = RETRY_MS;
   discovery->config_timer.fired = on_config_timer;
   discovery->config_timer.data = discovery;
@@ -275,13 +314,13 @@
 }
 
 static void
-on_fetched (void *data, DirectoryResult result, Catalog *catalog, uint64_t revision)
+on_fetched (void *data, const StoreAnswer *answer, Catalog *catalog)
 {
   Discovery *discovery = data;
 
   // The watch continues from its own revision; it may return the same version again.
   discovery->fetching = false;
-  if (result == DIRECTORY_OK)
+  if (answer->result == DIRECTORY_OK)
     apply_catalog (discovery, catalog);
   else
     request_snapshot_if_useful (discovery);
--- a/src/pool/host-registry.c
+++ b/src/pool/host-registry.c
@@ -35,22 +35,22 @@
 }
 
 static void
-on_registered (void *data, DirectoryResult result)
+on_registered (void *data, const StoreAnswer *answer)
 {
   HostRegistry *registry = data;
 
-  registry->registered = result == DIRECTORY_OK;
+  registry->registered = answer->result == DIRECTORY_OK;
   schedule (registry, registry->registered ? 0 : RETRY_MS);
 }
 
 static void
-on_hosts (void *data, DirectoryResult result, const GArray *hosts)
+on_hosts (void *data, const StoreAnswer *answer, const GArray *hosts)
 {
   HostRegistry *registry = data;
 
-  if (result == DIRECTORY_OK && !registry->leaving)
+  if (answer->result == DIRECTORY_OK && !registry->leaving)
     registry->options.hosts (registry->options.data, hosts);
-  if (result != DIRECTORY_OK)
+  if (answer->result != DIRECTORY_OK)
     {
       schedule (registry, RETRY_MS);
       return;
@@ -86,10 +86,11 @@
 }
 
 static void
-on_unregistered (void *data, DirectoryResult result)
+on_unregistered (void *data, const StoreAnswer *answer)
 {
-  if (result != DIRECTORY_OK)
-    log_event (LOG_LEVEL_INFO, "host_not_unlisted", "result=%s", directory_result_name (result));
+  if (answer->result != DIRECTORY_OK)
+    log_event (LOG_LEVEL_INFO, "host_not_unlisted", "result=%s",
+               directory_result_name (answer->result));
 }
 
 void
--- a/src/pool/pool-metrics.c
+++ b/src/pool/pool-metrics.c
@@ -9,6 +9,11 @@
   [POOL_LATENCY_CHANGE] = "peridotstep_primary_change_ms",
 };
 
+static const char *const count_names[POOL_COUNT_COUNT] = {
+  [POOL_COUNT_STORE_RESTORED] = "peridotstep_store_restored_total",
+  [POOL_COUNT_FEED_GONE] = "peridotstep_feed_gone_total",
+};
+
 void
 pool_metrics_add_statement (PoolMetrics *metrics, Priority priority, Verdict verdict,
                             int64_t took_ms)
@@ -23,6 +28,12 @@
   histogram_add (&metrics->latencies[latency], took_ms);
 }
 
+void
+pool_metrics_count (PoolMetrics *metrics, PoolCount count)
+{
+  metrics->counts[count]++;
+}
+
 static void
 print_outcomes (const PoolMetrics *metrics, GString *out)
 {
@@ -47,6 +58,9 @@
       g_snprintf (labels, sizeof labels, "priority=\"%s\"", priority_name ((Priority) priority));
       histogram_print (&metrics->statements[priority], "peridotstep_statement_ms", labels, out);
     }
+  for (int count = 0; count < POOL_COUNT_COUNT; count++)
+    g_string_append_printf (out, "# TYPE %s counter\n%s %" PRIu64 "\n", count_names[count],
+                            count_names[count], metrics->counts[count]);
   for (int latency = 0; latency < POOL_LATENCY_COUNT; latency++)
     {
       g_string_append_printf (out, "# TYPE %s histogram\n", latency_names[latency]);
--- a/src/pool/pool-metrics.h
+++ b/src/pool/pool-metrics.h
@@ -24,17 +24,26 @@
   POOL_LATENCY_COUNT
 } PoolLatency;
 
+/** enum PoolCount - Counted events. */
+typedef enum
+{
+  POOL_COUNT_STORE_RESTORED, /* the store came back from a backup */
+  POOL_COUNT_FEED_GONE,      /* the store no longer has the revision to watch from */
+  POOL_COUNT_COUNT
+} PoolCount;
+
 /**
  * struct PoolMetrics - Written and read only by the daemon's single thread.
  * @statements: statement latency as the caller sees it, by priority.
  * @outcomes: statements by priority and verdict.
- * @latencies: see &enum PoolLatency.
+ * @latencies: see &enum PoolLatency. @counts: see &enum PoolCount.
  */
 typedef struct
 {
   Histogram statements[PRIORITY_COUNT];
   uint64_t outcomes[PRIORITY_COUNT][VERDICT_COUNT];
   Histogram latencies[POOL_LATENCY_COUNT];
+  uint64_t counts[POOL_COUNT_COUNT];
 } PoolMetrics;
 
 /** pool_metrics_add_statement() - Counts a statement answered after @took_ms. */
@@ -44,5 +53,8 @@
 /** pool_metrics_add() - Adds a sample of @took_ms. */
 void pool_metrics_add (PoolMetrics *metrics, PoolLatency latency, int64_t took_ms);
 
+/** pool_metrics_count() - Counts one event. */
+void pool_metrics_count (PoolMetrics *metrics, PoolCount count);
+
 /** pool_metrics_print() - Appends the metrics in Prometheus text format to @out. */
 void pool_metrics_print (const PoolMetrics *metrics, GString *out);
--- a/tests/script-snapshot.c
+++ b/tests/script-snapshot.c
@@ -107,21 +107,23 @@
 {
   Call *call = data;
   const State *state = call->host->state;
-  const DirectoryResult result = call->host->store == STORE_OK ? DIRECTORY_OK : DIRECTORY_REFUSED;
+  const StoreAnswer answer = {
+    .result = call->host->store == STORE_OK ? DIRECTORY_OK : DIRECTORY_REFUSED,
+    .revision = state->version,
+  };
 
   if (call->configuration != NULL)
     {
       Catalog *catalog = make_catalog (state->version);
 
-      call->configuration (call->data, result, result == DIRECTORY_OK ? catalog : NULL,
-                           state->version);
+      call->configuration (call->data, &answer, answer.result == DIRECTORY_OK ? catalog : NULL);
       catalog_unref (catalog);
     }
   else
     {
       GArray *infos = make_infos (state->instances);
 
-      call->instances (call->data, result, infos);
+      call->instances (call->data, &answer, infos);
       g_array_free (infos, true);
     }
   talloc_free (call);
--- a/tests/script-store.c
+++ b/tests/script-store.c
@@ -28,6 +28,7 @@
   Timer wake;
   guint status;          /* of the next answer */
   char *body;            /* of the next answer */
+  char era[32];          /* header of the answers; empty for none */
   bool silent;           /* the next call gets no answer */
   GString *request_text; /* the last request */
   GString *result_text;  /* how the client interpreted the answer */
@@ -82,6 +83,8 @@
     return MHD_NO;
   response
       = MHD_create_response_from_buffer (strlen (state->body), state->body, MHD_RESPMEM_MUST_COPY);
+  if (*state->era != '\0')
+    MHD_add_response_header (response, "Store-Era", state->era);
   result = MHD_queue_response (connection, state->status, response);
   MHD_destroy_response (response);
   return result;
@@ -156,15 +159,24 @@
                           database->attempts, priority_name (database->priority));
 }
 
+/* The era only if the answer tells it. */
 static void
-on_configuration (void *data, DirectoryResult result, Catalog *catalog, uint64_t revision)
+print_answer (State *state, const StoreAnswer *answer)
+{
+  g_string_append (state->result_text, directory_result_name (answer->result));
+  if (answer->era != 0)
+    g_string_append_printf (state->result_text, " era=%" PRIu64, answer->era);
+}
+
+static void
+on_configuration (void *data, const StoreAnswer *answer, Catalog *catalog)
 {
   State *state = data;
   GHashTableIter iter;
   void *value;
 
-  g_string_append_printf (state->result_text, "%s revision=%" PRIu64 "\n",
-                          directory_result_name (result), revision);
+  print_answer (state, answer);
+  g_string_append_printf (state->result_text, " revision=%" PRIu64 "\n", answer->revision);
   if (catalog == NULL)
     return;
   g_string_append_printf (state->result_text, "version=%" PRIu64 " idle=%" PRId64 "\n",
@@ -179,11 +191,12 @@
 }
 
 static void
-on_instances (void *data, DirectoryResult result, const GArray *infos)
+on_instances (void *data, const StoreAnswer *answer, const GArray *infos)
 {
   State *state = data;
 
-  g_string_append_printf (state->result_text, "%s\n", directory_result_name (result));
+  print_answer (state, answer);
+  g_string_append (state->result_text, "\n");
   for (guint i = 0; i < infos->len; i++)
     {
       const InstanceInfo *info = &g_array_index (infos, InstanceInfo, i);
@@ -197,11 +210,12 @@
 }
 
 static void
-on_hosts (void *data, DirectoryResult result, const GArray *hosts)
+on_hosts (void *data, const StoreAnswer *answer, const GArray *hosts)
 {
   State *state = data;
 
-  g_string_append_printf (state->result_text, "%s\n", directory_result_name (result));
+  print_answer (state, answer);
+  g_string_append (state->result_text, "\n");
   for (guint i = 0; i < hosts->len; i++)
     {
       const HostEntry *host = &g_array_index (hosts, HostEntry, i);
@@ -212,7 +226,16 @@
 }
 
 static void
-on_call (void *data, DirectoryResult result)
+on_written (void *data, const StoreAnswer *answer)
+{
+  State *state = data;
+
+  print_answer (state, answer);
+  g_string_append (state->result_text, "\n");
+}
+
+static void
+on_promoted (void *data, DirectoryResult result)
 {
   State *state = data;
 
@@ -277,10 +300,10 @@
   else if (strcmp (name, "hosts") == 0)
     directory->get_hosts (directory->self, CALL_MS, on_hosts, state);
   else if (strcmp (name, "register") == 0 || strcmp (name, "unregister") == 0)
-    directory->put_host (directory->self, &host, strcmp (name, "unregister") == 0, CALL_MS, on_call,
-                         state);
+    directory->put_host (directory->self, &host, strcmp (name, "unregister") == 0, CALL_MS,
+                         on_written, state);
   else if (strcmp (name, "promote") == 0)
-    directory->promote (directory->self, &request, on_call, state);
+    directory->promote (directory->self, &request, on_promoted, state);
   else
     g_error ("no such call: %s", name);
   run_until_result (state);
@@ -301,6 +324,8 @@
       state->status = (guint) script_number (words, 1);
       state->body = g_strdup (script_word (words, 2));
     }
+  else if (strcmp (verb, "era") == 0)
+    g_strlcpy (state->era, script_word (words, 1), sizeof state->era);
   else if (strcmp (verb, "silent") == 0)
     state->silent = strcmp (script_word (words, 1), "on") == 0;
   else if (strcmp (verb, "call") == 0)
