End a feed position with the era of the store

Cause: a host kept the greatest revision that it had seen, and watched from it after the store had come back from a backup. The store issues revisions again: a configuration written under the host's revision, or below it, never ends the watch. All hosts watch from the same revision, since the last change of the configuration set it in all of them. Until the store had caught up, the watch was refused with 410, everything read again, and the same old revision watched from again without a pause.

A position in the feed now holds in its era only (policy/feed-position, policy/store-era): it is taken from the read of everything as it is, and lost when a watch fails, is refused, or is answered in another era. Any other answer of a new era (the list of instances, every 2 s) ends a watch that began before; answers of a past era count as failed. A feed that is refused again after a read is tried again after a delay. That is enough because a change is either in the read or after the position, in the same era.

--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -3,7 +3,9 @@
 #include "base/clock.h"
 #include "base/log-rate-limit.h"
 #include "base/log.h"
+#include "policy/feed-position.h"
 #include "policy/instance-list.h"
+#include "policy/store-era.h"
 
 /* A long poll ends by itself after this time, so that a dead connection is detected soon enough for
  * a new configuration to be in force within its limit. */
@@ -40,17 +42,24 @@
 /* Log lines per second for answers with a revision lower than an earlier one. */
 #define REVISION_LINES_PER_S 2
 
+/* A call for the configuration. */
+typedef struct
+{
+  Discovery *discovery;
+  bool watch; /* for what changes after the position, else for everything */
+} ConfigCall;
+
 struct Discovery
 {
   DiscoveryOptions options;
   Timer config_timer;
   Timer instances_timer;
   int64_t created_ms;
-  uint64_t era; /* of the store, in its latest answer; 0 while unknown */
-  uint64_t revision;
+  uint64_t era; /* of the store; 0 while unknown */
+  FeedPosition position;
   LogRateLimit revision_log;
-  bool config_pending; /* a call for the configuration is under way */
-  bool synced;         /* the newest configuration was read and is being watched */
+  ConfigCall *config_call; /* the one whose answer moves the position; %NULL for none */
+  bool feed_refused;       /* since the last watch that was answered */
   int64_t config_retry_ms;
   int64_t instances_retry_ms;
   int64_t read_ms;
@@ -71,6 +80,8 @@
   uint32_t peer_hash;    /* hash of a peer's list that caused the last read */
 };
 
+static void on_configuration (void *data, const StoreAnswer *answer, Catalog *catalog);
+
 static int
 discovery_destroy (Discovery *discovery)
 {
@@ -91,22 +102,6 @@
              directory_result_name (result));
 }
 
-static void
-record_era (Discovery *discovery, const StoreAnswer *answer)
-{
-  if (answer->era == 0 || answer->era == discovery->era)
-    return;
-  if (discovery->era != 0)
-    {
-      pool_metrics_count (discovery->options.metrics, POOL_COUNT_STORE_RESTORED);
-      log_event (LOG_LEVEL_WARNING, "store_restored",
-                 "era=%" G_GUINT64_FORMAT " previous=%" G_GUINT64_FORMAT
-                 " revision=%" G_GUINT64_FORMAT " watched_from=%" G_GUINT64_FORMAT,
-                 answer->era, discovery->era, answer->revision, discovery->revision);
-    }
-  discovery->era = answer->era;
-}
-
 static void
 log_revision_fell (Discovery *discovery, const StoreAnswer *answer)
 {
@@ -116,7 +111,64 @@
     log_event (LOG_LEVEL_NOTICE, "revision_fell",
                "era=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
                " watched_from=%" G_GUINT64_FORMAT " suppressed=%u",
-               answer->era, answer->revision, discovery->revision, dropped);
+               answer->era, answer->revision, discovery->position.revision, dropped);
+}
+
+static void
+start_config_call (Discovery *discovery)
+{
+  const Directory *directory = discovery->options.directory;
+  ConfigCall *call = talloc_zero (discovery, ConfigCall);
+
+  timer_clear (&discovery->config_timer);
+  call->discovery = discovery;
+  call->watch = discovery->position.valid;
+  discovery->config_call = call;
+  if (call->watch)
+    directory->watch_configuration (directory->self, discovery->position.revision,
+                                    discovery->reader ? WATCH_WAIT_MS : WATCH_WAIT_LONG_MS,
+                                    on_configuration, call);
+  else
+    directory->get_configuration (directory->self, CALL_TIMEOUT_MS, on_configuration, call);
+}
+
+static void
+lose_position (Discovery *discovery)
+{
+  const ConfigCall *call = discovery->config_call;
+
+  feed_position_lost (&discovery->position);
+  // A watch under way may wait for seconds; a follower learns from its peers.
+  if (call != NULL && call->watch && !discovery->follower)
+    start_config_call (discovery);
+}
+
+/* Returns false for an answer from before the store came back from a backup. */
+static bool
+record_era (Discovery *discovery, const StoreAnswer *answer)
+{
+  const uint64_t previous = discovery->era;
+
+  switch (store_era_record (&discovery->era, answer->era))
+    {
+    case STORE_ERA_CURRENT:
+      return true;
+    case STORE_ERA_PAST:
+      log_event (LOG_LEVEL_NOTICE, "store_answer",
+                 "reason=\"from before a restore\" era=%" G_GUINT64_FORMAT
+                 " current=%" G_GUINT64_FORMAT,
+                 answer->era, discovery->era);
+      return false;
+    case STORE_ERA_BEGUN:
+      break;
+    }
+  pool_metrics_count (discovery->options.metrics, POOL_COUNT_STORE_RESTORED);
+  log_event (LOG_LEVEL_WARNING, "store_restored",
+             "era=%" G_GUINT64_FORMAT " previous=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
+             " watched_from=%" G_GUINT64_FORMAT,
+             answer->era, previous, answer->revision, discovery->position.revision);
+  lose_position (discovery);
+  return true;
 }
 
 static int64_t
@@ -178,51 +230,76 @@
 }
 
 static void
-on_configuration (void *data, const StoreAnswer *answer, Catalog *catalog)
+record_position (Discovery *discovery, const StoreAnswer *answer, bool watched)
 {
-  Discovery *discovery = data;
-  const DiscoveryOptions *options = &discovery->options;
+  if (answer->revision < discovery->position.revision)
+    log_revision_fell (discovery, answer);
+  if (!watched)
+    {
+      feed_position_read (&discovery->position, answer->era, answer->revision);
+      return;
+    }
+  discovery->feed_refused = false;
+  feed_position_watched (&discovery->position, answer->era, answer->revision);
+}
 
-  discovery->config_pending = false;
-  record_era (discovery, answer);
-  if (answer->result == DIRECTORY_COMPACTED)
+/* The call failed. If the feed was refused, everything can be read at once; if that happens again,
+ * after a delay. */
+static void
+retry_configuration (Discovery *discovery, DirectoryResult result)
+{
+  const bool refused = result == DIRECTORY_COMPACTED;
+  int64_t delay_ms = 0;
+
+  feed_position_lost (&discovery->position);
+  if (!refused || discovery->feed_refused)
+    delay_ms = next_retry_ms (discovery, &discovery->config_retry_ms);
+  discovery->feed_refused |= refused;
+  timer_set (discovery->options.timers, &discovery->config_timer, delay_ms);
+}
+
+static void
+on_configuration (void *data, const StoreAnswer *answer, Catalog *catalog)
+{
+  ConfigCall *call = data;
+  Discovery *discovery = call->discovery;
+  const bool superseded = discovery->config_call != call;
+  const bool watched = call->watch;
+  DirectoryResult result = answer->result;
+
+  if (!superseded)
+    discovery->config_call = NULL;
+  talloc_free (call);
+  if (!record_era (discovery, answer))
+    result = DIRECTORY_UNKNOWN;
+  if (superseded)
     {
-      pool_metrics_count (options->metrics, POOL_COUNT_FEED_GONE);
-      discovery->synced = false;
-      timer_set (options->timers, &discovery->config_timer, 0);
+      apply_catalog (discovery, catalog);
       return;
     }
-  record_store_result (discovery, answer->result == DIRECTORY_OK, answer->result);
-  if (answer->result != DIRECTORY_OK)
+  if (result == DIRECTORY_COMPACTED)
+    pool_metrics_count (discovery->options.metrics, POOL_COUNT_FEED_GONE);
+  else
+    record_store_result (discovery, result == DIRECTORY_OK, result);
+  if (result != DIRECTORY_OK)
     {
-      timer_set (options->timers, &discovery->config_timer,
-                 next_retry_ms (discovery, &discovery->config_retry_ms));
-      request_snapshot_if_useful (discovery);
+      retry_configuration (discovery, result);
+      if (result != DIRECTORY_COMPACTED)
+        request_snapshot_if_useful (discovery);
       return;
     }
-  discovery->config_retry_ms = RETRY_MS;
-  if (answer->revision < discovery->revision)
-    log_revision_fell (discovery, answer);
-  discovery->revision = MAX (discovery->revision, answer->revision);
-  discovery->synced = true;
+  record_position (discovery, answer, watched);
+  if (!discovery->feed_refused)
+    discovery->config_retry_ms = RETRY_MS;
   apply_catalog (discovery, catalog);
-  timer_set (options->timers, &discovery->config_timer,
-             discovery->follower ? FOLLOWER_CONFIG_INTERVAL_MS : 0);
+  timer_set (discovery->options.timers, &discovery->config_timer,
+             discovery->follower && discovery->position.valid ? FOLLOWER_CONFIG_INTERVAL_MS : 0);
 }
 
 static void
 on_config_timer (void *data)
 {
-  Discovery *discovery = data;
-  const Directory *directory = discovery->options.directory;
-
-  discovery->config_pending = true;
-  if (discovery->synced)
-    directory->watch_configuration (directory->self, discovery->revision,
-                                    discovery->reader ? WATCH_WAIT_MS : WATCH_WAIT_LONG_MS,
-                                    on_configuration, discovery);
-  else
-    directory->get_configuration (directory->self, CALL_TIMEOUT_MS, on_configuration, discovery);
+  start_config_call (data);
 }
 
 static void
@@ -233,8 +310,7 @@
 
   discovery->reading = false;
   pool_metrics_add (options->metrics, POOL_LATENCY_STORE, clock_now_ms () - discovery->read_ms);
-  record_era (discovery, answer);
-  if (answer->result != DIRECTORY_OK)
+  if (!record_era (discovery, answer) || answer->result != DIRECTORY_OK)
     {
       instance_list_failed (&discovery->list);
       timer_set (options->timers, &discovery->instances_timer,
@@ -303,7 +379,7 @@
   const bool stops_following = discovery->follower && (reader || !role->follower);
 
   discovery->follower = role->follower && !reader;
-  if (stops_following && !discovery->config_pending)
+  if (stops_following && discovery->config_call == NULL)
     timer_set (discovery->options.timers, &discovery->config_timer, 0);
   if (discovery->reader == reader)
     return;
@@ -320,7 +396,7 @@
 
   // The watch continues from its own revision; it may return the same version again.
   discovery->fetching = false;
-  if (answer->result == DIRECTORY_OK)
+  if (record_era (discovery, answer) && answer->result == DIRECTORY_OK)
     apply_catalog (discovery, catalog);
   else
     request_snapshot_if_useful (discovery);
@@ -359,7 +435,7 @@
     }
   if (version > discovery->version
       && (discovery->store_lost
-          || (!discovery->synced && now_ms - discovery->created_ms >= START_WAIT_MS)))
+          || (!discovery->position.valid && now_ms - discovery->created_ms >= START_WAIT_MS)))
     request_snapshot_if_useful (discovery);
   if (version > discovery->version && !discovery->fetching
       && now_ms - discovery->fetched_ms >= FETCH_MIN_INTERVAL_MS)
