Take a newer configuration from a peer when the store has an older one

A host that started after the store had come back from a backup read the older configuration there and kept it until the operator wrote the newer one again, although heartbeats told it of the newer version: it asked the store again (every 0.8 s) and took its answer for the truth, as it asks a peer only when a call fails. Its callers would be answered as the older version says.

A host whose store has an older configuration than a peer asks that peer. Versions only rise, so the peer's is the one that was acknowledged last.

--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -397,7 +397,12 @@
   // The watch continues from its own revision; it may return the same version again.
   discovery->fetching = false;
   if (record_era (discovery, answer) && answer->result == DIRECTORY_OK)
-    apply_catalog (discovery, catalog);
+    {
+      apply_catalog (discovery, catalog);
+      // A store that came back from a backup may have an older configuration than the peer.
+      if (discovery->peer_version > discovery->version)
+        discovery->options.request_snapshot (discovery->options.data);
+    }
   else
     request_snapshot_if_useful (discovery);
 }
