Keep what was known of instances when the store returns from a backup

After the store has come back from a backup, its list of instances is as it was seconds before. A host took it as it was: an instance that had announced that it leaves was so no longer, one that had started anew had its earlier incarnation again (its connections were closed, and its time of leaving forgotten), and one that had not yet registered again was removed, unless a read of the list had failed during the outage. A host that reads the list every 2 or 30 s need not see a short outage at all.

The time that the list gives instances to register again now begins with the new era, too. Within it, the newer of what was known and what is read counts for each instance: a later start, and leaving. That holds for lists that another host sends as for one's own.

--- a/src/policy/instance-list.c
+++ b/src/policy/instance-list.c
@@ -4,7 +4,7 @@
 
 #include <xxhash.h>
 
-/* Live instances register again within two seconds after the store is back. */
+/* Live instances write their entries again within two seconds after the store is back. */
 #define REGISTRATION_GRACE_MS 2500
 
 void
@@ -21,51 +21,72 @@
   list->failed = true;
 }
 
-static bool
-contains (const GArray *infos, const char *id)
+void
+instance_list_restored (InstanceList *list, int64_t now_ms)
+{
+  list->recovered_ms = now_ms;
+}
+
+static InstanceInfo *
+find_info (GArray *infos, const char *id)
 {
   for (guint i = 0; i < infos->len; i++)
     if (strcmp (g_array_index (infos, InstanceInfo, i).id, id) == 0)
-      return true;
-  return false;
+      return &g_array_index (infos, InstanceInfo, i);
+  return NULL;
+}
+
+/* Updates @info, which may be older than @known, to the newer of both. */
+static void
+keep_newer (InstanceInfo *info, const InstanceInfo *known)
+{
+  if (info->started_ms < known->started_ms)
+    *info = *known;
+  else if (info->started_ms == known->started_ms)
+    info->leaving |= known->leaving;
 }
 
 static void
-add_missing (GArray *infos, const GArray *known)
+merge_known (GArray *infos, const GArray *known)
 {
   for (guint i = 0; i < known->len; i++)
     {
       const InstanceInfo *info = &g_array_index (known, InstanceInfo, i);
+      InstanceInfo *found = find_info (infos, info->id);
 
-      if (!contains (infos, info->id))
+      if (found == NULL)
         g_array_append_vals (infos, info, 1);
+      else
+        keep_newer (found, info);
     }
 }
 
-void
-instance_list_update (InstanceList *list, const GArray *listed, int64_t now_ms)
+static void
+replace_infos (InstanceList *list, const GArray *read, int64_t now_ms)
 {
-  GArray *infos = g_array_new (false, true, sizeof (InstanceInfo));
+  GArray *infos = g_array_sized_new (false, true, sizeof (InstanceInfo), read->len);
 
-  if (list->failed)
-    list->recovered_ms = now_ms;
-  list->failed = false;
-  g_array_append_vals (infos, listed->data, listed->len);
+  g_array_append_vals (infos, read->data, read->len);
   if (list->infos != NULL && list->recovered_ms > 0
       && now_ms - list->recovered_ms < REGISTRATION_GRACE_MS)
-    add_missing (infos, list->infos);
+    merge_known (infos, list->infos);
   instance_list_clear (list);
   list->infos = infos;
 }
 
 void
-instance_list_replace (InstanceList *list, const GArray *received)
+instance_list_update (InstanceList *list, const GArray *listed, int64_t now_ms)
 {
-  GArray *infos = g_array_sized_new (false, true, sizeof (InstanceInfo), received->len);
+  if (list->failed)
+    list->recovered_ms = now_ms;
+  list->failed = false;
+  replace_infos (list, listed, now_ms);
+}
 
-  g_array_append_vals (infos, received->data, received->len);
-  instance_list_clear (list);
-  list->infos = infos;
+void
+instance_list_replace (InstanceList *list, const GArray *received, int64_t now_ms)
+{
+  replace_infos (list, received, now_ms);
 }
 
 uint32_t
--- a/src/policy/instance-list.h
+++ b/src/policy/instance-list.h
@@ -1,6 +1,7 @@
 /**
- * DOC: List of the instances, read from a store that drops instances which could not reach it.
- * An instance missing right after an outage of the store may not have registered again yet.
+ * DOC: List of the instances, read from a store that drops instances which could not reach it, and
+ * that may come back from a backup. Right after that an instance that is missing may not have
+ * registered again yet, and an entry may be older than the one that was read before.
  */
 #pragma once
 
@@ -14,8 +15,8 @@
 /**
  * struct InstanceList - The instances considered present. Zeroed is empty.
  * @infos: &struct InstanceInfo.
- * @failed: the last read failed. @recovered_ms: first successful read after a failure; 0 for
- *   none.
+ * @failed: the last read failed. @recovered_ms: first successful read after a failure, or when the
+ *   store was found to be restored; 0 for never.
  */
 typedef struct
 {
@@ -30,14 +31,18 @@
 /** instance_list_failed() - Reading the store failed. */
 void instance_list_failed (InstanceList *list);
 
+/** instance_list_restored() - At @now_ms the store was found to be back from a backup. */
+void instance_list_restored (InstanceList *list, int64_t now_ms);
+
 /**
- * instance_list_update() - Updates @list->infos to the store's list as read at @now_ms.
- * Shortly after an outage it keeps the instances that are missing from there.
+ * instance_list_update() - Updates @list->infos to the store's list as read at @now_ms. Shortly
+ * after an outage or a restore it keeps instances that are missing from there, later incarnations,
+ * and that an instance is leaving.
  */
 void instance_list_update (InstanceList *list, const GArray *listed, int64_t now_ms);
 
-/** instance_list_replace() - Replaces the list by another host's while the store can't be read. */
-void instance_list_replace (InstanceList *list, const GArray *received);
+/** instance_list_replace() - The same with the list of another host. */
+void instance_list_replace (InstanceList *list, const GArray *received, int64_t now_ms);
 
 /** instance_list_hash() - Hash to compare lists by; 0 for a list that was never read. */
 uint32_t instance_list_hash (const InstanceList *list);
--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -168,6 +168,7 @@
              " watched_from=%" G_GUINT64_FORMAT,
              answer->era, previous, answer->revision, discovery->position.revision);
   lose_position (discovery);
+  instance_list_restored (&discovery->list, clock_now_ms ());
   return true;
 }
 
@@ -213,7 +214,7 @@
       || !(lacks_list || ((discovery->list.failed || discovery->follower) && snapshot->fresh)))
     return;
   discovery->list_read_ms = MAX (discovery->list_read_ms, discovery->wanted_read_ms);
-  instance_list_replace (&discovery->list, snapshot->infos);
+  instance_list_replace (&discovery->list, snapshot->infos, clock_now_ms ());
   discovery->options.instances (discovery->options.data, discovery->list.infos);
 }
 
--- a/tests/script-place.c
+++ b/tests/script-place.c
@@ -38,25 +38,62 @@
   g_free (state);
 }
 
-/* listed TIME NAME...: the store lists these instances; prints the resulting list */
+/* NAME[@STARTED][!], where "!" says that the instance is leaving */
+static InstanceInfo
+parse_info (const char *word)
+{
+  InstanceInfo info = { .slots = 5, .leaving = g_str_has_suffix (word, "!") };
+  const char *started = strchr (word, '@');
+
+  g_strlcpy (info.id, word, MIN (strcspn (word, "@!") + 1, sizeof info.id));
+  if (started != NULL)
+    info.started_ms = g_ascii_strtoll (started + 1, NULL, 10);
+  return info;
+}
+
 static void
-update_list (State *state, char **words, GString *out)
+print_info (const InstanceInfo *info, GString *out)
 {
-  GArray *listed = g_array_new (false, true, sizeof (InstanceInfo));
+  g_string_append (out, info->id);
+  if (info->started_ms != 0)
+    g_string_append_printf (out, "@%" PRId64, info->started_ms);
+  if (info->leaving)
+    g_string_append (out, "!");
+}
+
+static GArray *
+parse_infos (char **words)
+{
+  GArray *infos = g_array_new (false, true, sizeof (InstanceInfo));
 
   for (guint i = 2; words[i] != NULL; i++)
     {
-      InstanceInfo info = { .slots = 5 };
+      const InstanceInfo info = parse_info (words[i]);
 
-      g_strlcpy (info.id, words[i], sizeof info.id);
-      g_array_append_val (listed, info);
+      g_array_append_val (infos, info);
     }
-  instance_list_update (&state->list, listed, script_number (words, 1));
+  return infos;
+}
+
+/* listed|received TIME INSTANCE...: the store lists, or another host sends, these instances; prints
+ * the resulting list */
+static void
+update_list (State *state, char **words, GString *out)
+{
+  GArray *infos = parse_infos (words);
+  const gint64 now_ms = script_number (words, 1);
+
+  if (strcmp (words[0], "listed") == 0)
+    instance_list_update (&state->list, infos, now_ms);
+  else
+    instance_list_replace (&state->list, infos, now_ms);
   for (guint i = 0; i < state->list.infos->len; i++)
-    g_string_append_printf (out, "%s%s", i == 0 ? "" : " ",
-                            g_array_index (state->list.infos, InstanceInfo, i).id);
+    {
+      g_string_append (out, i == 0 ? "" : " ");
+      print_info (&g_array_index (state->list.infos, InstanceInfo, i), out);
+    }
   g_string_append (out, "\n");
-  g_array_free (listed, true);
+  g_array_free (infos, true);
 }
 
 /* view INSTANCE KEY VALUE */
@@ -125,10 +162,12 @@
     }
   else if (strcmp (verb, "since") == 0)
     print_since (state, words, out);
-  else if (strcmp (verb, "listed") == 0)
+  else if (strcmp (verb, "listed") == 0 || strcmp (verb, "received") == 0)
     update_list (state, words, out);
   else if (strcmp (verb, "store-failed") == 0)
     instance_list_failed (&state->list);
+  else if (strcmp (verb, "store-restored") == 0)
+    instance_list_restored (&state->list, script_number (words, 1));
   else if (strcmp (verb, "share") == 0)
     {
       demand = (ConnectionDemand){
