Pick a port for callers that is not the one for forwarded sessions

The runner crashed once in the pool scripts (a segmentation fault in pool_server_set_catalog, called by add_host). The kernel's dump of the registers shows why: the port for callers was 43641, that of the peers 43640, so the port for forwarded sessions, the one after it, was 43641 too. free_port_pair() frees it before free_port() picks one, which may then be the same; the server does not start, and the script goes on without one.

The port for callers is now another one, and a host that does not start ends the run with its ports.

--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -277,6 +277,18 @@
     }
 }
 
+/* A free port for callers, which must not be the one after the peers'. */
+static guint16
+free_caller_port (guint16 peer_port)
+{
+  guint16 port;
+
+  do
+    port = free_port (SOCK_STREAM);
+  while (port == peer_port + 1);
+  return port;
+}
+
 static void
 announce_hosts (State *state)
 {
@@ -352,7 +364,7 @@
     .failure_domain = "north-1",
     .region = "north",
     .address = "127.0.0.1",
-    .port = free_port (SOCK_STREAM),
+    .port = free_caller_port (mesh.port),
     .link_port = (uint16_t) (mesh.port + 1),
     .session_limit = SESSION_LIMIT,
     .domain_region = state->regions,
@@ -369,6 +381,9 @@
   g_strlcpy (host->name, name, sizeof host->name);
   host->mesh = options.mesh = peer_mesh_new (host, &mesh, NULL);
   host->server = pool_server_new (host, state->events, &options, NULL);
+  if (host->mesh == NULL || host->server == NULL)
+    g_error ("host %s: port %u, %u or %u is taken", host->name, options.port, mesh.port,
+             options.link_port);
   host->port = options.port;
   host->peer_port = mesh.port;
   state->hosts[state->host_count++] = host;
