Register a host again when the store returns from a backup

A host registers once, at its start. If the store then came back from a backup made before that, the host's entry was gone for good: hosts that start later learn of it only from others that know it, and a large fleet with a new host of another failure domain may not.

A host registers again when an answer shows a new era (its own calls to the host list, or those of discovery), or when another host's heartbeat does (Beat.store_era), since most hosts of a large fleet call the store once in 30 s. What others report is a hint only: the era that a host believes comes from the store's answers.

--- a/src/cli/pool.c
+++ b/src/cli/pool.c
@@ -113,6 +113,14 @@
   daemon->instances_hash = hash;
 }
 
+static void
+on_store_restored (void *data, uint64_t era)
+{
+  PoolDaemon *daemon = data;
+
+  host_registry_record_era (daemon->registry, era);
+}
+
 static void
 on_refresh_instances (void *data)
 {
@@ -175,6 +183,7 @@
   pool_server_fill_heartbeat (daemon->server, heartbeat, services);
   if (daemon->discovery == NULL)
     return;
+  heartbeat->store_era = discovery_era (daemon->discovery);
   heartbeat->instances_hash = discovery_instances_hash (daemon->discovery);
   if (heartbeat->instances_hash != 0)
     heartbeat->instances_age = (uint32_t) discovery_instances_age_ms (daemon->discovery);
@@ -230,8 +239,9 @@
   const Catalog *catalog = pool_server_catalog (daemon->server);
   char address[INET_ADDRSTRLEN];
 
-  if (daemon->discovery == NULL)
+  if (daemon->registry == NULL)
     return;
+  host_registry_record_era (daemon->registry, heartbeat->store_era);
   if ((catalog == NULL || heartbeat->config_version >= catalog->version)
       && (heartbeat->instances_hash != 0
           || (catalog != NULL && heartbeat->config_version > catalog->version))
@@ -476,6 +486,7 @@
     .metrics = &daemon->metrics,
     .catalog = on_catalog,
     .instances = on_instances,
+    .store_restored = on_store_restored,
     .request_snapshot = on_request_snapshot,
     .data = daemon,
   };
--- a/src/pool/beat.pb-c.c
+++ b/src/pool/beat.pb-c.c
@@ -343,7 +343,7 @@
   (ProtobufCMessageInit) pool__service_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool__beat__field_descriptors[13] =
+static const ProtobufCFieldDescriptor pool__beat__field_descriptors[14] =
 {
   {
     "sender",
@@ -501,6 +501,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_era",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pool__Beat, store_era),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool__beat__field_indices_by_name[] = {
   1,   /* field[1] = boot */
@@ -516,11 +528,12 @@
   0,   /* field[0] = sender */
   2,   /* field[2] = sent */
   7,   /* field[7] = services */
+  13,   /* field[13] = store_era */
 };
 static const ProtobufCIntRange pool__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor pool__beat__descriptor =
 {
@@ -530,7 +543,7 @@
   "Pool__Beat",
   "pool",
   sizeof(Pool__Beat),
-  13,
+  14,
   pool__beat__field_descriptors,
   pool__beat__field_indices_by_name,
   1,  pool__beat__number_ranges,
--- a/src/pool/beat.pb-c.h
+++ b/src/pool/beat.pb-c.h
@@ -129,10 +129,14 @@
    * the sender is shutting down: forward no sessions to it
    */
   protobuf_c_boolean draining;
+  /*
+   * of the store, as the sender knows it; 0 for unknown
+   */
+  uint64_t store_era;
 };
 #define POOL__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0 }
 
 
 /* Pool__ServiceBeat methods */
--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -169,6 +169,7 @@
              answer->era, previous, answer->revision, discovery->position.revision);
   lose_position (discovery);
   instance_list_restored (&discovery->list, clock_now_ms ());
+  discovery->options.store_restored (discovery->options.data, answer->era);
   return true;
 }
 
@@ -459,6 +460,12 @@
   discovery_refresh_instances (discovery);
 }
 
+uint64_t
+discovery_era (const Discovery *discovery)
+{
+  return discovery->era;
+}
+
 uint32_t
 discovery_instances_hash (const Discovery *discovery)
 {
--- a/src/pool/discovery.h
+++ b/src/pool/discovery.h
@@ -20,6 +20,7 @@
  * struct DiscoveryOptions - Source and callbacks.
  * @catalog: a configuration was read; it may be an old one.
  * @instances: the instance list was read; holds &struct InstanceInfo.
+ * @store_restored: the store came back from a backup, and is in @era now.
  * @request_snapshot: the store can't be read, and another host may have newer data.
  */
 typedef struct
@@ -29,6 +30,7 @@
   PoolMetrics *metrics;
   void (*catalog) (void *data, Catalog *catalog);
   void (*instances) (void *data, const GArray *infos);
+  void (*store_restored) (void *data, uint64_t era);
   void (*request_snapshot) (void *data);
   void *data;
 } DiscoveryOptions;
@@ -68,6 +70,9 @@
  */
 void discovery_record_peer (Discovery *discovery, uint64_t version, uint32_t hash, int64_t read_ms);
 
+/** discovery_era() - Era of the store; 0 while unknown. */
+uint64_t discovery_era (const Discovery *discovery);
+
 /** discovery_instances_hash() - Hash of the instance list if it was read lately, else 0. */
 uint32_t discovery_instances_hash (const Discovery *discovery);
 
--- a/src/pool/host-registry.h
+++ b/src/pool/host-registry.h
@@ -1,5 +1,6 @@
 /**
- * DOC: Registers this host in the store's host list and reads the other hosts from it.
+ * DOC: Registers this host in the store's host list, again when the store came back from a backup,
+ * and reads the other hosts from it.
  */
 #pragma once
 
@@ -31,5 +32,11 @@
  */
 HostRegistry *host_registry_new (TALLOC_CTX *parent, const HostRegistryOptions *options);
 
+/**
+ * host_registry_record_era() - This host's discovery or another host reports @era of the store; if
+ * it is a new one, the entry may be lost, and this host registers again.
+ */
+void host_registry_record_era (HostRegistry *registry, uint64_t era);
+
 /** host_registry_leave() - Unregisters this host without waiting for the answer. */
 void host_registry_leave (HostRegistry *registry);
--- a/tests/fake-store.c
+++ b/tests/fake-store.c
@@ -510,5 +510,5 @@
 
   for (guint i = 0; i < hosts->len; i++)
     g_string_append_printf (out, "%s%s", i == 0 ? "" : " ", (const char *) hosts->pdata[i]);
-  g_string_append (out, "\n");
+  g_string_append (out, hosts->len == 0 ? "none\n" : "\n");
 }
--- a/tests/fake-store.h
+++ b/tests/fake-store.h
@@ -64,5 +64,5 @@
  */
 void fake_store_restore (FakeStore *store, bool silent);
 
-/** fake_store_print_hosts() - Ids in the host list, in order, on one line. */
+/** fake_store_print_hosts() - Ids in the host list, in order, on one line; or "none". */
 void fake_store_print_hosts (const FakeStore *store, GString *out);
--- a/tests/script-snapshot.c
+++ b/tests/script-snapshot.c
@@ -10,6 +10,7 @@
 #include "base/stream.h"
 #include "fake-store.h"
 #include "pool/discovery.h"
+#include "pool/host-registry.h"
 #include "pool/snapshot-exchange.h"
 #include "script.h"
 
@@ -27,6 +28,7 @@
   char name[8];
   char address[32];
   FakeStoreClient *client;
+  HostRegistry *registry; /* %NULL until the host registers itself */
   Discovery *discovery;
   SnapshotExchange *exchange;
   Catalog *catalog;
@@ -65,6 +67,15 @@
   host->instances = infos->len;
 }
 
+static void
+on_store_restored (void *data, uint64_t era)
+{
+  Host *host = data;
+
+  if (host->registry != NULL)
+    host_registry_record_era (host->registry, era);
+}
+
 static void
 on_request_snapshot (void *data)
 {
@@ -153,6 +164,7 @@
     .metrics = &state->metrics,
     .catalog = on_catalog,
     .instances = on_instances,
+    .store_restored = on_store_restored,
     .request_snapshot = on_request_snapshot,
     .data = host,
   };
@@ -229,6 +241,26 @@
   discovery_set_role (host->discovery, &role);
 }
 
+static void
+on_hosts (void *data, const GArray *hosts)
+{
+}
+
+/* register HOST: enters itself in the store's host list */
+static void
+register_host (State *state, Host *host)
+{
+  FakeStoreClient *client = fake_store_client_new (host, state->store, FAKE_STORE_OK);
+  HostRegistryOptions options = {
+    .directory = &client->directory,
+    .timers = state->timers,
+    .hosts = on_hosts,
+  };
+
+  g_strlcpy (options.self.id, host->name, sizeof options.self.id);
+  host->registry = host_registry_new (host, &options);
+}
+
 static const char *
 call_words (guint calls)
 {
@@ -270,6 +302,13 @@
     fake_store_put_config_before_watch (state->store, (guint64) script_number (words, 1));
   else if (strcmp (verb, "touch") == 0)
     fake_store_touch (state->store, (guint) script_number (words, 1));
+  else if (strcmp (verb, "register") == 0)
+    register_host (state, find_host (state, script_word (words, 1)));
+  else if (strcmp (verb, "heard_era") == 0)
+    host_registry_record_era (find_host (state, script_word (words, 1))->registry,
+                              (guint64) script_number (words, 2));
+  else if (strcmp (verb, "hosts") == 0)
+    fake_store_print_hosts (state->store, out);
   else if (strcmp (verb, "backup") == 0)
     fake_store_backup (state->store);
   else if (strcmp (verb, "restore") == 0)
