Choose the successor among all paused replicas, not those that answered last

Cause: change_members_record_timeout() clears that a member responded and leaves that it is paused. logs_cover_commits() counted every paused member, change_members_most_advanced() considered the responding ones, so a replica that was busy for one query was passed over, though its longer log was part of the proof that nothing is missing.

One function, find_committed_bound(), now gives the position that the successor has to reach, from all paused logs or from what all hosts say.

--- a/src/policy/change-members.c
+++ b/src/policy/change-members.c
@@ -1,5 +1,6 @@
 #include "policy/change-members.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
@@ -177,14 +178,30 @@
   return false;
 }
 
-uint32_t
-change_members_paused_count (const ChangeMembers *members)
+static int
+compare_descending (const void *a, const void *b)
 {
-  uint32_t count = 0;
+  return session_token_compare (*(const SessionToken *) b, *(const SessionToken *) a);
+}
+
+bool
+change_members_committed_bound (const ChangeMembers *members, uint32_t synchronous,
+                                SessionToken *bound)
+{
+  SessionToken logs[CHANGE_MEMBERS_MAX];
+  uint32_t paused = 0;
+  uint32_t missing;
 
   for (uint32_t i = 0; i < members->count; i++)
-    count += members->items[i].paused;
-  return count;
+    if (members->items[i].paused)
+      logs[paused++] = members->items[i].report.received;
+  missing = members->size - paused;
+  if (paused == 0 || missing > synchronous)
+    return false;
+  // Of the holders of a commit at most the missing ones are not paused.
+  qsort (logs, paused, sizeof *logs, compare_descending);
+  *bound = logs[MIN (synchronous - missing, paused - 1)];
+  return true;
 }
 
 bool
@@ -209,6 +226,21 @@
   return comparison > 0 || (comparison == 0 && best->leaving && !member->leaving);
 }
 
+int64_t
+change_members_latest_report_ms (const ChangeMembers *members, SessionToken position)
+{
+  int64_t latest_ms = 0;
+
+  for (uint32_t i = 0; i < members->count; i++)
+    {
+      const ChangeMember *member = &members->items[i];
+
+      if (member->paused && session_token_compare (member->report.received, position) >= 0)
+        latest_ms = MAX (latest_ms, member->report_ms);
+    }
+  return latest_ms;
+}
+
 const ChangeMember *
 change_members_most_advanced (const ChangeMembers *members, bool paused_only)
 {
--- a/src/policy/change-members.h
+++ b/src/policy/change-members.h
@@ -19,7 +19,7 @@
  * @unresponsive: it did not answer the last command that ended.
  * @down: the same, and it refused the connection, so that it is not running.
  * @report, @report_ms: its last answer and when that arrived.
- * @paused: it was paused by this change.
+ * @paused: it was paused by this change. @report then stays valid when later commands time out.
  */
 typedef struct
 {
@@ -102,8 +102,20 @@
  */
 bool change_members_has_successor (const ChangeMembers *members);
 
-/** change_members_paused_count() - Number of instances paused by this change. */
-uint32_t change_members_paused_count (const ChangeMembers *members);
+/**
+ * change_members_committed_bound() - Sets @bound so that no commit beyond it was acknowledged, as
+ * far as the logs of the paused instances tell; false if they can't. An acknowledged commit is in
+ * the logs of @synchronous replicas and the primary. What an instance reported while it was paused
+ * holds as long as the pause does, also if it does not answer any more.
+ */
+bool change_members_committed_bound (const ChangeMembers *members, uint32_t synchronous,
+                                     SessionToken *bound);
+
+/**
+ * change_members_latest_report_ms() - When a paused instance whose log reaches @position answered
+ * last; 0 if there is none.
+ */
+int64_t change_members_latest_report_ms (const ChangeMembers *members, SessionToken position);
 
 /**
  * change_members_is_pause_overridden() - Whether a pause that this change made under
--- a/src/policy/primary-change.c
+++ b/src/policy/primary-change.c
@@ -32,6 +32,8 @@
 /* A report is too old for a promotion after this time: this host may have been suspended since,
  * and another one may have changed the primary. */
 #define REPORT_VALID_MS 250
+/* A paused replica that holds every commit is waited for as long before other hosts may try. */
+#define SUCCESSOR_LIMIT_MS 1500
 /* A pause of another host prevents a change for this time. */
 #define OTHER_PAUSE_TIMEOUT_MS 2000
 
@@ -447,15 +449,43 @@
   enter_phase (change, PRIMARY_CHANGE_WAITING, input->now_ms);
 }
 
-/* Whether a paused replica is certain to hold every commit that was ever acknowledged. */
+/* Sets @bound so that no commit beyond it was acknowledged; false if that is not known. */
 static bool
-logs_cover_commits (const PrimaryChange *change, const PrimaryChangeInput *input,
-                    const ChangeMember *best)
+find_committed_bound (const PrimaryChange *change, const PrimaryChangeInput *input,
+                      SessionToken *bound)
 {
-  if (change_members_paused_count (&change->members) + input->synchronous >= change->members.size)
-    return true;
-  return input->all_acknowledged && input->all_know_position
-         && session_token_compare (best->report.received, input->committed) >= 0;
+  const bool hosts_know = input->all_acknowledged && input->all_know_position;
+  const bool logs_know
+      = change_members_committed_bound (&change->members, input->synchronous, bound);
+
+  if (hosts_know && (!logs_know || session_token_compare (input->committed, *bound) < 0))
+    *bound = input->committed;
+  return hosts_know || logs_know;
+}
+
+/* No replica can be promoted yet: queries the instances again, or gives up. */
+static void
+wait_for_successor (PrimaryChange *change, const PrimaryChangeInput *input,
+                    const SessionToken *bound)
+{
+  const int64_t now_ms = input->now_ms;
+  int64_t report_ms;
+
+  if (now_ms - change->last_command_ms < QUERY_INTERVAL_MS)
+    return;
+  report_ms = bound == NULL ? 0 : change_members_latest_report_ms (&change->members, *bound);
+  if (report_ms == 0)
+    {
+      change->paused_ms = 0;
+      start_querying (change, now_ms);
+      return;
+    }
+  // A paused replica holds every commit: it can't be replaced by one with a shorter log, but
+  // another host may reach it.
+  if (now_ms - report_ms > SUCCESSOR_LIMIT_MS)
+    abandon_change (change, now_ms);
+  else
+    query_all (change, now_ms);
 }
 
 static void
@@ -464,6 +494,8 @@
   const int64_t now_ms = input->now_ms;
   const ChangeMember *reported_primary;
   const ChangeMember *best;
+  SessionToken bound;
+  bool is_known;
 
   if (!change_members_responsive_done (&change->members))
     return;
@@ -481,18 +513,16 @@
       return;
     }
   best = change_members_most_advanced (&change->members, true);
-  if (best == NULL || !logs_cover_commits (change, input, best)
-      || (!input->all_acknowledged && now_ms - change->paused_ms < change->options.lease_ms))
+  is_known = find_committed_bound (change, input, &bound);
+  if (best == NULL || !is_known || session_token_compare (best->report.received, bound) < 0)
     {
-      if (now_ms - change->last_command_ms < QUERY_INTERVAL_MS)
-        return;
-      if (best == NULL || !logs_cover_commits (change, input, best))
-        {
-          change->paused_ms = 0;
-          start_querying (change, now_ms);
-          return;
-        }
-      query_all (change, now_ms);
+      wait_for_successor (change, input, is_known ? &bound : NULL);
+      return;
+    }
+  if (!input->all_acknowledged && now_ms - change->paused_ms < change->options.lease_ms)
+    {
+      if (now_ms - change->last_command_ms >= QUERY_INTERVAL_MS)
+        query_all (change, now_ms);
       return;
     }
   if (now_ms - best->report_ms > REPORT_VALID_MS)
--- a/tests/main.c
+++ b/tests/main.c
@@ -9,6 +9,7 @@
 #include "config-apply-faults.h"
 #include "fault-matrix.h"
 #include "fuzz.h"
+#include "primary-change-model.h"
 #include "script.h"
 #include "end-to-end.h"
 
@@ -165,6 +166,7 @@
   suite_add_tcase (suite, fault_matrix_case ());
   suite_add_tcase (suite, config_apply_faults_case ());
   suite_add_tcase (suite, fuzz_case ());
+  suite_add_tcase (suite, primary_change_model_case ());
   suite_add_tcase (suite, end_to_end_case ());
   runner = srunner_create (suite);
   srunner_set_fork_status (runner, CK_NOFORK);
--- /dev/null
+++ b/tests/primary-change-model.c
@@ -0,0 +1,905 @@
+#include "primary-change-model.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "policy/primary-change.h"
+
+#define HOSTS 2
+#define INSTANCES 3
+#define LOG_MAX 4096
+#define EVENTS_MAX 2048
+#define SYNCHRONOUS 1
+/* Seeds run by default; PRIMARY_CHANGE_SEEDS=FIRST-LAST runs others. */
+#define FIRST_SEED 1
+#define LAST_SEED 300
+#define TICK_MS 10
+/* Faults begin until then; the group has to serve again some time after. */
+#define FAULTS_MS 8000
+#define RUN_MS 26000
+#define SERVES_FROM_MS 24000
+#define FAULT_INTERVAL_MS 500
+#define LEASE_MS 800
+#define HEARTBEAT_MS 250
+#define PEER_FRESH_MS 1000
+#define PEER_TOKEN_FRESH_MS 2000
+#define COMMAND_TIMEOUT_MS 300
+#define PROMOTE_TIMEOUT_MS 700
+#define PROMOTE_MS 300
+#define UNRESPONSIVE_MS 300
+#define COMMIT_STALL_MS 700
+#define PROBE_MS 100
+#define WRITE_MS 40
+
+typedef struct
+{
+  uint32_t id;
+  uint32_t term;
+} Entry;
+
+typedef struct
+{
+  bool primary;
+  uint64_t term;
+  Entry log[LOG_MAX];
+  uint32_t length;
+  uint64_t pause_token;
+  int follows;
+  int64_t down_until_ms;
+  int64_t busy_until_ms;
+  int64_t deaf_until_ms;       /* receives nothing */
+  int64_t learns_ms;           /* when it hears of the newest primary, if it can */
+  int64_t steps_down_ms;       /* an old primary that reaches its successor; 0 for never */
+  int64_t cut_until_ms[HOSTS]; /* from a host */
+} Instance;
+
+/* A write that the primary has run and that no replica has yet. */
+typedef struct
+{
+  bool used;
+  uint32_t id;
+  uint32_t position;
+  int host;
+  int instance;
+  int64_t sent_ms;
+} Write;
+
+typedef struct
+{
+  int64_t heard_ms;
+  int primary;
+  uint64_t fencing_token;
+  uint64_t acknowledged_token;
+  bool suspect;
+  bool stalled;
+  bool knows_position;
+  SessionToken committed;
+} PeerView;
+
+typedef struct
+{
+  PrimaryChange *change;
+  int primary; /* -1 for none */
+  uint64_t term;
+  int64_t confirmed_ms;
+  bool knows_position;
+  SessionToken committed;
+  int64_t pending_since_ms;
+  int64_t primary_asked_ms; /* oldest unanswered question to the primary */
+  int64_t frozen_until_ms;
+  int64_t probed_ms;
+  int64_t heartbeat_ms;
+  int64_t written_ms;
+  bool fenced;
+  uint64_t acknowledged_token;
+  uint64_t highest_token;
+  uint32_t command_ids[INSTANCES]; /* the commands awaited */
+  PeerView peer;
+} Host;
+
+typedef enum
+{
+  EVENT_COMMAND,
+  EVENT_ANSWER,
+  EVENT_TIMEOUT,
+  EVENT_PROMOTE,
+  EVENT_PROMOTE_ENDED,
+  EVENT_WRITE,
+  EVENT_WRITTEN,
+  EVENT_HEARTBEAT
+} EventKind;
+
+typedef enum
+{
+  REPLY_REPORT,
+  REPLY_BUSY,
+  REPLY_DOWN
+} Reply;
+
+typedef struct
+{
+  EventKind kind;
+  int64_t due_ms;
+  int64_t sent_ms;
+  int host;
+  int instance;
+  uint32_t id;
+  bool probe; /* a status query of the host's own, not of its change */
+  InstanceCommand command;
+  uint64_t token;
+  Reply reply;
+  InstanceReport report;
+  PromotionResult result;
+  PeerView view;
+  uint64_t view_term;
+  int64_t view_confirmed_ms;
+} Event;
+
+typedef struct
+{
+  GRand *random;
+  int64_t now_ms;
+  Instance instances[INSTANCES];
+  Host hosts[HOSTS];
+  Event events[EVENTS_MAX];
+  guint event_count;
+  Write writes[64];
+  Entry acknowledged[LOG_MAX]; /* by position */
+  uint32_t acknowledged_length;
+  int64_t last_acknowledged_ms;
+  int64_t peers_cut_until_ms;
+  uint64_t newest_term;
+  int newest_primary;
+  uint64_t promoted_token;
+  uint32_t next_id;
+  bool owners; /* no host knows whether all hosts have acknowledged */
+  const char *broken;
+} Model;
+
+static int
+pick (Model *model, int low, int high)
+{
+  return g_rand_int_range (model->random, low, high + 1);
+}
+
+static void
+break_rule (Model *model, const char *rule)
+{
+  if (model->broken == NULL)
+    model->broken = rule;
+}
+
+static Event *
+add_event (Model *model, EventKind kind, int host, int64_t delay_ms)
+{
+  Event *event;
+
+  if (model->event_count == EVENTS_MAX)
+    g_error ("too many events");
+  event = &model->events[model->event_count++];
+  *event = (Event){
+    .kind = kind, .host = host, .due_ms = model->now_ms + delay_ms, .sent_ms = model->now_ms
+  };
+  return event;
+}
+
+static bool
+is_up (const Model *model, int instance)
+{
+  return model->now_ms >= model->instances[instance].down_until_ms;
+}
+
+static bool
+reaches (const Model *model, int host, int instance)
+{
+  return is_up (model, instance) && model->now_ms >= model->instances[instance].cut_until_ms[host];
+}
+
+static SessionToken
+received (const Instance *instance)
+{
+  if (instance->length == 0)
+    return (SessionToken){ 1, 0 };
+  return (SessionToken){ instance->log[instance->length - 1].term, instance->length };
+}
+
+static InstanceReport
+report_of (const Model *model, int index)
+{
+  const Instance *instance = &model->instances[index];
+
+  return (InstanceReport){ .primary = instance->primary,
+                           .term = instance->term,
+                           .received = received (instance),
+                           .pause_token = instance->pause_token };
+}
+
+/* --- the group --- */
+
+static void
+replicate (Model *model, int index)
+{
+  Instance *replica = &model->instances[index];
+  const Instance *source;
+
+  if (replica->primary || replica->pause_token != 0 || replica->follows < 0 || !is_up (model, index)
+      || !is_up (model, replica->follows) || model->now_ms < replica->deaf_until_ms)
+    return;
+  source = &model->instances[replica->follows];
+  if (!source->primary || source->term < replica->term)
+    return;
+  replica->term = source->term;
+  memcpy (replica->log, source->log, source->length * sizeof *source->log);
+  replica->length = source->length;
+}
+
+static bool
+has_entry (const Instance *instance, const Write *write)
+{
+  return instance->length > write->position && instance->log[write->position].id == write->id;
+}
+
+/* A write whose entry a replica has received is answered. */
+static void
+end_writes (Model *model)
+{
+  for (guint i = 0; i < G_N_ELEMENTS (model->writes); i++)
+    {
+      Write *write = &model->writes[i];
+      guint holders = 0;
+      Event *event;
+
+      if (!write->used)
+        continue;
+      for (int k = 0; k < INSTANCES; k++)
+        holders += k != write->instance && has_entry (&model->instances[k], write);
+      if (!is_up (model, write->instance) || !has_entry (&model->instances[write->instance], write))
+        {
+          write->used = false;
+          continue;
+        }
+      if (holders < SYNCHRONOUS)
+        continue;
+      write->used = false;
+      if (!reaches (model, write->host, write->instance))
+        continue;
+      event = add_event (model, EVENT_WRITTEN, write->host, pick (model, 1, 15));
+      event->instance = write->instance;
+      event->id = write->id;
+      event->sent_ms = write->sent_ms;
+      event->report = (InstanceReport){
+        .term = model->instances[write->instance].log[write->position].term,
+        .received
+        = { model->instances[write->instance].log[write->position].term, write->position + 1 },
+      };
+    }
+}
+
+static void
+execute_command (Model *model, const Event *event)
+{
+  Instance *instance = &model->instances[event->instance];
+
+  switch (event->command)
+    {
+    case INSTANCE_COMMAND_PAUSE:
+      if (!instance->primary && event->token >> 32 > instance->term)
+        instance->pause_token = event->token;
+      return;
+    case INSTANCE_COMMAND_RESUME:
+      instance->pause_token = 0;
+      return;
+    case INSTANCE_COMMAND_STEP_DOWN:
+      if (instance->term < event->token >> 32)
+        {
+          instance->primary = false;
+          instance->follows = model->newest_primary;
+        }
+      return;
+    default:
+      return;
+    }
+}
+
+/* Whether the log has every acknowledged entry. */
+static bool
+holds_acknowledged (const Model *model, const Instance *instance)
+{
+  for (uint32_t i = 0; i < model->acknowledged_length; i++)
+    if (model->acknowledged[i].id != 0
+        && (i >= instance->length || instance->log[i].id != model->acknowledged[i].id))
+      return false;
+  return true;
+}
+
+static PromotionResult
+execute_promotion (Model *model, const Event *event)
+{
+  Instance *instance = &model->instances[event->instance];
+
+  if (event->token <= model->promoted_token)
+    break_rule (model, "a token that is not greater than the last one");
+  if (!is_up (model, event->instance))
+    return PROMOTION_INVALID;
+  model->promoted_token = event->token;
+  if (instance->primary)
+    return PROMOTION_DONE;
+  if (!holds_acknowledged (model, instance))
+    break_rule (model, "an acknowledged commit is not in the promoted log");
+  instance->primary = true;
+  instance->term = ++model->newest_term;
+  instance->pause_token = 0;
+  model->newest_primary = event->instance;
+  for (int i = 0; i < INSTANCES; i++)
+    {
+      model->instances[i].learns_ms = model->now_ms + pick (model, 0, 800);
+      model->instances[i].steps_down_ms = 0;
+    }
+  return PROMOTION_DONE;
+}
+
+/* --- the hosts --- */
+
+static void
+adopt_primary (Host *host, int primary, uint64_t term)
+{
+  if (term == host->term && primary == host->primary)
+    return;
+  host->primary = primary;
+  host->term = term;
+  host->confirmed_ms = 0;
+  host->pending_since_ms = host->primary_asked_ms = 0;
+  host->knows_position = false;
+}
+
+static void
+record_report (Host *host, int instance, const InstanceReport *report, int64_t sent_ms)
+{
+  if (instance == host->primary)
+    host->primary_asked_ms = 0;
+  if (report->primary && report->term >= host->term)
+    adopt_primary (host, instance, report->term);
+  else if (!report->primary && report->term == host->term && report->pause_token == 0)
+    host->confirmed_ms = MAX (host->confirmed_ms, sent_ms);
+  if (instance == host->primary && host->confirmed_ms > 0)
+    host->knows_position = true;
+}
+
+static bool
+relies (const Model *model, const Host *host)
+{
+  return host->primary >= 0 && !host->fenced && host->confirmed_ms > 0
+         && model->now_ms - host->confirmed_ms < LEASE_MS;
+}
+
+static void
+send_command (Model *model, int index, int instance, const PrimaryChangeAction *action)
+{
+  Host *host = &model->hosts[index];
+  const uint32_t id = ++model->next_id;
+  const bool late = pick (model, 1, 40) == 1;
+  Event *event;
+
+  event = add_event (model, EVENT_COMMAND, index,
+                     late ? pick (model, COMMAND_TIMEOUT_MS, 1500) : pick (model, 1, 20));
+  event->instance = instance;
+  event->id = id;
+  event->probe = action == NULL;
+  if (action != NULL)
+    {
+      event->command = action->command;
+      event->token = action->fencing_token;
+      host->command_ids[instance] = id;
+      event = add_event (model, EVENT_TIMEOUT, index, COMMAND_TIMEOUT_MS);
+      event->instance = instance;
+      event->id = id;
+    }
+  if (instance == host->primary && host->primary_asked_ms == 0)
+    host->primary_asked_ms = model->now_ms;
+}
+
+static PrimaryChangeInput
+make_input (const Model *model, const Host *host)
+{
+  const PeerView *peer = &host->peer;
+  const int64_t silent_ms = model->now_ms - peer->heard_ms;
+  const bool stalled
+      = host->pending_since_ms > 0 && model->now_ms - host->pending_since_ms >= COMMIT_STALL_MS;
+  const bool unresponsive
+      = host->primary_asked_ms > 0 && model->now_ms - host->primary_asked_ms >= UNRESPONSIVE_MS;
+  PrimaryChangeInput input = {
+    .now_ms = model->now_ms,
+    .primary = (uint32_t) (host->primary + 1),
+    .term = host->term,
+    .commits_stalled = stalled,
+    .suspect = stalled || unresponsive,
+    .votes = stalled || unresponsive,
+    .hosts = 1,
+    .highest_fencing_token = host->highest_token,
+    .all_acknowledged = true,
+    .all_know_position = host->knows_position,
+    .all_follow = true,
+    .committed = host->committed,
+    .synchronous = SYNCHRONOUS,
+  };
+
+  if (silent_ms >= PEER_FRESH_MS
+      || peer->acknowledged_token < primary_change_fencing_token (host->change))
+    input.all_acknowledged = false;
+  input.all_know_position &= peer->knows_position && peer->primary == host->primary;
+  if (session_token_compare (peer->committed, input.committed) > 0)
+    input.committed = peer->committed;
+  if (silent_ms < PEER_TOKEN_FRESH_MS
+      && primary_change_fencing_token_term (peer->fencing_token) > host->term)
+    input.peer_fencing_token = peer->fencing_token;
+  if (silent_ms < PEER_FRESH_MS)
+    {
+      input.hosts++;
+      input.all_follow = peer->primary == host->primary;
+      input.votes += peer->suspect && peer->primary == host->primary;
+      input.commits_stalled |= peer->stalled && peer->primary == host->primary;
+      input.rank = host == &model->hosts[1];
+    }
+  if (model->owners)
+    input.all_acknowledged = input.all_know_position = false;
+  return input;
+}
+
+static void
+send_heartbeat (Model *model, int index)
+{
+  Host *host = &model->hosts[index];
+  const PrimaryChangeInput input = make_input (model, host);
+  Event *event;
+
+  host->heartbeat_ms = model->now_ms;
+  if (model->now_ms < model->peers_cut_until_ms || pick (model, 1, 30) == 1)
+    return;
+  event = add_event (model, EVENT_HEARTBEAT, 1 - index, pick (model, 1, 20));
+  event->view = (PeerView){ .primary = host->primary,
+                            .fencing_token = primary_change_fencing_token (host->change),
+                            .acknowledged_token = host->acknowledged_token,
+                            .suspect = input.suspect,
+                            .stalled = host->pending_since_ms > 0
+                                       && model->now_ms - host->pending_since_ms >= COMMIT_STALL_MS,
+                            .knows_position = host->knows_position,
+                            .committed = host->committed };
+  event->view_term = host->term;
+  event->view_confirmed_ms = host->confirmed_ms;
+}
+
+static void
+update_fence (Model *model, int index, const PrimaryChangeInput *input)
+{
+  Host *host = &model->hosts[index];
+  const uint64_t own = primary_change_fencing_token (host->change);
+  const bool own_done = primary_change_fencing_token_term (own) <= input->term;
+  const uint64_t highest = MAX (input->peer_fencing_token, own_done ? 0 : own);
+  const uint64_t acknowledged = own == 0 ? input->peer_fencing_token : 0;
+
+  host->highest_token = MAX (host->highest_token, MAX (highest, own));
+  host->fenced = highest != 0;
+  if (host->acknowledged_token == acknowledged)
+    return;
+  host->acknowledged_token = acknowledged;
+  send_heartbeat (model, index);
+}
+
+static void
+send_promotion (Model *model, int index, const PrimaryChangeAction *action)
+{
+  Event *event = add_event (model, EVENT_PROMOTE, index, pick (model, 5, PROMOTE_MS));
+
+  event->instance = (int) action->member - 1;
+  event->token = action->fencing_token;
+}
+
+static void
+step_host (Model *model, int index)
+{
+  Host *host = &model->hosts[index];
+  PrimaryChangeAction actions[PRIMARY_CHANGE_ACTIONS_MAX];
+  const uint64_t token = primary_change_fencing_token (host->change);
+  const PrimaryChangeInput input = make_input (model, host);
+  uint32_t count;
+
+  for (uint32_t i = 0; i < INSTANCES; i++)
+    primary_change_set_member (host->change, i + 1, true, false);
+  count = primary_change_step (host->change, &input, actions);
+  update_fence (model, index, &input);
+  if (primary_change_fencing_token (host->change) != token)
+    send_heartbeat (model, index);
+  for (uint32_t i = 0; i < count; i++)
+    if (actions[i].kind == PRIMARY_CHANGE_PROMOTE)
+      send_promotion (model, index, &actions[i]);
+    else
+      send_command (model, index, (int) actions[i].member - 1, &actions[i]);
+}
+
+static void
+receive_heartbeat (Model *model, const Event *event)
+{
+  Host *host = &model->hosts[event->host];
+
+  host->peer = event->view;
+  host->peer.heard_ms = model->now_ms;
+  host->highest_token = MAX (host->highest_token, event->view.fencing_token);
+  if (event->view.primary >= 0 && event->view_term > host->term)
+    adopt_primary (host, event->view.primary, event->view_term);
+  if (event->view.primary == host->primary && event->view_term == host->term)
+    host->confirmed_ms = MAX (host->confirmed_ms, event->view_confirmed_ms);
+  step_host (model, event->host);
+}
+
+static void
+acknowledge (Model *model, const Event *event)
+{
+  Host *host = &model->hosts[event->host];
+  const uint32_t position = (uint32_t) event->report.received.position - 1;
+
+  if (event->instance == host->primary)
+    host->primary_asked_ms = 0;
+  if (host->fenced || event->instance != host->primary)
+    return;
+  host->pending_since_ms = 0;
+  host->confirmed_ms = MAX (host->confirmed_ms, event->sent_ms);
+  host->knows_position = true;
+  session_token_advance (&host->committed, event->report.received);
+  model->acknowledged[position] = (Entry){ event->id, (uint32_t) event->report.term };
+  model->acknowledged_length = MAX (model->acknowledged_length, position + 1);
+  model->last_acknowledged_ms = model->now_ms;
+  if (!holds_acknowledged (model, &model->instances[model->newest_primary]))
+    break_rule (model, "a commit is acknowledged that the newest primary does not have");
+}
+
+static void
+answer_command (Model *model, const Event *event)
+{
+  Host *host = &model->hosts[event->host];
+  const uint32_t key = (uint32_t) event->instance + 1;
+
+  if (event->reply == REPLY_REPORT)
+    record_report (host, event->instance, &event->report, event->sent_ms);
+  if (event->probe || host->command_ids[event->instance] != event->id)
+    return;
+  host->command_ids[event->instance] = 0;
+  switch (event->reply)
+    {
+    case REPLY_REPORT:
+      primary_change_record_report (host->change, key, &event->report, model->now_ms);
+      break;
+    case REPLY_BUSY:
+      primary_change_record_timeout (host->change, key);
+      break;
+    case REPLY_DOWN:
+      primary_change_record_down (host->change, key);
+      break;
+    }
+  step_host (model, event->host);
+}
+
+static void
+time_out_command (Model *model, const Event *event)
+{
+  Host *host = &model->hosts[event->host];
+
+  if (host->command_ids[event->instance] != event->id)
+    return;
+  host->command_ids[event->instance] = 0;
+  primary_change_record_timeout (host->change, (uint32_t) event->instance + 1);
+  step_host (model, event->host);
+}
+
+/* --- events --- */
+
+static void
+receive_command (Model *model, const Event *command)
+{
+  const Instance *instance = &model->instances[command->instance];
+  Reply reply = REPLY_REPORT;
+  Event *event;
+
+  if (model->now_ms < instance->cut_until_ms[command->host])
+    return;
+  if (!is_up (model, command->instance))
+    reply = REPLY_DOWN;
+  else if (model->now_ms < instance->busy_until_ms)
+    reply = REPLY_BUSY;
+  else
+    execute_command (model, command);
+  // The answer may be lost.
+  if (pick (model, 1, 50) == 1)
+    return;
+  event = add_event (model, EVENT_ANSWER, command->host, pick (model, 1, 20));
+  event->instance = command->instance;
+  event->id = command->id;
+  event->probe = command->probe;
+  event->sent_ms = command->sent_ms;
+  event->reply = reply;
+  event->report = report_of (model, command->instance);
+}
+
+static void
+receive_write (Model *model, const Event *event)
+{
+  Instance *instance = &model->instances[event->instance];
+
+  if (!reaches (model, event->host, event->instance) || !instance->primary
+      || instance->length == LOG_MAX)
+    return;
+  for (guint i = 0; i < G_N_ELEMENTS (model->writes); i++)
+    {
+      Write *write = &model->writes[i];
+
+      if (write->used)
+        continue;
+      *write = (Write){ true,        event->id,       instance->length,
+                        event->host, event->instance, event->sent_ms };
+      instance->log[instance->length++] = (Entry){ event->id, (uint32_t) instance->term };
+      return;
+    }
+}
+
+static void
+receive_promotion (Model *model, const Event *event)
+{
+  const PromotionResult result = execute_promotion (model, event);
+  const bool lost = pick (model, 1, 8) == 1;
+  Event *answer
+      = add_event (model, EVENT_PROMOTE_ENDED, event->host, lost ? PROMOTE_TIMEOUT_MS : 10);
+
+  answer->result = lost ? PROMOTION_UNKNOWN : result;
+}
+
+static bool
+is_for_host (EventKind kind)
+{
+  return kind == EVENT_ANSWER || kind == EVENT_TIMEOUT || kind == EVENT_PROMOTE_ENDED
+         || kind == EVENT_WRITTEN || kind == EVENT_HEARTBEAT;
+}
+
+static void
+handle_event (Model *model, const Event *event)
+{
+  switch (event->kind)
+    {
+    case EVENT_COMMAND:
+      receive_command (model, event);
+      break;
+    case EVENT_ANSWER:
+      answer_command (model, event);
+      break;
+    case EVENT_TIMEOUT:
+      time_out_command (model, event);
+      break;
+    case EVENT_PROMOTE:
+      receive_promotion (model, event);
+      break;
+    case EVENT_PROMOTE_ENDED:
+      primary_change_promotion_ended (model->hosts[event->host].change, event->result,
+                                      model->now_ms);
+      step_host (model, event->host);
+      break;
+    case EVENT_WRITE:
+      receive_write (model, event);
+      break;
+    case EVENT_WRITTEN:
+      acknowledge (model, event);
+      break;
+    case EVENT_HEARTBEAT:
+      receive_heartbeat (model, event);
+      break;
+    }
+}
+
+static void
+handle_due_events (Model *model)
+{
+  for (guint i = 0; i < model->event_count;)
+    {
+      const Event event = model->events[i];
+
+      if (event.due_ms > model->now_ms)
+        {
+          i++;
+          continue;
+        }
+      // A frozen host reads what has come when it wakes.
+      if (is_for_host (event.kind) && model->now_ms < model->hosts[event.host].frozen_until_ms)
+        {
+          model->events[i++].due_ms = model->hosts[event.host].frozen_until_ms;
+          continue;
+        }
+      model->events[i] = model->events[--model->event_count];
+      handle_event (model, &event);
+    }
+}
+
+static void
+crash (Model *model, Instance *instance)
+{
+  instance->down_until_ms = model->now_ms + TICK_MS * pick (model, 30, 400);
+  instance->pause_token = 0;
+}
+
+static void
+inject_fault (Model *model)
+{
+  Instance *instance = &model->instances[pick (model, 0, INSTANCES - 1)];
+  Instance *primary = &model->instances[model->newest_primary];
+  Host *host = &model->hosts[pick (model, 0, HOSTS - 1)];
+
+  switch (pick (model, 0, 8))
+    {
+    case 0:
+    case 1:
+      crash (model, primary);
+      break;
+    case 2:
+      crash (model, instance);
+      break;
+    case 3:
+    case 4:
+      instance->busy_until_ms = model->now_ms + pick (model, 50, 1500);
+      break;
+    case 5:
+    case 6:
+      instance->deaf_until_ms = model->now_ms + pick (model, 200, 4000);
+      break;
+    case 7:
+      instance->cut_until_ms[pick (model, 0, HOSTS - 1)] = model->now_ms + pick (model, 200, 2500);
+      break;
+    default:
+      if (pick (model, 0, 1) == 0)
+        host->frozen_until_ms = model->now_ms + pick (model, 200, 2000);
+      else
+        model->peers_cut_until_ms = model->now_ms + pick (model, 200, 2500);
+      break;
+    }
+}
+
+/* An instance hears of the newest primary; an old primary steps down a second later. */
+static void
+learn_primary (Model *model, int index)
+{
+  Instance *instance = &model->instances[index];
+
+  if (index == model->newest_primary
+      || (!instance->primary && instance->follows == model->newest_primary)
+      || model->now_ms < instance->learns_ms || !is_up (model, index)
+      || !is_up (model, model->newest_primary) || model->now_ms < instance->deaf_until_ms)
+    return;
+  if (!instance->primary)
+    instance->follows = model->newest_primary;
+  else if (instance->steps_down_ms == 0)
+    instance->steps_down_ms = model->now_ms + 1000;
+  else if (model->now_ms >= instance->steps_down_ms)
+    {
+      instance->primary = false;
+      instance->follows = model->newest_primary;
+    }
+}
+
+static void
+tick_instances (Model *model)
+{
+  for (int i = 0; i < INSTANCES; i++)
+    {
+      Instance *instance = &model->instances[i];
+
+      // One that crashed comes back as a replica if another was promoted.
+      if (model->now_ms == instance->down_until_ms && i != model->newest_primary)
+        {
+          instance->primary = false;
+          instance->follows = model->newest_primary;
+        }
+      learn_primary (model, i);
+      replicate (model, i);
+    }
+  end_writes (model);
+}
+
+static void
+tick_host (Model *model, int index)
+{
+  Host *host = &model->hosts[index];
+
+  if (model->now_ms < host->frozen_until_ms)
+    return;
+  if (!relies (model, host) && model->now_ms - host->probed_ms >= PROBE_MS)
+    {
+      host->probed_ms = model->now_ms;
+      for (int i = 0; i < INSTANCES; i++)
+        send_command (model, index, i, NULL);
+    }
+  if (relies (model, host) && model->now_ms - host->written_ms >= WRITE_MS)
+    {
+      Event *event = add_event (model, EVENT_WRITE, index, pick (model, 1, 10));
+
+      host->written_ms = model->now_ms;
+      event->instance = host->primary;
+      event->id = ++model->next_id;
+      if (host->pending_since_ms == 0)
+        host->pending_since_ms = model->now_ms;
+      if (host->primary_asked_ms == 0)
+        host->primary_asked_ms = model->now_ms;
+    }
+  if (model->now_ms - host->heartbeat_ms >= HEARTBEAT_MS)
+    send_heartbeat (model, index);
+  step_host (model, index);
+}
+
+static const char *
+run_model (uint32_t seed)
+{
+  Model *model = g_new0 (Model, 1);
+  const char *broken;
+
+  model->random = g_rand_new_with_seed (seed);
+  model->owners = seed % 2 == 0;
+  model->newest_term = 1;
+  for (int i = 0; i < INSTANCES; i++)
+    model->instances[i] = (Instance){ .primary = i == 0, .term = 1, .follows = i == 0 ? -1 : 0 };
+  for (int i = 0; i < HOSTS; i++)
+    {
+      const PrimaryChangeOptions options
+          = { .host_number = (uint16_t) (i + 1), .lease_ms = LEASE_MS };
+
+      model->hosts[i].change = primary_change_new (&options);
+      model->hosts[i].primary = 0;
+      model->hosts[i].term = 1;
+    }
+  while (model->now_ms < RUN_MS && model->broken == NULL)
+    {
+      model->now_ms += TICK_MS;
+      if (model->now_ms < FAULTS_MS && model->now_ms % FAULT_INTERVAL_MS == 0)
+        inject_fault (model);
+      tick_instances (model);
+      handle_due_events (model);
+      for (int i = 0; i < HOSTS; i++)
+        tick_host (model, i);
+    }
+  if (model->last_acknowledged_ms < SERVES_FROM_MS)
+    break_rule (model, "the group does not serve again");
+  broken = model->broken;
+  for (int i = 0; i < HOSTS; i++)
+    primary_change_free (model->hosts[i].change);
+  g_rand_free (model->random);
+  g_free (model);
+  return broken;
+}
+
+START_TEST (test_model)
+{
+  const char *range = getenv ("PRIMARY_CHANGE_SEEDS");
+  uint32_t first = FIRST_SEED, last = LAST_SEED;
+  GString *failures = g_string_new ("");
+  guint count = 0;
+
+  if (range != NULL && sscanf (range, "%" SCNu32 "-%" SCNu32, &first, &last) != 2)
+    ck_abort_msg ("PRIMARY_CHANGE_SEEDS is FIRST-LAST");
+  for (uint32_t seed = first; seed <= last; seed++)
+    {
+      const char *broken = run_model (seed);
+
+      if (broken != NULL && ++count <= 10)
+        g_string_append_printf (failures, "seed %" PRIu32 ": %s\n", seed, broken);
+    }
+  printf ("primary change model: %" PRIu32 " seeds, %u broken\n", last - first + 1, count);
+  ck_assert_msg (count == 0, "%u seeds:\n%s", count, failures->str);
+  g_string_free (failures, TRUE);
+}
+END_TEST
+
+TCase *
+primary_change_model_case (void)
+{
+  TCase *model = tcase_create ("primary change model");
+
+  tcase_add_test (model, test_model);
+  return model;
+}
