Measure replicas by the log of a primary that has stepped down

In a planned change the old primary steps down, and a replica with its whole log is promoted. If the old primary did not answer the next query, it was left out, and the most advanced of the others was promoted at once, with a log that lacked the last acknowledged commits.

The log that the primary reported when it stepped down is kept; nothing can be acknowledged there afterwards, and a replica has to reach it.

--- a/src/policy/primary-change.c
+++ b/src/policy/primary-change.c
@@ -56,6 +56,7 @@
   uint64_t fencing_token;
   uint64_t term;
   uint32_t old_primary;
+  SessionToken stepped_down_log; /* end of the primary's log when it had stepped down */
   uint32_t candidate;
   PrimaryChangeAction *actions;
   uint32_t action_count;
@@ -391,6 +392,7 @@
     return;
   if (primary != NULL && primary->responded && !primary->report.primary)
     {
+      change->stepped_down_log = primary->report.received;
       enter_phase (change, PRIMARY_CHANGE_CATCHING_UP, input->now_ms);
       return;
     }
@@ -403,6 +405,7 @@
 {
   const int64_t now_ms = input->now_ms;
   const ChangeMember *best;
+  bool is_complete;
 
   if (!change_members_responsive_done (&change->members))
     return;
@@ -413,18 +416,21 @@
       return;
     }
   best = change_members_most_advanced (&change->members, false);
-  if (best != NULL && best->key == change->old_primary
+  // The old primary may have stopped answering since it stepped down.
+  is_complete = best != NULL
+                && session_token_compare (best->report.received, change->stepped_down_log) >= 0;
+  if (best != NULL && (!is_complete || best->key == change->old_primary)
       && now_ms - change->phase_ms < CATCH_UP_LIMIT_MS)
     {
       if (now_ms - change->last_command_ms >= CATCH_UP_POLL_MS)
         query_all (change, now_ms);
       return;
     }
-  if (best == NULL || !input->all_acknowledged)
+  if (!is_complete || !input->all_acknowledged)
     {
       // Hosts that have not acknowledged may still rely on the primary: pause the replicas and
       // wait.
-      if (best == NULL || now_ms - change->phase_ms >= QUERY_INTERVAL_MS)
+      if (!is_complete || now_ms - change->phase_ms >= QUERY_INTERVAL_MS)
         start_pausing (change, input);
       return;
     }
