Compare logs as they are after the instances took the new term

A replica that received a commit in between looked shorter than it was, and one without that commit could be promoted.

An instance counts once a status shows the new term; its log does not grow after that. The monitor asks for that status as soon as the command is accepted, so it takes one more round trip.

Test: failover-log-grew-before-advance; before, c was promoted without x2, which a and b held (log 2/3 instead of 2/4).

--- a/src/pipeline/group-monitor.c
+++ b/src/pipeline/group-monitor.c
@@ -82,7 +82,8 @@
 
   if (!control_connection_is_idle (polled->control))
     return false;
-  if (monitor->confirm_us > polled->polled_us)
+  if (monitor->confirm_us > polled->polled_us
+      || failover_awaits_status (monitor->failover, polled->index))
     return true;
   if (commit_gate_awaited_position (monitor->gate, polled->index, &target)
       || commit_gate_needs_confirmation (monitor->gate, polled->index))
--- a/src/policy/failover.c
+++ b/src/policy/failover.c
@@ -350,13 +350,28 @@
     start_advance (failover, now_ms);
 }
 
+/* Whether its log is known as of when it took the term of the change, after which it does not
+ * grow. */
+static bool
+has_final_log (const Failover *failover, uint32_t instance)
+{
+  return failover->advanced[instance] && failover->status[instance].term >= failover->term;
+}
+
+bool
+failover_awaits_status (const Failover *failover, uint32_t instance)
+{
+  return failover->phase == FAILOVER_ADVANCING && failover->advanced[instance]
+         && !has_final_log (failover, instance);
+}
+
 static uint32_t
-advanced_count (const Failover *failover)
+final_log_count (const Failover *failover)
 {
   uint32_t count = 0;
 
   for (uint32_t i = 0; i < failover->options.instance_count; i++)
-    if (failover->advanced[i])
+    if (has_final_log (failover, i))
       count++;
   return count;
 }
@@ -379,7 +394,7 @@
   int32_t candidate = -1;
 
   for (uint32_t i = 0; i < failover->options.instance_count; i++)
-    if (failover->advanced[i]
+    if (has_final_log (failover, i)
         && (candidate < 0 || better_candidate (failover, i, (uint32_t) candidate)))
       candidate = (int32_t) i;
   failover->candidate = (uint32_t) candidate;
@@ -405,7 +420,7 @@
       hold_work (failover, now_ms);
       return;
     case FAILOVER_ADVANCING:
-      if (advanced_count (failover) >= majority (failover))
+      if (final_log_count (failover) >= majority (failover))
         start_promote (failover, now_ms);
       else if (!is_step_pending (failover, now_ms))
         start_backoff (failover, now_ms);
--- a/src/policy/failover.h
+++ b/src/policy/failover.h
@@ -96,6 +96,12 @@
 /** failover_set_rank() - Sets the rank of this host among the monitors; 0 acts first. */
 void failover_set_rank (Failover *failover, uint32_t rank);
 
+/**
+ * failover_awaits_status() - Whether the failover waits for the status of @instance: its log may
+ * have grown after its last answer and before it took the new term.
+ */
+bool failover_awaits_status (const Failover *failover, uint32_t instance);
+
 /** failover_record_status() - Records an instance's answer to a poll. */
 void failover_record_status (Failover *failover, uint32_t instance, const InstanceStatus *status);
 
--- a/tests/script-failover.c
+++ b/tests/script-failover.c
@@ -20,6 +20,7 @@
   bool down[INSTANCES];
   bool isolated[MONITORS_MAX]; /* the monitor reaches no instance */
   bool lose_answers;           /* commands take effect, but their answers are lost */
+  char *late_write;            /* id of a commit right before the first advance command */
   gint64 now_ms;
 } State;
 
@@ -54,6 +55,7 @@
   for (guint i = 0; i < state->count; i++)
     failover_free (state->monitors[i]);
   group_log_free (state->log);
+  g_free (state->late_write);
   g_free (state);
 }
 
@@ -70,11 +72,28 @@
   state->count = count;
 }
 
+/* The partitioned primary is back for a moment, commits, and b receives its log. */
+static void
+commit_late (State *state)
+{
+  group_log_set_delay (state->log, 0, 1, 0);
+  group_log_set_delay (state->log, 0, 2, STEP_MS * 1000);
+  group_log_set_partitioned (state->log, 0, false);
+  group_log_commit (state->log, 0, state->late_write, g_ptr_array_new_with_free_func (g_free),
+                    state->now_ms);
+  group_log_tick (state->log, state->now_ms);
+  group_log_set_partitioned (state->log, 0, true);
+  g_free (state->late_write);
+  state->late_write = NULL;
+}
+
 static bool
 execute (State *state, const FailoverCommand *failover_command)
 {
   if (state->down[failover_command->instance])
     return false;
+  if (failover_command->kind == FAILOVER_ADVANCE_TERM && state->late_write != NULL)
+    commit_late (state);
   switch (failover_command->kind)
     {
     case FAILOVER_ADVANCE_TERM:
@@ -208,6 +227,8 @@
   else if (strcmp (verb, "write") == 0)
     group_log_commit (state->log, instance_of (words), script_word (words, 2),
                       g_ptr_array_new_with_free_func (g_free), state->now_ms);
+  else if (strcmp (verb, "late-write") == 0)
+    state->late_write = g_strdup (script_word (words, 1));
   else
     g_string_append (out, "unknown command\n");
 }
