Drop heartbeats out of order in the model, as hosts do

The model of primary changes took every heartbeat, also one that an earlier sender time made older than the last, so that a host forgot that it had acknowledged a token; hosts drop such datagrams (peer-mesh).

--- a/tests/primary-change-model.c
+++ b/tests/primary-change-model.c
@@ -71,6 +71,7 @@
 typedef struct
 {
   int64_t heard_ms;
+  int64_t sent_ms;
   int primary;
   uint64_t fencing_token;
   uint64_t acknowledged_token;
@@ -525,8 +526,12 @@
 {
   Host *host = &model->hosts[event->host];
 
+  // Heartbeats may be reordered; an older one contains nothing new.
+  if (event->sent_ms < host->peer.sent_ms)
+    return;
   host->peer = event->view;
   host->peer.heard_ms = model->now_ms;
+  host->peer.sent_ms = event->sent_ms;
   host->highest_token = MAX (host->highest_token, event->view.fencing_token);
   if (event->view.primary >= 0 && event->view_term > host->term)
     adopt_primary (host, event->view.primary, event->view_term);
