--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,9 @@
+#!/bin/sh
+# Builds the stand-ins that the scripts of the cases start, after the build of the deploy file.
+set -eu
+cd "$(dirname "$0")/.."
+mkdir -p target/review
+for scenario in review/standin/scenario-*.c; do
+  name=$(basename "$scenario" .c)
+  gcc -std=gnu11 -O1 -g -Wall -o "target/review/${name#scenario-}" "$scenario" review/standin/world.c -lpthread
+done
