--- a/review/standin/world.c
+++ b/review/standin/world.c
@@ -20,7 +20,8 @@
 
 #define CONNECTIONS 512
 #define FEED_WAIT_NONE 0
-#define MAX_HISTORY 20
+/* Writes of one transaction. */
+#define MAX_WRITES 16
 
 typedef enum
 {
@@ -47,7 +48,7 @@
   char state;
   bool read_only;
   int writes;
-  Entry pending[16];
+  Entry pending[MAX_WRITES];
   struct
   {
     char name[WORLD_TEXT];
@@ -253,6 +254,7 @@
   store_version++;
   free (row->value);
   *row = rows[--row_count];
+  rows[row_count].value = NULL;
 }
 
 static void
@@ -543,6 +545,11 @@
       send_error (connection, instance, "READONLY");
       return;
     }
+  if (connection->writes == MAX_WRITES || instance->received + MAX_WRITES >= WORLD_LOG)
+    {
+      send_error (connection, instance, "FAILED");
+      return;
+    }
   snprintf (entry.item, sizeof entry.item, "%.*s", (int) strcspn (rest, " "), rest);
   snprintf (entry.value, sizeof entry.value, "%s", blank == NULL ? "" : blank + 1);
   connection->pending[connection->writes++] = entry;
@@ -582,8 +589,9 @@
     }
   else
     send_text (connection, "DATAROW %s\r\n", find_value (connection, instance, item));
-  world_record ("run      instance=%s READ %s, log holds %d entries, applied %d", instance->id, item,
-                instance->received, readable_length (instance));
+  if (!world.quiet)
+    world_record ("run      instance=%s READ %s, log holds %d entries, applied %d", instance->id,
+                  item, instance->received, readable_length (instance));
   send_receipt (connection, instance);
 }
 
@@ -1256,9 +1264,7 @@
       /* A long row: only its start is kept. */
       if (client->length == (int) sizeof client->buffer)
         client->length = 1024;
-      if (world_now_ms () >= until_ms)
-        return false;
-      if (poll (&item, 1, (int) (until_ms - world_now_ms ())) <= 0)
+      if (poll (&item, 1, until_ms > world_now_ms () ? (int) (until_ms - world_now_ms ()) : 0) <= 0)
         return false;
       got = read (client->fd, client->buffer + client->length,
                   sizeof client->buffer - (size_t) client->length);
@@ -1327,7 +1333,7 @@
 }
 
 bool
-client_open (Client *client, int host, const char *database)
+client_connect (Client *client, int host, const char *database)
 {
   char text[128];
 
@@ -1337,6 +1343,14 @@
     return false;
   snprintf (text, sizeof text, "START %s consumer", database);
   client_send (client, text);
+  return true;
+}
+
+bool
+client_open (Client *client, int host, const char *database)
+{
+  if (!client_connect (client, host, database))
+    return false;
   if (client_read (client, 2000).state == 'I')
     return true;
   client_close (client);
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -64,6 +64,7 @@
   int store_port, promoter_port, front_port, ready_port, peer_port;
   int64_t promote_ms;
   int promotions;
+  bool quiet; /* reads and commits are not recorded one by one */
 } World;
 
 extern World world;
@@ -122,6 +123,8 @@
 
 /* Connects to the host's front address with START; false if it does not get READY. */
 bool client_open (Client *client, int host, const char *database);
+/* The same without waiting for READY. */
+bool client_connect (Client *client, int host, const char *database);
 void client_send (Client *client, const char *text);
 /* Reads one answer, up to READY. */
 Answer client_read (Client *client, int64_t limit_ms);
