--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,13 +3,13 @@
 # rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: the same without disruptions.
 set -u
 cd "$(dirname "$0")/../.."
-if [ ! -x target/peridotstep ] || [ ! -x target/review/giveup ]; then
-  echo "target/peridotstep or target/review/giveup is missing" >&2
+if [ ! -x target/peridotstep ] || [ ! -x target/review/recover ]; then
+  echo "target/peridotstep or target/review/recover is missing" >&2
   exit 2
 fi
 WORLD_DIRECTORY=$(mktemp -d) || exit 2
 export WORLD_DIRECTORY
-timeout -s KILL 115 target/review/giveup review/3/record.txt
+timeout -s KILL 100 target/review/recover review/3/record.txt
 status=$?
 [ -n "${KEEP_LOGS:-}" ] && cp "$WORLD_DIRECTORY"/*.log "$KEEP_LOGS"
 rm -rf "$WORLD_DIRECTORY"
