--- a/review/standin/scenario-giveup.c
+++ b/review/standin/scenario-giveup.c
@@ -10,9 +10,9 @@
 
 #define HOSTS 2
 #define SESSIONS 40
-#define ROUNDS 11
+#define ROUNDS 14
 #define DARK_MS 3800
-#define CALM_MS 3500
+#define CALM_MS 2500
 /* A consumer gives up when its read has no answer after this time; the route's limit is 3,000 ms. */
 #define PATIENCE_MS 1200
 #define CLOSE_WAIT_MS 4000
