Log sessions that end with an answer owed, or during a drain

Each close now names its reason, the age of the drain, the request and its step, the bytes not sent and the bytes not read; at most 50 lines a second. A counter, peridotstep_answers_cut_total, for closes with an answer owed.

--- a/src/base/stream.c
+++ b/src/base/stream.c
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -215,6 +216,16 @@
   return stream->output->len - stream->output_sent;
 }
 
+guint
+stream_unread (const Stream *stream)
+{
+  int in_socket = 0;
+
+  if (ioctl (stream->fd, FIONREAD, &in_socket) != 0)
+    in_socket = 0;
+  return stream->input->len + (guint) in_socket;
+}
+
 static socklen_t
 make_address (const char *address, uint16_t port, struct sockaddr_storage *storage)
 {
--- a/src/base/stream.h
+++ b/src/base/stream.h
@@ -51,6 +51,9 @@
 /** stream_pending() - Bytes not yet written to the socket. */
 guint stream_pending (const Stream *stream);
 
+/** stream_unread() - Bytes received and not consumed, in the buffer and in the socket. */
+guint stream_unread (const Stream *stream);
+
 /** stream_listen() - Opens a listening socket, with SO_REUSEPORT if @shared; -1 on error. */
 int stream_listen (const char *address, uint16_t port, bool shared);
 
--- a/src/pool/pool-metrics.c
+++ b/src/pool/pool-metrics.c
@@ -12,6 +12,7 @@
 static const char *const count_names[POOL_COUNT_COUNT] = {
   [POOL_COUNT_STORE_RESTORED] = "peridotstep_store_restored_total",
   [POOL_COUNT_FEED_GONE] = "peridotstep_feed_gone_total",
+  [POOL_COUNT_ANSWERS_CUT] = "peridotstep_answers_cut_total",
 };
 
 void
--- a/src/pool/pool-server.c
+++ b/src/pool/pool-server.c
@@ -22,6 +22,8 @@
 /* Log lines per second for statements that ran, and for statements that did not. */
 #define RAN_LINES_PER_S 10
 #define NOT_RUN_LINES_PER_S 30
+/* The same for sessions that end with an answer owed, or during a drain. */
+#define END_LINES_PER_S 50
 /* No session is forwarded to an owner for this time after it was lost. */
 #define OWNER_AVOID_MS 2000
 /* Interval at which forwarded sessions are checked for draining owners and changed routes. */
@@ -45,6 +47,7 @@
   Timer tick;
   uint64_t next_id;
   LogRateLimit log_limits[VERDICT_COUNT];
+  LogRateLimit end_log_limit;
   int64_t drain_started_ms;
   int64_t drain_limit_ms;
 };
@@ -62,7 +65,7 @@
   while (g_hash_table_iter_next (&iter, &session, NULL))
     {
       g_hash_table_iter_steal (&iter);
-      pool_session_close (session);
+      pool_session_close (session, SESSION_END_PROCESS);
     }
   g_hash_table_destroy (server->sessions);
   g_hash_table_destroy (server->services);
@@ -122,7 +125,7 @@
       if (pool_session_is_forwarded (session) && !close_transactions)
         continue;
       if (close_all || pool_session_is_idle (session) || waits_for_caller)
-        pool_session_close (session);
+        pool_session_close (session, SESSION_END_DRAIN);
     }
   g_list_free (sessions);
 }
@@ -183,6 +186,7 @@
   server->avoided = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   server->log_limits[VERDICT_RAN].lines_per_s = RAN_LINES_PER_S;
   server->log_limits[VERDICT_NOT_RUN].lines_per_s = NOT_RUN_LINES_PER_S;
+  server->end_log_limit.lines_per_s = END_LINES_PER_S;
   server->sessions = g_hash_table_new (NULL, NULL);
   server->services = g_hash_table_new (g_str_hash, g_str_equal);
   server->instances = g_array_new (false, true, sizeof (InstanceInfo));
@@ -443,6 +447,12 @@
          || log_rate_limit_allow (&server->log_limits[verdict], now_ms, dropped);
 }
 
+bool
+pool_server_may_log_end (PoolServer *server, int64_t now_ms, uint32_t *dropped)
+{
+  return log_rate_limit_allow (&server->end_log_limit, now_ms, dropped);
+}
+
 uint64_t
 pool_server_next_id (PoolServer *server)
 {
@@ -482,6 +492,12 @@
              g_hash_table_size (server->sessions), limit_ms);
 }
 
+int64_t
+pool_server_drain_age_ms (const PoolServer *server)
+{
+  return server->drain_started_ms == 0 ? -1 : clock_now_ms () - server->drain_started_ms;
+}
+
 bool
 pool_server_is_drained (const PoolServer *server)
 {
--- a/src/pool/pool-server.h
+++ b/src/pool/pool-server.h
@@ -132,6 +132,9 @@
  */
 bool pool_server_may_log (PoolServer *server, Verdict verdict, int64_t now_ms, uint32_t *dropped);
 
+/** pool_server_may_log_end() - The same for log lines of sessions that end. */
+bool pool_server_may_log_end (PoolServer *server, int64_t now_ms, uint32_t *dropped);
+
 /** pool_server_next_id() - Number for a new session. */
 uint64_t pool_server_next_id (PoolServer *server);
 
@@ -147,5 +150,8 @@
 /** pool_server_drain() - Starts a graceful shutdown that ends within @limit_ms. */
 void pool_server_drain (PoolServer *server, int64_t limit_ms);
 
+/** pool_server_drain_age_ms() - Time since the shutdown started; -1 if it has not. */
+int64_t pool_server_drain_age_ms (const PoolServer *server);
+
 /** pool_server_is_drained() - Whether the shutdown is complete. */
 bool pool_server_is_drained (const PoolServer *server);
--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -33,9 +33,64 @@
   return 0;
 }
 
+static const char *const end_names[SESSION_END_COUNT] = {
+  [SESSION_END_CALLER] = "caller_ended",
+  [SESSION_END_CALLER_LOST] = "caller_lost",
+  [SESSION_END_NOT_READING] = "not_reading",
+  [SESSION_END_PROTOCOL] = "malformed",
+  [SESSION_END_REFUSED] = "refused",
+  [SESSION_END_OWNER] = "owner",
+  [SESSION_END_ROUTE] = "route",
+  [SESSION_END_DRAIN] = "drain",
+  [SESSION_END_PROCESS] = "process_ends",
+};
+
+static const char *const step_names[] = {
+  [STEP_NONE] = "none",
+  [STEP_ROUTING] = "routing",
+  [STEP_BACKING_OFF] = "backing_off",
+  [STEP_CONNECTING] = "connecting",
+  [STEP_BEGINNING] = "beginning",
+  [STEP_RUNNING] = "running",
+};
+
+static bool
+is_ended_by_caller (SessionEnd reason)
+{
+  return reason == SESSION_END_CALLER || reason == SESSION_END_CALLER_LOST;
+}
+
+/* Logs and counts a session that this host ends with an answer owed, and any during a drain. */
+static void
+record_end (const PoolSession *session, SessionEnd reason)
+{
+  const guint unsent = stream_pending (session->stream);
+  const guint unread = stream_unread (session->stream);
+  const int64_t now_ms = clock_now_ms ();
+  const bool cut = !is_ended_by_caller (reason) && (session->active || unsent > 0);
+  uint32_t dropped;
+
+  if (cut)
+    pool_metrics_count (session->options->metrics, POOL_COUNT_ANSWERS_CUT);
+  if ((!cut && pool_server_drain_age_ms (session->server) < 0)
+      || !pool_server_may_log_end (session->server, now_ms, &dropped))
+    return;
+  log_event (cut ? LOG_LEVEL_NOTICE : LOG_LEVEL_INFO, "session_ended",
+             "session=%" PRIu64 " reason=%s drain_age_ms=%" PRId64
+             " request=%s step=%s transaction=%c active_ms=%" PRId64
+             " instance=%s unsent_bytes=%u unread_bytes=%u forwarded=%d cut=%d suppressed=%u",
+             session->id, end_names[reason], pool_server_drain_age_ms (session->server),
+             session->statement.id == NULL ? "-" : session->statement.id, step_names[session->step],
+             session_caller_state (session), session->active ? now_ms - session->started_ms : 0,
+             *session->instance == '\0' ? "-" : session->instance, unsent, unread,
+             session->forwarded || session->forward != NULL, cut, dropped);
+}
+
 void
-pool_session_close (PoolSession *session)
+pool_session_close (PoolSession *session, SessionEnd reason)
 {
+  if (!session->closing)
+    record_end (session, reason);
   session->closing = true;
   if (!session->processing)
     talloc_free (session);
@@ -238,11 +293,11 @@
 
 /* Sends an error that ends the session. */
 static void
-end_with_error (PoolSession *session, AnswerCode code, const char *text)
+end_with_error (PoolSession *session, SessionEnd reason, AnswerCode code, const char *text)
 {
   session->options->codec->write_error (session_output (session), code, text);
   stream_flush (session->stream);
-  pool_session_close (session);
+  pool_session_close (session, reason);
 }
 
 /* Whether the host that forwards the session has the same route for it; a host with an older
@@ -262,25 +317,25 @@
   if (session->database_name != NULL)
     {
       g_free (database);
-      end_with_error (session, ANSWER_MALFORMED, "the session is open");
+      end_with_error (session, SESSION_END_PROTOCOL, ANSWER_MALFORMED, "the session is open");
       return;
     }
   session->database_name = database;
   if (catalog == NULL)
     {
-      end_with_error (session, ANSWER_OVERLOADED, "starting");
+      end_with_error (session, SESSION_END_REFUSED, ANSWER_OVERLOADED, "starting");
       return;
     }
   route = catalog_database (catalog, database);
   if (route == NULL)
     {
-      end_with_error (session, ANSWER_UNKNOWN_DATABASE, database);
+      end_with_error (session, SESSION_END_REFUSED, ANSWER_UNKNOWN_DATABASE, database);
       return;
     }
   if (session->forwarded
       && (!pool_server_is_ready (session->server) || !route_matches (session, route)))
     {
-      end_with_error (session, ANSWER_OVERLOADED, "not ready to serve it");
+      end_with_error (session, SESSION_END_REFUSED, ANSWER_OVERLOADED, "not ready to serve it");
       return;
     }
   if (!session->forwarded && pool_server_has_owners (session->server))
@@ -305,20 +360,20 @@
     case CALLER_MESSAGE_STATEMENT:
       session->statement = message->statement;
       if (session->database_name == NULL)
-        end_with_error (session, ANSWER_MALFORMED, "the session is not open");
+        end_with_error (session, SESSION_END_PROTOCOL, ANSWER_MALFORMED, "the session is not open");
       else
         start_statement (session);
       return;
     case CALLER_MESSAGE_END:
-      pool_session_close (session);
+      pool_session_close (session, SESSION_END_CALLER);
       return;
     case CALLER_MESSAGE_MALFORMED:
       counter_add (session->options->counters, COUNTER_PROTOCOL_ERRORS, 1);
-      end_with_error (session, ANSWER_MALFORMED, "malformed message");
+      end_with_error (session, SESSION_END_PROTOCOL, ANSWER_MALFORMED, "malformed message");
       return;
     case CALLER_MESSAGE_TOO_LARGE:
       counter_add (session->options->counters, COUNTER_PROTOCOL_ERRORS, 1);
-      end_with_error (session, ANSWER_TOO_LARGE, "message too large");
+      end_with_error (session, SESSION_END_PROTOCOL, ANSWER_TOO_LARGE, "message too large");
       return;
     }
 }
@@ -410,7 +465,7 @@
     {
       log_event (LOG_LEVEL_NOTICE, "caller_not_reading", "session=%" PRIu64 " pending_bytes=%u",
                  session->id, stream_pending (session->stream));
-      pool_session_close (session);
+      pool_session_close (session, SESSION_END_NOT_READING);
       return;
     }
   if (session->active && stream_input (session->stream)->len > INPUT_LIMIT_BYTES)
@@ -426,7 +481,7 @@
 static void
 on_closed (void *data)
 {
-  pool_session_close (data);
+  pool_session_close (data, SESSION_END_CALLER_LOST);
 }
 
 static const StreamEvents session_events = { on_readable, on_drained, on_closed };
--- a/src/pool/pool-session.h
+++ b/src/pool/pool-session.h
@@ -14,6 +14,21 @@
 typedef struct PoolSession PoolSession;
 typedef struct SessionForward SessionForward;
 
+/** enum SessionEnd - Why a session ends. */
+typedef enum
+{
+  SESSION_END_CALLER,      /* its caller ended it */
+  SESSION_END_CALLER_LOST, /* its caller closed the connection, or the connection broke */
+  SESSION_END_NOT_READING, /* its caller does not read its answers */
+  SESSION_END_PROTOCOL,    /* its caller, or the host that forwards it, sent a malformed message */
+  SESSION_END_REFUSED,     /* it could not be opened */
+  SESSION_END_OWNER,       /* its owner was lost or is draining */
+  SESSION_END_ROUTE,       /* its route leads to another owner */
+  SESSION_END_DRAIN,       /* this host is draining */
+  SESSION_END_PROCESS,     /* the process ends */
+  SESSION_END_COUNT
+} SessionEnd;
+
 /**
  * pool_session_new() - Session on the accepted socket @fd; it frees itself when it ends.
  * @forwarded: the connection comes from another host, which forwards the session.
@@ -27,7 +42,7 @@
 void pool_session_check_forward (PoolSession *session);
 
 /** pool_session_close() - Closes the session now, whatever its state. */
-void pool_session_close (PoolSession *session);
+void pool_session_close (PoolSession *session, SessionEnd reason);
 
 /** pool_session_is_idle() - Whether no transaction is open and no statement is active. */
 bool pool_session_is_idle (const PoolSession *session);
--- a/src/pool/session-forward.c
+++ b/src/pool/session-forward.c
@@ -46,14 +46,14 @@
 
 /* The caller's session ends after the answer: its values are gone with the owner. */
 static void
-answer_and_close (PoolSession *session, AnswerCode code, const char *reason)
+answer_and_close (PoolSession *session, SessionEnd end, AnswerCode code, const char *reason)
 {
   session->reason = reason;
   session_record_outcome (session, code, reason);
   session->options->codec->write_error (session_output (session), code, reason);
   session->options->codec->write_ready (session_output (session), 'I', (SessionToken){ 0 });
   stream_flush (session->stream);
-  pool_session_close (session);
+  pool_session_close (session, end);
 }
 
 /* Whether the statement that the owner was running may have run for good. The owner's connections
@@ -86,9 +86,10 @@
   if (!forward->open)
     try_next_owner (forward);
   else if (session->active)
-    answer_and_close (session, lost_answer (forward), "the owner of the service was lost");
+    answer_and_close (session, SESSION_END_OWNER, lost_answer (forward),
+                      "the owner of the service was lost");
   else if (forward->state == 'I')
-    pool_session_close (session);
+    pool_session_close (session, SESSION_END_OWNER);
   else
     forward->lost = true;
 }
@@ -296,7 +297,7 @@
     {
       // Ends the session at the owner too.
       g_free (message->database);
-      pool_session_close (session);
+      pool_session_close (session, SESSION_END_CALLER);
       return;
     }
   session->statement = message->statement;
@@ -304,12 +305,14 @@
   counter_add (session->options->counters, COUNTER_STATEMENTS_FORWARDED, 1);
   if (forward->lost)
     {
-      answer_and_close (session, ANSWER_ROLLED_BACK, "the owner of the service was lost");
+      answer_and_close (session, SESSION_END_OWNER, ANSWER_ROLLED_BACK,
+                        "the owner of the service was lost");
       return;
     }
   if (forward->state == 'I' && !route_is_unchanged (session, database))
     {
-      answer_and_close (session, database == NULL ? ANSWER_UNKNOWN_DATABASE : ANSWER_OVERLOADED,
+      answer_and_close (session, SESSION_END_ROUTE,
+                        database == NULL ? ANSWER_UNKNOWN_DATABASE : ANSWER_OVERLOADED,
                         "the route has changed");
       return;
     }
@@ -331,7 +334,8 @@
   if (!forward->open || session->active || forward->state != 'I')
     return;
   database = catalog_database (pool_server_catalog (session->server), session->database_name);
-  if (!route_is_unchanged (session, database)
-      || pool_server_is_draining_owner (session->server, forward->owner))
-    pool_session_close (session);
+  if (!route_is_unchanged (session, database))
+    pool_session_close (session, SESSION_END_ROUTE);
+  else if (pool_server_is_draining_owner (session->server, forward->owner))
+    pool_session_close (session, SESSION_END_OWNER);
 }
