Free a session after the outermost of its events

Cause: a refusal can come while a request is being made, so the session's events nest. The inner one answered, went on to the caller's next message, and freed the session under the outer one; other events did the same after a retry. Change: session_enter () and session_leave () enclose every event. Only the outermost goes on to the caller's messages and frees an ended session.

--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -431,12 +431,9 @@
     g_bytes_unref (bytes);
 }
 
-void
-session_process_input (PoolSession *session)
+static void
+process_input (PoolSession *session)
 {
-  if (session->processing)
-    return;
-  session->processing = true;
   while (!session->closing && !session->active)
     {
       const GByteArray *input = stream_input (session->stream);
@@ -451,6 +448,23 @@
       process_message (session, &message, input->data, used);
       stream_consume (session->stream, (guint) used);
     }
+}
+
+bool
+session_enter (PoolSession *session)
+{
+  const bool outermost = !session->processing;
+
+  session->processing = true;
+  return outermost;
+}
+
+void
+session_leave (PoolSession *session, bool outermost)
+{
+  if (!outermost)
+    return;
+  process_input (session);
   session->processing = false;
   if (session->closing)
     talloc_free (session);
@@ -460,6 +474,7 @@
 on_readable (void *data)
 {
   PoolSession *session = data;
+  bool outermost;
 
   if (stream_pending (session->stream) > OUTPUT_LIMIT_BYTES)
     {
@@ -470,7 +485,8 @@
     }
   if (session->active && stream_input (session->stream)->len > INPUT_LIMIT_BYTES)
     stream_pause (session->stream, true);
-  session_process_input (session);
+  outermost = session_enter (session);
+  session_leave (session, outermost);
 }
 
 static void
--- a/src/pool/session-forward.c
+++ b/src/pool/session-forward.c
@@ -97,13 +97,22 @@
 static void
 on_answer_timeout (void *data)
 {
-  lose_owner (((PoolSession *) data)->forward, "unanswered");
+  PoolSession *session = data;
+  const bool outermost = session_enter (session);
+
+  lose_owner (session->forward, "unanswered");
+  session_leave (session, outermost);
 }
 
 static void
 on_closed (void *data)
 {
-  lose_owner (data, "closed");
+  SessionForward *forward = data;
+  PoolSession *session = forward->session;
+  const bool outermost = session_enter (session);
+
+  lose_owner (forward, "closed");
+  session_leave (session, outermost);
 }
 
 static void
@@ -141,9 +150,8 @@
 }
 
 static void
-on_readable (void *data)
+relay_replies (SessionForward *forward)
 {
-  SessionForward *forward = data;
   PoolSession *session = forward->session;
   bool ended = false;
 
@@ -173,10 +181,19 @@
       ended = true;
     }
   stream_flush (session->stream);
-  if (!ended)
-    return;
-  stream_pause (session->stream, false);
-  session_process_input (session);
+  if (ended)
+    stream_pause (session->stream, false);
+}
+
+static void
+on_readable (void *data)
+{
+  SessionForward *forward = data;
+  PoolSession *session = forward->session;
+  const bool outermost = session_enter (session);
+
+  relay_replies (forward);
+  session_leave (session, outermost);
 }
 
 static const StreamEvents owner_events = { on_readable, on_drained, on_closed };
@@ -229,7 +246,6 @@
   session->active = false;
   session->options->codec->write_ready (session_output (session), 'I', (SessionToken){ 0 });
   stream_flush (session->stream);
-  session_process_input (session);
 }
 
 static void
--- a/src/pool/session-route.c
+++ b/src/pool/session-route.c
@@ -104,9 +104,8 @@
 }
 
 static void
-on_granted (void *data, PoolConnection *connection)
+use_connection (PoolSession *session, PoolConnection *connection)
 {
-  PoolSession *session = data;
   InstanceConnection *backend = instance_pool_connection (connection);
 
   session->connection = connection;
@@ -135,11 +134,22 @@
                            session->begin.text, session_on_begin_ended, session);
 }
 
+static void
+on_granted (void *data, PoolConnection *connection)
+{
+  PoolSession *session = data;
+  const bool outermost = session_enter (session);
+
+  use_connection (session, connection);
+  session_leave (session, outermost);
+}
+
 /* No connection in time: tries another instance, else refuses so that the caller can retry. */
 static void
 on_refused (void *data, AnswerCode code)
 {
   PoolSession *session = data;
+  const bool outermost = session_enter (session);
 
   session->tried |= service_group_member_bit (session->group, session->requested_pool);
   session->attempts++;
@@ -149,17 +159,18 @@
     wait_for_route (session);
   else
     session_refuse (session, code, "no connection in time");
-  if (!session->active)
-    session_process_input (session);
+  session_leave (session, outermost);
 }
 
 static void
 on_woken (void *data)
 {
   PoolSession *session = data;
+  const bool outermost = session_enter (session);
 
   session->tried = 0;
   session_dispatch (session);
+  session_leave (session, outermost);
 }
 
 void
--- a/src/pool/session-run.c
+++ b/src/pool/session-run.c
@@ -9,6 +9,7 @@
 /* An answer that has not come by this share of the time limit, in percent, may be lost. */
 #define LOST_ANSWER_PERCENT 40
 
+static void lose_connection (PoolSession *session);
 static void on_ended (void *data, const StatementResult *result);
 
 static void
@@ -41,13 +42,12 @@
              session->statement.id, instance_pool_info (session_current_pool (session))->id,
              clock_now_ms () - session->sent_ms);
   instance_pool_discard (session->connection);
-  session_on_lost (session);
+  lose_connection (session);
 }
 
-void
-session_on_timer (void *data)
+static void
+handle_timer (PoolSession *session)
 {
-  PoolSession *session = data;
   const bool wrote = session->wrote || session_statement_writes (session);
 
   switch (session->step)
@@ -62,7 +62,6 @@
       session_refuse (session, ANSWER_OVERLOADED,
                       session->step == STEP_ROUTING ? "no usable instance in time"
                                                     : "time limit expired before it ran");
-      session_process_input (session);
       return;
     case STEP_RUNNING:
       break;
@@ -87,7 +86,16 @@
       session_fail_transaction (session);
       session_answer_error (session, ANSWER_TIMEOUT, "statement time limit");
     }
-  session_process_input (session);
+}
+
+void
+session_on_timer (void *data)
+{
+  PoolSession *session = data;
+  const bool outermost = session_enter (session);
+
+  handle_timer (session);
+  session_leave (session, outermost);
 }
 
 void
@@ -128,11 +136,9 @@
                                session->sent_ms, committed);
 }
 
-void
-session_on_begin_ended (void *data, const StatementResult *result)
+static void
+finish_begin (PoolSession *session, const StatementResult *result)
 {
-  PoolSession *session = data;
-
   record_answer (session, result, false);
   if (result->code == ANSWER_OK && result->state == 'T')
     {
@@ -143,8 +149,16 @@
   session->tried |= service_group_member_bit (session->group, session_current_pool (session));
   session_release_connection (session);
   session_retry (session, result->code == ANSWER_OK ? ANSWER_OVERLOADED : result->code);
-  if (!session->active)
-    session_process_input (session);
+}
+
+void
+session_on_begin_ended (void *data, const StatementResult *result)
+{
+  PoolSession *session = data;
+  const bool outermost = session_enter (session);
+
+  finish_begin (session, result);
+  session_leave (session, outermost);
 }
 
 static bool
@@ -221,7 +235,6 @@
   session->wrote = false;
   session_release_connection (session);
   session_answer_error (session, ANSWER_IN_DOUBT, "the primary is being replaced");
-  session_process_input (session);
 }
 
 static void
@@ -249,14 +262,11 @@
       session_release_connection (session);
     }
   session_end_statement (session);
-  session_process_input (session);
 }
 
 static void
-on_ended (void *data, const StatementResult *result)
+finish_statement (PoolSession *session, const StatementResult *result)
 {
-  PoolSession *session = data;
-
   // A statement refused for lack of a slot did not run; its transaction stays open.
   if (result->code == ANSWER_OVERLOADED && result->state == 'T'
       && session_can_wait_for_slot (session))
@@ -274,8 +284,16 @@
   session->tried |= service_group_member_bit (session->group, session_current_pool (session));
   session_release_connection (session);
   session_retry (session, result->code);
-  if (!session->active)
-    session_process_input (session);
+}
+
+static void
+on_ended (void *data, const StatementResult *result)
+{
+  PoolSession *session = data;
+  const bool outermost = session_enter (session);
+
+  finish_statement (session, result);
+  session_leave (session, outermost);
 }
 
 static void
@@ -297,11 +315,9 @@
     session_answer_error (session, code, "connection lost");
 }
 
-void
-session_on_lost (void *data)
+static void
+lose_connection (PoolSession *session)
 {
-  PoolSession *session = data;
-
   session->connection = NULL;
   switch (session->step)
     {
@@ -323,10 +339,18 @@
     case STEP_CONNECTING:
       timer_clear (&session->timer);
       session->transaction = TRANSACTION_LOST;
-      return;
+      break;
     }
-  if (!session->active)
-    session_process_input (session);
+}
+
+void
+session_on_lost (void *data)
+{
+  PoolSession *session = data;
+  const bool outermost = session_enter (session);
+
+  lose_connection (session);
+  session_leave (session, outermost);
 }
 
 bool
--- a/src/pool/session-state.h
+++ b/src/pool/session-state.h
@@ -38,7 +38,7 @@
   PoolServer *server;
   const PoolServerOptions *options;
   Stream *stream;
-  bool processing; /* input is being handled; freeing waits until that is done */
+  bool processing; /* an event is being handled, see session_enter() */
   bool closing;
   uint64_t id;
   char *database_name;
@@ -167,5 +167,15 @@
 
 /* Implemented in pool-session.c. */
 
-/** session_process_input() - Handles the caller's messages until one has to wait. */
-void session_process_input (PoolSession *session);
+/**
+ * session_enter() - Begins to handle an event of the session, which is not freed before
+ * session_leave(). Events nest: an instance may refuse a request while it is being made.
+ * Returns whether this is the outermost one.
+ */
+bool session_enter (PoolSession *session);
+
+/**
+ * session_leave() - Ends what session_enter() began. The outermost event handles the caller's next
+ * messages until one has to wait, and frees a session that has ended.
+ */
+void session_leave (PoolSession *session, bool outermost);
--- a/tests/processes/drain.c
+++ b/tests/processes/drain.c
@@ -13,17 +13,20 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#define CALLERS_MAX 64
+#define CALLERS_MAX 80
 #define ANSWER_LIMIT_MS 8000
 #define EXIT_LIMIT_MS 8000
 #define LINE_BYTES 256
 #define PIPELINED 8
+#define GIVE_UP_MS 1200
+#define SILENT_MS 3800
 
 typedef enum
 {
   CALLER_BUSY,       /* sends the next statement as soon as it has an answer */
   CALLER_PAUSING,    /* waits a moment in between */
   CALLER_PIPELINING, /* sends several statements at once */
+  CALLER_GIVING_UP,  /* ends the session when a read has no answer in time */
   CALLER_SLOW_READER /* reads long answers slowly, and ends the session behind each statement */
 } CallerKind;
 
@@ -48,6 +51,12 @@
 static const char services[] = "[{\"name\":\"orders\",\"health_path\":\"/health\",\"max_conns\":60,"
                                "\"protocol\":\"h1\",\"tls\":false,\"sync_replicas\":1}]";
 
+static const char stock_routes[]
+    = "[{\"name\":\"r1\",\"host\":\"sales\",\"prefix\":\"/"
+      "\",\"type\":\"bounded\",\"timeout_ms\":3000,"
+      "\"slo_ms\":2500,\"priority\":2,\"service\":\"orders\",\"max_attempts\":2,"
+      "\"max_staleness_ms\":1500}]";
+
 static Caller callers[CALLERS_MAX];
 static int caller_count;
 static volatile bool stopping;
@@ -190,6 +199,32 @@
     }
 }
 
+/* A session of a caller that gives up: it sends TERMINATE and waits for the host to close. */
+static void
+run_impatient_session (Caller *caller, Client *client, int *statement)
+{
+  char text[64];
+  char line[LINE_BYTES];
+  bool timed_out;
+
+  while (!stopping)
+    {
+      snprintf (text, sizeof text, "QUERY %d-%d READ x", caller->number, ++*statement);
+      client_send (client, text);
+      do
+        if (!read_line (client, line, world_now_ms () + GIVE_UP_MS, &timed_out))
+          {
+            client_send (client, "TERMINATE");
+            while (read_line (client, line, world_now_ms () + ANSWER_LIMIT_MS, &timed_out))
+              continue;
+            return;
+          }
+      while (strncmp (line, "READY ", 6) != 0);
+      caller->answered++;
+      world_sleep_ms (caller->pause_ms);
+    }
+}
+
 static void *
 run_caller (void *data)
 {
@@ -201,7 +236,8 @@
       Client client = { .fd = -1 };
 
       if (world.hosts[caller->host].pid != 0 && client_open (&client, caller->host, "sales"))
-        run_session (caller, &client, &statement);
+        (caller->kind == CALLER_GIVING_UP ? run_impatient_session : run_session) (caller, &client,
+                                                                                  &statement);
       else
         {
           // The host is away or refuses sessions.
@@ -224,7 +260,7 @@
       caller->number = caller_count++;
       caller->kind = kind;
       caller->host = i % world.host_count;
-      caller->pause_ms = pause_ms == 0 ? 0 : pause_ms + 7 * i;
+      caller->pause_ms = kind == CALLER_PAUSING ? pause_ms + 7 * i : pause_ms;
       caller->roams = roams;
     }
 }
@@ -260,6 +296,21 @@
   host->pid = 0;
 }
 
+/* Whether the process runs; one that has ended by itself is counted. */
+static bool
+is_running (int index)
+{
+  HostProcess *host = &world.hosts[index];
+  int status;
+
+  if (host->pid == 0 || waitpid (host->pid, &status, WNOHANG) != host->pid)
+    return host->pid != 0;
+  world_record ("host     %s ended by itself, status %d", host->name, status);
+  host->pid = 0;
+  bad_exits++;
+  return false;
+}
+
 static void
 print_results (void)
 {
@@ -282,6 +333,8 @@
   printf ("in doubt: %s\n", in_doubt > 0 ? "yes" : "no");
   printf ("cut: %d, of them ran: %d\n", cut, cut_ran);
   printf ("unanswered: %d\n", unanswered);
+  for (int i = 0; i < world.host_count; i++)
+    is_running (i);
   printf ("hosts that ended late: %d, by a fault: %d\n", late_exits, bad_exits);
   fflush (stdout);
   world_end (cut + unanswered + late_exits + bad_exits == 0 ? 0 : 1);
@@ -314,6 +367,29 @@
   world_unlock ();
 }
 
+/* The replicas stop answering in turn, and callers give up. */
+static void
+silence_replicas (int rounds)
+{
+  start_callers ();
+  world_sleep_ms (1000);
+  for (int round = 0; round < rounds; round++)
+    {
+      Instance *replica = primary + 1 + round % 2;
+      const int64_t until_ms = world_now_ms () + SILENT_MS;
+
+      world_lock ();
+      replica->dark = true;
+      world_unlock ();
+      while (world_now_ms () < until_ms && is_running (0) && is_running (1))
+        world_sleep_ms (5);
+      world_lock ();
+      replica->dark = false;
+      world_unlock ();
+      world_sleep_ms (500);
+    }
+}
+
 static void
 restart_host (int index)
 {
@@ -352,7 +428,7 @@
 }
 
 static void
-start_world (const char *record, int hosts)
+start_world (const char *record, int hosts, const char *config)
 {
   primary = world_add_instance ("orders", "i-primary", 0, 0);
   world_add_instance ("orders", "i-one", 2, 60);
@@ -369,7 +445,7 @@
   primary->work_ms = 30;
   primary->big_rows = 4;
   world_start (record);
-  world_put_config (1, routes, services);
+  world_put_config (1, config, services);
   for (int i = 0; i < hosts; i++)
     world_start_host (i);
   world_wait_ready ();
@@ -382,6 +458,7 @@
   const unsigned seed = count < 4 ? 1 : (unsigned) atoi (arguments[3]);
   const bool series = strcmp (name, "series") == 0;
   const bool forwarded = strcmp (name, "forwarded") == 0;
+  const bool giving_up = strcmp (name, "giving-up") == 0;
 
   if (count < 3)
     {
@@ -389,13 +466,19 @@
       return 2;
     }
   world.owners_from = forwarded ? 2 : 0;
-  start_world (arguments[2], series || forwarded ? 4 : 1);
+  start_world (arguments[2],
+               series || forwarded ? 4
+               : giving_up         ? 2
+                                   : 1,
+               giving_up ? stock_routes : routes);
   if (strcmp (name, "busy") == 0 || strcmp (name, "silent") == 0)
     add_callers (24, CALLER_BUSY, 0, false);
   else if (strcmp (name, "pausing") == 0)
     add_callers (40, CALLER_PAUSING, 3, false);
   else if (strcmp (name, "pipelining") == 0)
     add_callers (16, CALLER_PIPELINING, 0, false);
+  else if (giving_up)
+    add_callers (CALLERS_MAX, CALLER_GIVING_UP, 40, false);
   else if (strcmp (name, "reading") == 0)
     add_callers (8, CALLER_SLOW_READER, 200, false);
   else if (series || forwarded)
@@ -411,6 +494,8 @@
     }
   if (series || forwarded)
     restart_in_series (seed, count < 5 ? 2 : atoi (arguments[4]));
+  else if (giving_up)
+    silence_replicas (3);
   else if (strcmp (name, "silent") == 0)
     end_beside_silent_primary ();
   else
