Deliver the answers of a session that has ended

What callers saw: the end of the connection instead of an answer, or part of it. Cause: the end of a session freed its stream, which dropped output that the socket had not taken; and closing a socket with unread input resets the connection, so what the caller has not read yet is lost too. That was so for TERMINATE behind a statement, for errors that end a session, for a lost owner and for idle sessions in a drain. Change: pool_session_finish () sends the rest, shuts the sending side down, discards input until the caller closes (1 s), and gives up a caller that takes nothing for 5 s. After a write error a stream still reads what its peer had sent.

--- a/src/base/stream.c
+++ b/src/base/stream.c
@@ -32,6 +32,9 @@
   guint output_sent;
   bool paused;
   bool above_low_watermark;
+  bool finishing;
+  bool shut_down; /* the sending side */
+  bool at_end;    /* the peer has closed its sending side */
   int error;
 };
 
@@ -50,7 +53,7 @@
 {
   uint16_t flags = 0;
 
-  if (!stream->paused)
+  if ((!stream->paused || stream->finishing) && !stream->at_end)
     flags |= TEVENT_FD_READ;
   if (stream_pending (stream) > 0)
     flags |= TEVENT_FD_WRITE;
@@ -65,6 +68,27 @@
     stream->error = error;
 }
 
+static bool
+is_end (gssize got)
+{
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR);
+}
+
+static void
+discard_input (Stream *stream)
+{
+  char bytes[READ_CHUNK_BYTES];
+  const gssize got = read (stream->fd, bytes, sizeof bytes);
+
+  if (!is_end (got))
+    return;
+  stream->at_end = true;
+  if (got == 0 && stream_pending (stream) > 0)
+    update_interest (stream);
+  else
+    stream->events->closed (stream->data);
+}
+
 /* Returns false if a callback ran, which may have freed the stream. */
 static bool
 read_some (Stream *stream)
@@ -87,9 +111,10 @@
       stream->events->readable (stream->data);
       return false;
     }
-  if (got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR))
+  if (is_end (got))
     {
       record_error (stream, got == 0 ? 0 : errno);
+      stream->at_end = got == 0;
       stream->events->closed (stream->data);
       return false;
     }
@@ -126,6 +151,31 @@
   stream->output_sent = 0;
 }
 
+/* After a write error: what the peer sent before it closed can still be read. */
+static void
+read_rest (Stream *stream)
+{
+  g_byte_array_set_size (stream->output, 0);
+  stream->output_sent = 0;
+  update_interest (stream);
+  if (stream->paused || stream->finishing || read_some (stream))
+    stream->events->closed (stream->data);
+}
+
+/* Returns false if a callback ran. */
+static bool
+shut_down_when_sent (Stream *stream)
+{
+  if (!stream->finishing || stream->shut_down || stream_pending (stream) > 0)
+    return true;
+  stream->shut_down = true;
+  shutdown (stream->fd, SHUT_WR);
+  if (!stream->at_end)
+    return true;
+  stream->events->closed (stream->data);
+  return false;
+}
+
 static void
 stream_event (struct tevent_context *context, struct tevent_fd *fde, uint16_t flags, void *data)
 {
@@ -135,18 +185,28 @@
     {
       if (!write_some (stream))
         {
-          stream->events->closed (stream->data);
+          read_rest (stream);
           return;
         }
       trim_output (stream);
       update_interest (stream);
+      if (!shut_down_when_sent (stream))
+        return;
       if (stream->above_low_watermark && stream_pending (stream) < LOW_WATERMARK_BYTES)
         {
           stream->above_low_watermark = false;
-          stream->events->drained (stream->data);
-          return;
+          if (!stream->finishing)
+            {
+              stream->events->drained (stream->data);
+              return;
+            }
         }
     }
+  if (stream->finishing && (flags & TEVENT_FD_READ) != 0)
+    {
+      discard_input (stream);
+      return;
+    }
   if ((flags & TEVENT_FD_READ) != 0 && !stream->paused)
     read_some (stream);
 }
@@ -197,6 +257,25 @@
   update_interest (stream);
 }
 
+void
+stream_finish (Stream *stream)
+{
+  stream->finishing = true;
+  // Without output left to send, the peer may have closed already: the event loop finds out.
+  if (stream_pending (stream) == 0 && !stream->shut_down)
+    {
+      stream->shut_down = true;
+      shutdown (stream->fd, SHUT_WR);
+    }
+  update_interest (stream);
+}
+
+bool
+stream_is_at_end (const Stream *stream)
+{
+  return stream->at_end;
+}
+
 void
 stream_pause (Stream *stream, bool paused)
 {
--- a/src/base/stream.h
+++ b/src/base/stream.h
@@ -42,6 +42,16 @@
 /** stream_flush() - Writes what the socket accepts; the event loop writes the rest later. */
 void stream_flush (Stream *stream);
 
+/**
+ * stream_finish() - Ends the connection without losing output: sends the rest, then shuts down the
+ * sending side, and discards input, since closing a socket with unread input resets it. @closed is
+ * called when the peer has closed too; no other callback is called any more.
+ */
+void stream_finish (Stream *stream);
+
+/** stream_is_at_end() - Whether the peer has closed its sending side. */
+bool stream_is_at_end (const Stream *stream);
+
 /** stream_pause() - Stops or resumes reading, for backpressure. */
 void stream_pause (Stream *stream, bool paused);
 
--- a/src/pool/pool-server.c
+++ b/src/pool/pool-server.c
@@ -124,7 +124,11 @@
       // The host that forwards a session closes it between two statements.
       if (pool_session_is_forwarded (session) && !close_transactions)
         continue;
-      if (close_all || pool_session_is_idle (session) || waits_for_caller)
+      if (pool_session_is_finishing (session))
+        continue;
+      if (pool_session_is_idle (session) || waits_for_caller)
+        pool_session_finish (session, SESSION_END_DRAIN);
+      else if (close_all)
         pool_session_close (session, SESSION_END_DRAIN);
     }
   g_list_free (sessions);
--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -12,6 +12,11 @@
 #define INPUT_LIMIT_BYTES (1024 * 1024)
 /* A caller that does not read its answers is disconnected at this backlog. */
 #define OUTPUT_LIMIT_BYTES (4 * 1024 * 1024)
+/* Interval at which a session that has ended is checked; one whose answers are sent waits as long
+ * for its caller to close. */
+#define FINISH_CHECK_MS 1000
+/* Checks without progress until a caller that does not take its answers is given up. */
+#define FINISH_STALLS_MAX 5
 /* Longest first message of a host that forwards a session. */
 #define PREFACE_LIMIT_BYTES 1024
 
@@ -60,19 +65,19 @@
   return reason == SESSION_END_CALLER || reason == SESSION_END_CALLER_LOST;
 }
 
-/* Logs and counts a session that this host ends with an answer owed, and any during a drain. */
+/* Logs and counts a session that this host ends: one with an answer owed, and any during a drain.
+ */
 static void
-record_end (const PoolSession *session, SessionEnd reason)
+record_end (const PoolSession *session, SessionEnd reason, bool cut)
 {
   const guint unsent = stream_pending (session->stream);
   const guint unread = stream_unread (session->stream);
   const int64_t now_ms = clock_now_ms ();
-  const bool cut = !is_ended_by_caller (reason) && (session->active || unsent > 0);
   uint32_t dropped;
 
   if (cut)
     pool_metrics_count (session->options->metrics, POOL_COUNT_ANSWERS_CUT);
-  if ((!cut && pool_server_drain_age_ms (session->server) < 0)
+  if (is_ended_by_caller (reason) || (!cut && pool_server_drain_age_ms (session->server) < 0)
       || !pool_server_may_log_end (session->server, now_ms, &dropped))
     return;
   log_event (cut ? LOG_LEVEL_NOTICE : LOG_LEVEL_INFO, "session_ended",
@@ -89,13 +94,59 @@
 void
 pool_session_close (PoolSession *session, SessionEnd reason)
 {
-  if (!session->closing)
-    record_end (session, reason);
+  const bool owed = session->active || stream_pending (session->stream) > 0;
+
+  if (!session->closing && !session->finishing)
+    record_end (session, reason, owed && !is_ended_by_caller (reason));
   session->closing = true;
   if (!session->processing)
     talloc_free (session);
 }
 
+/* Frees the session unless the caller is still taking its answers. */
+static void
+on_finish_timer (void *data)
+{
+  PoolSession *session = data;
+  const guint unsent = stream_pending (session->stream);
+
+  session->finish_stalls = unsent < session->finish_unsent ? 0 : session->finish_stalls + 1;
+  session->finish_unsent = unsent;
+  if (unsent > 0 && session->finish_stalls < FINISH_STALLS_MAX)
+    {
+      timer_set (session->options->timers, &session->timer, FINISH_CHECK_MS);
+      return;
+    }
+  if (unsent > 0)
+    record_end (session, session->end, true);
+  pool_session_close (session, session->end);
+}
+
+void
+pool_session_finish (PoolSession *session, SessionEnd reason)
+{
+  if (session->finishing)
+    return;
+  record_end (session, reason, false);
+  session->finishing = true;
+  session->end = reason;
+  session->active = false;
+  service_group_cancel_wait (&session->waiter);
+  instance_pool_cancel (&session->request);
+  session_drop_connection (session);
+  TALLOC_FREE (session->forward);
+  session->finish_unsent = stream_pending (session->stream);
+  session->timer.fired = on_finish_timer;
+  timer_set (session->options->timers, &session->timer, FINISH_CHECK_MS);
+  stream_finish (session->stream);
+}
+
+bool
+pool_session_is_finishing (const PoolSession *session)
+{
+  return session->finishing;
+}
+
 bool
 pool_session_is_idle (const PoolSession *session)
 {
@@ -297,7 +348,7 @@
 {
   session->options->codec->write_error (session_output (session), code, text);
   stream_flush (session->stream);
-  pool_session_close (session, reason);
+  pool_session_finish (session, reason);
 }
 
 /* Whether the host that forwards the session has the same route for it; a host with an older
@@ -365,7 +416,7 @@
         start_statement (session);
       return;
     case CALLER_MESSAGE_END:
-      pool_session_close (session, SESSION_END_CALLER);
+      pool_session_finish (session, SESSION_END_CALLER);
       return;
     case CALLER_MESSAGE_MALFORMED:
       counter_add (session->options->counters, COUNTER_PROTOCOL_ERRORS, 1);
@@ -434,7 +485,7 @@
 static void
 process_input (PoolSession *session)
 {
-  while (!session->closing && !session->active)
+  while (!session->closing && !session->finishing && !session->active)
     {
       const GByteArray *input = stream_input (session->stream);
       CallerMessage message;
@@ -497,7 +548,14 @@
 static void
 on_closed (void *data)
 {
-  pool_session_close (data, SESSION_END_CALLER_LOST);
+  PoolSession *session = data;
+
+  // A caller that has only ended its sending side still reads its answers.
+  if (!session->finishing && stream_is_at_end (session->stream)
+      && stream_pending (session->stream) > 0)
+    pool_session_finish (session, SESSION_END_CALLER_LOST);
+  else
+    pool_session_close (session, SESSION_END_CALLER_LOST);
 }
 
 static const StreamEvents session_events = { on_readable, on_drained, on_closed };
--- a/src/pool/pool-session.h
+++ b/src/pool/pool-session.h
@@ -41,9 +41,18 @@
 /** pool_session_check_forward() - See session_forward_check(); no effect on other sessions. */
 void pool_session_check_forward (PoolSession *session);
 
+/**
+ * pool_session_finish() - Ends the session as soon as the caller has what was written to it. Work
+ * under way is abandoned; write its answer first.
+ */
+void pool_session_finish (PoolSession *session, SessionEnd reason);
+
 /** pool_session_close() - Closes the session now, whatever its state. */
 void pool_session_close (PoolSession *session, SessionEnd reason);
 
+/** pool_session_is_finishing() - Whether it has ended, and sends the rest of its answers. */
+bool pool_session_is_finishing (const PoolSession *session);
+
 /** pool_session_is_idle() - Whether no transaction is open and no statement is active. */
 bool pool_session_is_idle (const PoolSession *session);
 
--- a/src/pool/session-forward.c
+++ b/src/pool/session-forward.c
@@ -53,7 +53,7 @@
   session->options->codec->write_error (session_output (session), code, reason);
   session->options->codec->write_ready (session_output (session), 'I', (SessionToken){ 0 });
   stream_flush (session->stream);
-  pool_session_close (session, end);
+  pool_session_finish (session, end);
 }
 
 /* Whether the statement that the owner was running may have run for good. The owner's connections
@@ -313,7 +313,7 @@
     {
       // Ends the session at the owner too.
       g_free (message->database);
-      pool_session_close (session, SESSION_END_CALLER);
+      pool_session_finish (session, SESSION_END_CALLER);
       return;
     }
   session->statement = message->statement;
--- a/src/pool/session-state.h
+++ b/src/pool/session-state.h
@@ -40,6 +40,10 @@
   Stream *stream;
   bool processing; /* an event is being handled, see session_enter() */
   bool closing;
+  bool finishing;      /* has ended, and sends the rest of its answers, see pool_session_finish() */
+  SessionEnd end;      /* why, once it is finishing */
+  guint finish_unsent; /* bytes at the last look */
+  uint32_t finish_stalls;
   uint64_t id;
   char *database_name;
   Catalog *catalog; /* of the current operation */
--- a/tests/processes/drain.c
+++ b/tests/processes/drain.c
@@ -458,6 +458,7 @@
   const unsigned seed = count < 4 ? 1 : (unsigned) atoi (arguments[3]);
   const bool series = strcmp (name, "series") == 0;
   const bool forwarded = strcmp (name, "forwarded") == 0;
+  const bool reading = strcmp (name, "reading") == 0;
   const bool giving_up = strcmp (name, "giving-up") == 0;
 
   if (count < 3)
@@ -479,7 +480,7 @@
     add_callers (16, CALLER_PIPELINING, 0, false);
   else if (giving_up)
     add_callers (CALLERS_MAX, CALLER_GIVING_UP, 40, false);
-  else if (strcmp (name, "reading") == 0)
+  else if (reading || strcmp (name, "reading-drain") == 0)
     add_callers (8, CALLER_SLOW_READER, 200, false);
   else if (series || forwarded)
     {
@@ -494,6 +495,11 @@
     }
   if (series || forwarded)
     restart_in_series (seed, count < 5 ? 2 : atoi (arguments[4]));
+  else if (reading)
+    {
+      start_callers ();
+      world_sleep_ms (3000);
+    }
   else if (giving_up)
     silence_replicas (3);
   else if (strcmp (name, "silent") == 0)
--- a/tests/system/drain.bash
+++ b/tests/system/drain.bash
@@ -2,7 +2,6 @@
 
 # Runs case $1 of tests/processes/drain.c with the seed in $2 and compares what it prints; $3: "in doubt" expected.
 run_drain_case() {
-  local work
   work=$(mktemp -d)
   trap 'rm -rf "$work"' EXIT
   expected="answered: yes
