End sessions of a shutdown between two statements, and answer what is owed

What callers saw: writes that ran, and the end of their connection instead of an answer, around a SIGTERM. Cause: 4.9 s after the signal every session was closed, also with a statement at an instance, while new sessions and statements were still taken. A session got that far when it was busy at each tick of 50 ms (a caller that sends back to back), or when it came late. A session that was idle at a tick was closed under a statement on its way. Change: policy/drain decides, by phase, which statements start and what becomes of each session. From 2.3 s on no new operation starts (not run, at once), and a session ends as soon as its operation has, at the event and not at a tick. Its caller is told by an error between two statements; a statement that crosses it takes it for its answer, is not run, and gets its READY. Transactions have two thirds of the limit. 0.3 s before the limit what has not ended is answered: not run, rolled back or in doubt. An owner tells hosts that forward to it in the same way.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -496,8 +496,8 @@
   if (phase == DRAIN_ENDED)
     atomic_store (&control->drained, true);
   log_event (LOG_LEVEL_NOTICE, "drain",
-             "host=%s phase=%d callers=%" G_GUINT64_FORMAT " jobs=%" G_GUINT64_FORMAT,
-             self (control)->id, phase, load.callers, load.jobs);
+             "host=%s phase=%s callers=%" G_GUINT64_FORMAT " jobs=%" G_GUINT64_FORMAT,
+             self (control)->id, drain_phase_name (phase), load.callers, load.jobs);
 }
 
 static void
@@ -593,7 +593,10 @@
   };
 
   control->membership = membership_new (&membership);
-  control->drain.options = (DrainOptions){ DRAIN_ANNOUNCE_MS, fleet->drain_limit_ms };
+  control->drain.options = (DrainOptions){
+    .announce_ms = DRAIN_ANNOUNCE_MS,
+    .limit_ms = fleet->drain_limit_ms,
+  };
   config_sync_init (&control->config_sync, &config_sync, clock_now_ms ());
   control->replica = config_replica_new ();
   config_document_unref (empty);
--- a/src/pool/pool-server.c
+++ b/src/pool/pool-server.c
@@ -13,12 +13,6 @@
 
 /* Interval at which time limits are checked. */
 #define TICK_MS 50
-/* New callers still arrive for this long after a draining host reports that it is not ready. */
-#define LEAVE_NOTICE_MS 2300
-/* Idle transactions are closed after the drain limit divided by this. */
-#define DRAIN_TRANSACTION_DIVISOR 2
-/* All remaining sessions are closed this long before the drain limit. */
-#define DRAIN_MARGIN_MS 700
 /* Log lines per second for statements that ran, and for statements that did not. */
 #define RAN_LINES_PER_S 10
 #define NOT_RUN_LINES_PER_S 30
@@ -48,8 +42,7 @@
   uint64_t next_id;
   LogRateLimit log_limits[VERDICT_COUNT];
   LogRateLimit end_log_limit;
-  int64_t drain_started_ms;
-  int64_t drain_limit_ms;
+  Drain drain;
 };
 
 static int
@@ -108,29 +101,20 @@
 }
 
 static void
-close_idle_sessions (PoolServer *server, int64_t now_ms)
+advance_drain (PoolServer *server, int64_t now_ms)
 {
-  const int64_t since_ms = now_ms - server->drain_started_ms;
-  const bool close_all = since_ms >= server->drain_limit_ms - DRAIN_MARGIN_MS;
-  const bool close_transactions = since_ms >= server->drain_limit_ms / DRAIN_TRANSACTION_DIVISOR;
-  GList *sessions = g_hash_table_get_keys (server->sessions);
+  const DrainLoad load = { .callers = g_hash_table_size (server->sessions) };
+  const DrainPhase previous = server->drain.phase;
+  GList *sessions;
 
+  if (drain_tick (&server->drain, load, now_ms) == previous)
+    return;
+  log_event (LOG_LEVEL_NOTICE, "drain", "phase=%s sessions=%u age_ms=%" G_GINT64_FORMAT,
+             drain_phase_name (server->drain.phase), g_hash_table_size (server->sessions),
+             now_ms - server->drain.began_ms);
+  sessions = g_hash_table_get_keys (server->sessions);
   for (GList *node = sessions; node != NULL; node = node->next)
-    {
-      PoolSession *session = node->data;
-      const bool waits_for_caller
-          = close_transactions && pool_session_idle_ms (session, now_ms) > 0;
-
-      // The host that forwards a session closes it between two statements.
-      if (pool_session_is_forwarded (session) && !close_transactions)
-        continue;
-      if (pool_session_is_finishing (session))
-        continue;
-      if (pool_session_is_idle (session) || waits_for_caller)
-        pool_session_finish (session, SESSION_END_DRAIN);
-      else if (close_all)
-        pool_session_close (session, SESSION_END_DRAIN);
-    }
+    pool_session_drain (node->data);
   g_list_free (sessions);
 }
 
@@ -161,8 +145,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     hosted_service_tick (value, now_ms);
   check_forwarded_sessions (server, now_ms);
-  if (server->drain_started_ms > 0 && now_ms - server->drain_started_ms >= LEAVE_NOTICE_MS)
-    close_idle_sessions (server, now_ms);
+  if (server->drain.phase != DRAIN_SERVING)
+    advance_drain (server, now_ms);
 }
 
 PoolServer *
@@ -481,33 +465,35 @@
 pool_server_is_ready (const PoolServer *server)
 {
   return server->catalog != NULL && server->instances->len > 0 && server->hosts_known
-         && server->drain_started_ms == 0;
+         && server->drain.phase == DRAIN_SERVING;
 }
 
 void
 pool_server_drain (PoolServer *server, int64_t limit_ms)
 {
-  if (server->drain_started_ms > 0)
+  if (server->drain.phase != DRAIN_SERVING)
     return;
-  server->drain_started_ms = clock_now_ms ();
-  server->drain_limit_ms = limit_ms;
+  server->drain.options = drain_options_for_limit (limit_ms);
+  drain_begin (&server->drain, clock_now_ms ());
   peer_mesh_drain (server->options.mesh);
   log_event (LOG_LEVEL_NOTICE, "draining", "sessions=%u limit_ms=%" G_GINT64_FORMAT,
              g_hash_table_size (server->sessions), limit_ms);
 }
 
+DrainPhase
+pool_server_drain_phase (const PoolServer *server)
+{
+  return server->drain.phase;
+}
+
 int64_t
 pool_server_drain_age_ms (const PoolServer *server)
 {
-  return server->drain_started_ms == 0 ? -1 : clock_now_ms () - server->drain_started_ms;
+  return server->drain.phase == DRAIN_SERVING ? -1 : clock_now_ms () - server->drain.began_ms;
 }
 
 bool
 pool_server_is_drained (const PoolServer *server)
 {
-  const int64_t since_ms = clock_now_ms () - server->drain_started_ms;
-
-  if (server->drain_started_ms == 0 || since_ms < LEAVE_NOTICE_MS)
-    return false;
-  return g_hash_table_size (server->sessions) == 0 || since_ms >= server->drain_limit_ms;
+  return server->drain.phase == DRAIN_ENDED;
 }
--- a/src/pool/pool-server.h
+++ b/src/pool/pool-server.h
@@ -12,6 +12,7 @@
 
 #include "base/counters.h"
 #include "base/timer-queue.h"
+#include "policy/drain.h"
 #include "policy/ownership.h"
 #include "pool/catalog.h"
 #include "pool/codec.h"
@@ -150,6 +151,9 @@
 /** pool_server_drain() - Starts a graceful shutdown that ends within @limit_ms. */
 void pool_server_drain (PoolServer *server, int64_t limit_ms);
 
+/** pool_server_drain_phase() - Phase of the shutdown. */
+DrainPhase pool_server_drain_phase (const PoolServer *server);
+
 /** pool_server_drain_age_ms() - Time since the shutdown started; -1 if it has not. */
 int64_t pool_server_drain_age_ms (const PoolServer *server);
 
--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -5,6 +5,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "policy/drain.h"
 #include "pool/forward.pb-c.h"
 #include "pool/session-forward.h"
 
@@ -12,6 +13,8 @@
 #define INPUT_LIMIT_BYTES (1024 * 1024)
 /* A caller that does not read its answers is disconnected at this backlog. */
 #define OUTPUT_LIMIT_BYTES (4 * 1024 * 1024)
+/* A caller that was told that its session ends closes it within this time, or the host does. */
+#define NOTICE_MS 500
 /* Interval at which a session that has ended is checked; one whose answers are sent waits as long
  * for its caller to close. */
 #define FINISH_CHECK_MS 1000
@@ -24,6 +27,7 @@
 session_destroy (PoolSession *session)
 {
   timer_clear (&session->timer);
+  timer_clear (&session->end_timer);
   service_group_cancel_wait (&session->waiter);
   instance_pool_cancel (&session->request);
   session_drop_connection (session);
@@ -114,7 +118,7 @@
   session->finish_unsent = unsent;
   if (unsent > 0 && session->finish_stalls < FINISH_STALLS_MAX)
     {
-      timer_set (session->options->timers, &session->timer, FINISH_CHECK_MS);
+      timer_set (session->options->timers, &session->end_timer, FINISH_CHECK_MS);
       return;
     }
   if (unsent > 0)
@@ -127,7 +131,8 @@
 {
   if (session->finishing)
     return;
-  record_end (session, reason, false);
+  if (!session->notified)
+    record_end (session, reason, false);
   session->finishing = true;
   session->end = reason;
   session->active = false;
@@ -136,27 +141,117 @@
   session_drop_connection (session);
   TALLOC_FREE (session->forward);
   session->finish_unsent = stream_pending (session->stream);
-  session->timer.fired = on_finish_timer;
-  timer_set (session->options->timers, &session->timer, FINISH_CHECK_MS);
+  timer_clear (&session->timer);
+  session->end_timer.fired = on_finish_timer;
+  timer_set (session->options->timers, &session->end_timer, FINISH_CHECK_MS);
   stream_finish (session->stream);
 }
 
-bool
-pool_session_is_finishing (const PoolSession *session)
+static void
+on_notice_timer (void *data)
+{
+  PoolSession *session = data;
+
+  pool_session_finish (session, session->end);
+}
+
+static AnswerCode
+notice_code (const PoolSession *session)
 {
-  return session->finishing;
+  return session->transaction == TRANSACTION_NONE ? ANSWER_OVERLOADED : ANSWER_ROLLED_BACK;
 }
 
-bool
-pool_session_is_idle (const PoolSession *session)
+static void
+write_notice (PoolSession *session)
+{
+  session->options->codec->write_error (
+      session_output (session), notice_code (session),
+      session->end == SESSION_END_DRAIN ? "this host is shutting down" : "the session ends");
+}
+
+void
+session_notify_end (PoolSession *session, SessionEnd reason)
+{
+  if (session->notified || session->finishing || session->closing)
+    return;
+  record_end (session, reason, false);
+  session->notified = true;
+  session->end = reason;
+  timer_clear (&session->timer);
+  session_drop_connection (session);
+  TALLOC_FREE (session->forward);
+  if (session->transaction != TRANSACTION_NONE)
+    session->transaction = TRANSACTION_FAILED;
+  write_notice (session);
+  session->end_timer.fired = on_notice_timer;
+  timer_set (session->options->timers, &session->end_timer, NOTICE_MS);
+}
+
+/* The statement was sent before its caller had the notice, which so is the first part of its
+ * answer. Its caller is told again. */
+static void
+complete_notice (PoolSession *session)
+{
+  session->started_ms = clock_now_ms ();
+  session->reason = "the session ends";
+  session_record_outcome (session, notice_code (session), session->reason);
+  session_fail_transaction (session);
+  session->options->codec->write_ready (session_output (session), session_caller_state (session),
+                                        (SessionToken){ 0 });
+  session_end_statement (session);
+  write_notice (session);
+}
+
+/* Whether a statement that arrives now is run. */
+static bool
+may_start (const PoolSession *session)
+{
+  return !session->notified
+         && drain_may_start (pool_server_drain_phase (session->server),
+                             session->transaction != TRANSACTION_NONE);
+}
+
+static void
+answer_unfinished (PoolSession *session)
+{
+  static const char reason[] = "this host is shutting down";
+
+  if (session->forward != NULL)
+    session_forward_answer_unfinished (session, reason);
+  else
+    session_answer_unfinished (session, reason);
+}
+
+static void
+apply_drain (PoolSession *session)
 {
-  return !session->active && session->transaction == TRANSACTION_NONE;
+  const DrainSession state = {
+    .statement = session->active,
+    .transaction = session->transaction != TRANSACTION_NONE,
+  };
+
+  if (session->notified || session->finishing || session->closing)
+    return;
+  switch (drain_session_action (pool_server_drain_phase (session->server), state))
+    {
+    case DRAIN_KEEP:
+      return;
+    case DRAIN_ANSWER:
+      answer_unfinished (session);
+      break;
+    case DRAIN_END:
+      break;
+    }
+  session_notify_end (session, SESSION_END_DRAIN);
 }
 
-int64_t
-pool_session_idle_ms (const PoolSession *session, int64_t now_ms)
+void
+pool_session_drain (PoolSession *session)
 {
-  return session->active ? 0 : now_ms - session->idle_since_ms;
+  const bool outermost = session_enter (session);
+
+  apply_drain (session);
+  session_leave (session, outermost);
 }
 
 /* A new configuration applies from the next operation on. */
@@ -290,6 +385,28 @@
   session_answer_complete (session, "-", (SessionToken){ 0 });
 }
 
+/* The statement is not run, and neither is the rest of its transaction. */
+static void
+refuse_to_start (PoolSession *session)
+{
+  session->reason = "this host is shutting down";
+  switch (session->transaction)
+    {
+    case TRANSACTION_NONE:
+      session_answer_error (session, ANSWER_OVERLOADED, session->reason);
+      return;
+    case TRANSACTION_FAILED:
+      run_in_failed_transaction (session);
+      return;
+    case TRANSACTION_BEGUN:
+    case TRANSACTION_BOUND:
+    case TRANSACTION_LOST:
+      session_drop_connection (session);
+      run_in_lost_transaction (session);
+      return;
+    }
+}
+
 static void
 start_statement (PoolSession *session)
 {
@@ -300,6 +417,11 @@
   session->attempts = 0;
   session->reason = NULL;
   counter_add (session->options->counters, COUNTER_STATEMENTS, 1);
+  if (!may_start (session))
+    {
+      refuse_to_start (session);
+      return;
+    }
   if (!look_up_route (session))
     {
       session_answer_error (session, ANSWER_UNKNOWN_DATABASE, "no such database");
@@ -372,6 +494,11 @@
       return;
     }
   session->database_name = database;
+  if (session->notified || !drain_may_start (pool_server_drain_phase (session->server), false))
+    {
+      end_with_error (session, SESSION_END_DRAIN, ANSWER_OVERLOADED, "this host is shutting down");
+      return;
+    }
   if (catalog == NULL)
     {
       end_with_error (session, SESSION_END_REFUSED, ANSWER_OVERLOADED, "starting");
@@ -410,7 +537,9 @@
       return;
     case CALLER_MESSAGE_STATEMENT:
       session->statement = message->statement;
-      if (session->database_name == NULL)
+      if (session->notified)
+        complete_notice (session);
+      else if (session->database_name == NULL)
         end_with_error (session, SESSION_END_PROTOCOL, ANSWER_MALFORMED, "the session is not open");
       else
         start_statement (session);
@@ -471,6 +600,8 @@
 {
   GBytes *bytes;
 
+  if (session->forward != NULL && message->kind == CALLER_MESSAGE_STATEMENT && !may_start (session))
+    TALLOC_FREE (session->forward);
   if (session->forward != NULL)
     {
       session_forward_message (session, message, data, length);
@@ -516,6 +647,9 @@
   if (!outermost)
     return;
   process_input (session);
+  if (!session->active)
+    apply_drain (session);
+  stream_flush (session->stream);
   session->processing = false;
   if (session->closing)
     talloc_free (session);
@@ -560,17 +694,14 @@
 
 static const StreamEvents session_events = { on_readable, on_drained, on_closed };
 
-bool
-pool_session_is_forwarded (const PoolSession *session)
-{
-  return session->forwarded;
-}
-
 void
 pool_session_check_forward (PoolSession *session)
 {
+  const bool outermost = session_enter (session);
+
   if (session->forward != NULL)
     session_forward_check (session);
+  session_leave (session, outermost);
 }
 
 PoolSession *
@@ -587,6 +718,7 @@
   session_values_init (&session->values);
   session_init_route (session);
   session->timer.data = session;
+  session->end_timer.data = session;
   talloc_set_destructor (session, session_destroy);
   pool_server_add_session (server, session);
   counter_add (session->options->counters, COUNTER_CALLERS_ACCEPTED, 1);
--- a/src/pool/pool-session.h
+++ b/src/pool/pool-session.h
@@ -35,9 +35,6 @@
  */
 PoolSession *pool_session_new (PoolServer *server, int fd, bool forwarded);
 
-/** pool_session_is_forwarded() - Whether another host forwards it to this one. */
-bool pool_session_is_forwarded (const PoolSession *session);
-
 /** pool_session_check_forward() - See session_forward_check(); no effect on other sessions. */
 void pool_session_check_forward (PoolSession *session);
 
@@ -50,11 +47,5 @@
 /** pool_session_close() - Closes the session now, whatever its state. */
 void pool_session_close (PoolSession *session, SessionEnd reason);
 
-/** pool_session_is_finishing() - Whether it has ended, and sends the rest of its answers. */
-bool pool_session_is_finishing (const PoolSession *session);
-
-/** pool_session_is_idle() - Whether no transaction is open and no statement is active. */
-bool pool_session_is_idle (const PoolSession *session);
-
-/** pool_session_idle_ms() - Time since the last statement ended; 0 while one is active. */
-int64_t pool_session_idle_ms (const PoolSession *session, int64_t now_ms);
+/** pool_session_drain() - Ends the session if the phase of the host's shutdown asks for that. */
+void pool_session_drain (PoolSession *session);
--- a/src/pool/session-answer.c
+++ b/src/pool/session-answer.c
@@ -99,7 +99,6 @@
       session_release_catalog (session);
     }
   stream_pause (session->stream, false);
-  stream_flush (session->stream);
 }
 
 static int64_t
--- a/src/pool/session-forward.c
+++ b/src/pool/session-forward.c
@@ -46,14 +46,16 @@
 
 /* The caller's session ends after the answer: its values are gone with the owner. */
 static void
-answer_and_close (PoolSession *session, SessionEnd end, AnswerCode code, const char *reason)
+answer_and_end (PoolSession *session, SessionEnd end, AnswerCode code, const char *reason)
 {
   session->reason = reason;
   session_record_outcome (session, code, reason);
   session->options->codec->write_error (session_output (session), code, reason);
   session->options->codec->write_ready (session_output (session), 'I', (SessionToken){ 0 });
-  stream_flush (session->stream);
-  pool_session_finish (session, end);
+  session->transaction = TRANSACTION_NONE;
+  session->active = false;
+  statement_done (&session->statement);
+  session_notify_end (session, end);
 }
 
 /* Whether the statement that the owner was running may have run for good. The owner's connections
@@ -70,6 +72,20 @@
                                                                : ANSWER_ROLLED_BACK;
 }
 
+void
+session_forward_answer_unfinished (PoolSession *session, const char *reason)
+{
+  const SessionForward *forward = session->forward;
+
+  if (forward->open)
+    {
+      answer_and_end (session, SESSION_END_DRAIN, lost_answer (forward), reason);
+      return;
+    }
+  session->options->codec->write_error (session_output (session), ANSWER_OVERLOADED, reason);
+  pool_session_finish (session, SESSION_END_DRAIN);
+}
+
 static void
 lose_owner (SessionForward *forward, const char *reason)
 {
@@ -86,10 +102,10 @@
   if (!forward->open)
     try_next_owner (forward);
   else if (session->active)
-    answer_and_close (session, SESSION_END_OWNER, lost_answer (forward),
-                      "the owner of the service was lost");
+    answer_and_end (session, SESSION_END_OWNER, lost_answer (forward),
+                    "the owner of the service was lost");
   else if (forward->state == 'I')
-    pool_session_close (session, SESSION_END_OWNER);
+    session_notify_end (session, SESSION_END_OWNER);
   else
     forward->lost = true;
 }
@@ -166,6 +182,12 @@
       if (used == 0)
         break;
       reply_done (&reply);
+      // Between two statements: the owner tells that it ends the session.
+      if (kind == REPLY_ERROR && forward->open && !session->active)
+        {
+          session_notify_end (session, SESSION_END_OWNER);
+          return;
+        }
       if (!forward->open && !handle_open_reply (forward, &reply))
         return;
       g_byte_array_append (session_output (session), input->data, (guint) used);
@@ -321,15 +343,15 @@
   counter_add (session->options->counters, COUNTER_STATEMENTS_FORWARDED, 1);
   if (forward->lost)
     {
-      answer_and_close (session, SESSION_END_OWNER, ANSWER_ROLLED_BACK,
-                        "the owner of the service was lost");
+      answer_and_end (session, SESSION_END_OWNER, ANSWER_ROLLED_BACK,
+                      "the owner of the service was lost");
       return;
     }
   if (forward->state == 'I' && !route_is_unchanged (session, database))
     {
-      answer_and_close (session, SESSION_END_ROUTE,
-                        database == NULL ? ANSWER_UNKNOWN_DATABASE : ANSWER_OVERLOADED,
-                        "the route has changed");
+      answer_and_end (session, SESSION_END_ROUTE,
+                      database == NULL ? ANSWER_UNKNOWN_DATABASE : ANSWER_OVERLOADED,
+                      "the route has changed");
       return;
     }
   forward->wrote |= may_write (&session->statement);
@@ -351,7 +373,7 @@
     return;
   database = catalog_database (pool_server_catalog (session->server), session->database_name);
   if (!route_is_unchanged (session, database))
-    pool_session_close (session, SESSION_END_ROUTE);
+    session_notify_end (session, SESSION_END_ROUTE);
   else if (pool_server_is_draining_owner (session->server, forward->owner))
-    pool_session_close (session, SESSION_END_OWNER);
+    session_notify_end (session, SESSION_END_OWNER);
 }
--- a/src/pool/session-forward.h
+++ b/src/pool/session-forward.h
@@ -17,8 +17,11 @@
 void session_forward_message (PoolSession *session, CallerMessage *message, const guint8 *bytes,
                               size_t length);
 
+/** session_forward_answer_unfinished() - See session_answer_unfinished(). */
+void session_forward_answer_unfinished (PoolSession *session, const char *reason);
+
 /**
- * session_forward_check() - Closes the session if it is idle and its owner is draining, or its
+ * session_forward_check() - Ends the session if it is idle and its owner is draining, or its
  * route has changed: the caller opens it again elsewhere.
  */
 void session_forward_check (PoolSession *session);
--- a/src/pool/session-run.c
+++ b/src/pool/session-run.c
@@ -297,7 +297,7 @@
 }
 
 static void
-end_lost_statement (PoolSession *session)
+end_lost_statement (PoolSession *session, const char *reason)
 {
   const bool in_transaction = session->transaction == TRANSACTION_BOUND;
   const bool outcome_unknown
@@ -312,7 +312,20 @@
   if (session->statement.kind == STATEMENT_ROLLBACK && code == ANSWER_ROLLED_BACK)
     session_answer_complete (session, "-", (SessionToken){ 0 });
   else
-    session_answer_error (session, code, "connection lost");
+    session_answer_error (session, code, reason);
+}
+
+void
+session_answer_unfinished (PoolSession *session, const char *reason)
+{
+  if (session->step != STEP_RUNNING)
+    {
+      session_refuse (session, ANSWER_OVERLOADED, reason);
+      return;
+    }
+  session->reason = reason;
+  session_drop_connection (session);
+  end_lost_statement (session, reason);
 }
 
 static void
@@ -329,10 +342,10 @@
           && session->attempts + 1 < session->database->attempts)
         session_retry (session, ANSWER_IN_DOUBT);
       else
-        end_lost_statement (session);
+        end_lost_statement (session, "connection lost");
       break;
     case STEP_BACKING_OFF:
-      end_lost_statement (session);
+      end_lost_statement (session, "connection lost");
       break;
     case STEP_NONE:
     case STEP_ROUTING:
--- a/src/pool/session-state.h
+++ b/src/pool/session-state.h
@@ -40,8 +40,10 @@
   Stream *stream;
   bool processing; /* an event is being handled, see session_enter() */
   bool closing;
+  bool notified;     /* its caller was told that it ends, see session_notify_end() */
+  Timer end_timer;
   bool finishing;      /* has ended, and sends the rest of its answers, see pool_session_finish() */
-  SessionEnd end;      /* why, once it is finishing */
+  SessionEnd end;      /* why, once the caller was told or it is finishing */
   guint finish_unsent; /* bytes at the last look */
   uint32_t finish_stalls;
   uint64_t id;
@@ -163,6 +165,11 @@
 /** session_on_lost() - The session's connection was lost. */
 void session_on_lost (void *data);
 
+/**
+ * session_answer_unfinished() - Answers the statement without its result. @reason is static text.
+ */
+void session_answer_unfinished (PoolSession *session, const char *reason);
+
 /** session_on_timer() - The next attempt is due, or a time limit has expired. */
 void session_on_timer (void *data);
 
@@ -178,6 +185,13 @@
  */
 bool session_enter (PoolSession *session);
 
+/**
+ * session_notify_end() - Tells the caller, between two statements, that the session ends; an open
+ * transaction is rolled back. A statement that was on its way then takes the notice for its answer,
+ * and is not run. The session ends when the caller closes it, or soon.
+ */
+void session_notify_end (PoolSession *session, SessionEnd reason);
+
 /**
  * session_leave() - Ends what session_enter() began. The outermost event handles the caller's next
  * messages until one has to wait, and frees a session that has ended.
--- a/tests/script-small.c
+++ b/tests/script-small.c
@@ -23,7 +23,7 @@
 {
   State *state = g_new0 (State, 1);
 
-  state->drain.options = (DrainOptions){ 1500, 60000 };
+  state->drain.options = (DrainOptions){ .announce_ms = 1500, .limit_ms = 60000 };
   retry_budget_init (&state->budget);
   return state;
 }
@@ -64,11 +64,29 @@
           &request, (FailureKind) index_of (failures, script_word (words, 3)))));
 }
 
+/* drain-sessions: what becomes of each kind of session, and of its next statement */
+static void
+print_drain_sessions (const Drain *drain, GString *out)
+{
+  static const char *const actions[] = { "keep", "end", "answer" };
+
+  for (int i = 0; i < 4; i++)
+    {
+      const DrainSession session = { .statement = i % 2 == 1, .transaction = i >= 2 };
+
+      g_string_append_printf (out, "%s%s: %s, next statement %s\n",
+                              session.transaction ? "in a transaction" : "outside one",
+                              session.statement ? ", statement running" : "",
+                              actions[drain_session_action (drain->phase, session)],
+                              drain_may_start (drain->phase, session.transaction) ? "runs"
+                                                                                  : "does not");
+    }
+}
+
 static void
 command (void *data, char **words, GString *out)
 {
   static const char *const conn_actions[] = { "use", "probe", "wait", "retire" };
-  static const char *const drain_phases[] = { "serving", "announced", "closing", "ended" };
   State *state = data;
   const char *verb = words[0];
 
@@ -93,8 +111,13 @@
           = { (guint64) script_number (words, 2), (guint64) script_number (words, 3) };
 
       g_string_append_printf (
-          out, "%s\n", drain_phases[drain_tick (&state->drain, load, script_number (words, 1))]);
+          out, "%s\n",
+          drain_phase_name (drain_tick (&state->drain, load, script_number (words, 1))));
     }
+  else if (strcmp (verb, "drain-limit") == 0)
+    state->drain.options = drain_options_for_limit (script_number (words, 1));
+  else if (strcmp (verb, "drain-sessions") == 0)
+    print_drain_sessions (&state->drain, out);
   else if (strcmp (verb, "retries") == 0)
     {
       gint64 granted = 0;
