Serve one operation of a session that opens late in a shutdown

Change: until transactions are rolled back (two thirds of the limit) a session that opens late runs one operation; then it ends like the others. After that it is refused at once, as there may be no time left to answer it.

--- a/src/policy/drain.c
+++ b/src/policy/drain.c
@@ -69,7 +69,13 @@
 }
 
 bool
-drain_may_start (DrainPhase phase, bool transaction)
+drain_may_open (DrainPhase phase)
+{
+  return phase <= DRAIN_CLOSING;
+}
+
+bool
+drain_may_start (DrainPhase phase, DrainSession session)
 {
   switch (phase)
     {
@@ -77,7 +83,7 @@
     case DRAIN_ANNOUNCED:
       return true;
     case DRAIN_CLOSING:
-      return transaction;
+      return session.transaction || session.late;
     case DRAIN_ABORTING:
     case DRAIN_ANSWERING:
     case DRAIN_ENDED:
@@ -96,7 +102,7 @@
     case DRAIN_ANNOUNCED:
       return DRAIN_KEEP;
     case DRAIN_CLOSING:
-      return session.statement || session.transaction ? DRAIN_KEEP : DRAIN_END;
+      return session.statement || session.transaction || session.late ? DRAIN_KEEP : DRAIN_END;
     case DRAIN_ABORTING:
       return session.statement ? DRAIN_KEEP : DRAIN_END;
     case DRAIN_ANSWERING:
--- a/src/policy/drain.h
+++ b/src/policy/drain.h
@@ -12,7 +12,7 @@
 {
   DRAIN_SERVING,
   DRAIN_ANNOUNCED, /* announced to peers and load balancer; everything is still served */
-  DRAIN_CLOSING,   /* no new operations; each caller is disconnected between two of them */
+  DRAIN_CLOSING,   /* each caller is disconnected between two operations */
   DRAIN_ABORTING,  /* a transaction that waits for its caller is rolled back */
   DRAIN_ANSWERING, /* statements that have not ended are answered without their results */
   DRAIN_ENDED,     /* no work is left, or the time limit has passed */
@@ -57,11 +57,14 @@
  * struct DrainSession - A caller's session.
  * @statement: a statement has not been answered.
  * @transaction: a transaction is open.
+ * @late: it was opened after %DRAIN_CLOSING had begun, and has run no operation yet. Its caller may
+ *   have found no other host.
  */
 typedef struct
 {
   bool statement;
   bool transaction;
+  bool late;
 } DrainSession;
 
 /** enum DrainAction - What becomes of a session. */
@@ -84,8 +87,11 @@
 /** drain_tick() - Updates the phase and returns it. */
 DrainPhase drain_tick (Drain *drain, DrainLoad load, int64_t now_ms);
 
-/** drain_may_start() - Whether a new statement runs; @transaction: within an open transaction. */
-bool drain_may_start (DrainPhase phase, bool transaction);
+/** drain_may_open() - Whether a new session is served. */
+bool drain_may_open (DrainPhase phase);
+
+/** drain_may_start() - Whether a session's next statement is run. */
+bool drain_may_start (DrainPhase phase, DrainSession session);
 
 /** drain_session_action() - What to do with a session now. */
 DrainAction drain_session_action (DrainPhase phase, DrainSession session);
--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -202,13 +202,22 @@
   write_notice (session);
 }
 
+static DrainSession
+drain_state (const PoolSession *session)
+{
+  return (DrainSession){
+    .statement = session->active,
+    .transaction = session->transaction != TRANSACTION_NONE,
+    .late = session->late,
+  };
+}
+
 /* Whether a statement that arrives now is run. */
 static bool
 may_start (const PoolSession *session)
 {
   return !session->notified
-         && drain_may_start (pool_server_drain_phase (session->server),
-                             session->transaction != TRANSACTION_NONE);
+         && drain_may_start (pool_server_drain_phase (session->server), drain_state (session));
 }
 
 static void
@@ -225,14 +234,9 @@
 static void
 apply_drain (PoolSession *session)
 {
-  const DrainSession state = {
-    .statement = session->active,
-    .transaction = session->transaction != TRANSACTION_NONE,
-  };
-
   if (session->notified || session->finishing || session->closing)
     return;
-  switch (drain_session_action (pool_server_drain_phase (session->server), state))
+  switch (drain_session_action (pool_server_drain_phase (session->server), drain_state (session)))
     {
     case DRAIN_KEEP:
       return;
@@ -441,6 +445,7 @@
   switch (session->statement.kind)
     {
     case STATEMENT_BEGIN:
+      session->late = false;
       begin_transaction (session);
       return;
     case STATEMENT_SET_VALUE:
@@ -453,6 +458,7 @@
     case STATEMENT_EXECUTE:
     case STATEMENT_COMMIT:
     case STATEMENT_ROLLBACK:
+      session->late = false;
       run_at_instance (session);
       return;
     case STATEMENT_MALFORMED:
@@ -494,7 +500,7 @@
       return;
     }
   session->database_name = database;
-  if (session->notified || !drain_may_start (pool_server_drain_phase (session->server), false))
+  if (session->notified || !drain_may_open (pool_server_drain_phase (session->server)))
     {
       end_with_error (session, SESSION_END_DRAIN, ANSWER_OVERLOADED, "this host is shutting down");
       return;
@@ -715,6 +721,7 @@
   session->id = pool_server_next_id (server);
   session->stream = stream_new (session, pool_server_events (server), fd, &session_events, session);
   session->idle_since_ms = clock_now_ms ();
+  session->late = pool_server_drain_phase (server) >= DRAIN_CLOSING;
   session_values_init (&session->values);
   session_init_route (session);
   session->timer.data = session;
--- a/src/pool/session-forward.c
+++ b/src/pool/session-forward.c
@@ -356,6 +356,7 @@
     }
   forward->wrote |= may_write (&session->statement);
   session->active = true;
+  session->late = false;
   session->timer.fired = on_answer_timeout;
   timer_set (session->options->timers, &session->timer,
              (database == NULL ? 0 : database->statement_ms) + ANSWER_MARGIN_MS);
--- a/src/pool/session-state.h
+++ b/src/pool/session-state.h
@@ -40,7 +40,8 @@
   Stream *stream;
   bool processing; /* an event is being handled, see session_enter() */
   bool closing;
-  bool notified;     /* its caller was told that it ends, see session_notify_end() */
+  bool late;     /* see &struct DrainSession */
+  bool notified; /* its caller was told that it ends, see session_notify_end() */
   Timer end_timer;
   bool finishing;      /* has ended, and sends the rest of its answers, see pool_session_finish() */
   SessionEnd end;      /* why, once the caller was told or it is finishing */
--- a/tests/script-small.c
+++ b/tests/script-small.c
@@ -64,23 +64,24 @@
           &request, (FailureKind) index_of (failures, script_word (words, 3)))));
 }
 
-/* drain-sessions: what becomes of each kind of session, and of its next statement */
+/* drain-sessions: what becomes of each kind of session, and of its next statement; new ones */
 static void
 print_drain_sessions (const Drain *drain, GString *out)
 {
   static const char *const actions[] = { "keep", "end", "answer" };
+  static const char *const names[] = { "outside a transaction", "in a transaction", "opened late" };
 
-  for (int i = 0; i < 4; i++)
+  for (int i = 0; i < 6; i++)
     {
-      const DrainSession session = { .statement = i % 2 == 1, .transaction = i >= 2 };
+      const DrainSession session
+          = { .statement = i % 2 == 1, .transaction = i / 2 == 1, .late = i / 2 == 2 };
 
-      g_string_append_printf (out, "%s%s: %s, next statement %s\n",
-                              session.transaction ? "in a transaction" : "outside one",
+      g_string_append_printf (out, "%s%s: %s, next statement %s\n", names[i / 2],
                               session.statement ? ", statement running" : "",
                               actions[drain_session_action (drain->phase, session)],
-                              drain_may_start (drain->phase, session.transaction) ? "runs"
-                                                                                  : "does not");
+                              drain_may_start (drain->phase, session) ? "runs" : "does not");
     }
+  g_string_append (out, drain_may_open (drain->phase) ? "new ones open\n" : "no new ones\n");
 }
 
 static void
