Stop reading from a caller that does not read, instead of disconnecting it

What callers saw: a caller that sent further statements before it had read long answers lost them all. Cause: at 4 MB of unsent answers the next message closed the session, with all answers owed. Change: no further statement is read until the caller has taken its answers; a caller that takes nothing is ended by the kernel's time limit for unacknowledged data, as before.

--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -11,7 +11,7 @@
 
 /* Pipelined input buffered while a statement runs; reading pauses beyond it. */
 #define INPUT_LIMIT_BYTES (1024 * 1024)
-/* A caller that does not read its answers is disconnected at this backlog. */
+/* At this backlog no further statements are read from a caller that does not read its answers. */
 #define OUTPUT_LIMIT_BYTES (4 * 1024 * 1024)
 /* A caller that was told that its session ends closes it within this time, or the host does. */
 #define NOTICE_MS 500
@@ -43,15 +43,11 @@
 }
 
 static const char *const end_names[SESSION_END_COUNT] = {
-  [SESSION_END_CALLER] = "caller_ended",
-  [SESSION_END_CALLER_LOST] = "caller_lost",
-  [SESSION_END_NOT_READING] = "not_reading",
-  [SESSION_END_PROTOCOL] = "malformed",
-  [SESSION_END_REFUSED] = "refused",
-  [SESSION_END_OWNER] = "owner",
-  [SESSION_END_ROUTE] = "route",
-  [SESSION_END_DRAIN] = "drain",
-  [SESSION_END_PROCESS] = "process_ends",
+  [SESSION_END_CALLER] = "caller_ended", [SESSION_END_CALLER_LOST] = "caller_lost",
+
+  [SESSION_END_PROTOCOL] = "malformed",  [SESSION_END_REFUSED] = "refused",
+  [SESSION_END_OWNER] = "owner",         [SESSION_END_ROUTE] = "route",
+  [SESSION_END_DRAIN] = "drain",         [SESSION_END_PROCESS] = "process_ends",
 };
 
 static const char *const step_names[] = {
@@ -619,10 +615,16 @@
     g_bytes_unref (bytes);
 }
 
+static bool
+is_backlogged (const PoolSession *session)
+{
+  return stream_pending (session->stream) > OUTPUT_LIMIT_BYTES;
+}
+
 static void
 process_input (PoolSession *session)
 {
-  while (!session->closing && !session->finishing && !session->active)
+  while (!session->closing && !session->finishing && !session->active && !is_backlogged (session))
     {
       const GByteArray *input = stream_input (session->stream);
       CallerMessage message;
@@ -653,7 +655,7 @@
   if (!outermost)
     return;
   process_input (session);
-  if (!session->active)
+  if (!session->active && !is_backlogged (session))
     apply_drain (session);
   stream_flush (session->stream);
   session->processing = false;
@@ -665,24 +667,23 @@
 on_readable (void *data)
 {
   PoolSession *session = data;
-  bool outermost;
+  const bool outermost = session_enter (session);
 
-  if (stream_pending (session->stream) > OUTPUT_LIMIT_BYTES)
-    {
-      log_event (LOG_LEVEL_NOTICE, "caller_not_reading", "session=%" PRIu64 " pending_bytes=%u",
-                 session->id, stream_pending (session->stream));
-      pool_session_close (session, SESSION_END_NOT_READING);
-      return;
-    }
-  if (session->active && stream_input (session->stream)->len > INPUT_LIMIT_BYTES)
+  if (is_backlogged (session)
+      || (session->active && stream_input (session->stream)->len > INPUT_LIMIT_BYTES))
     stream_pause (session->stream, true);
-  outermost = session_enter (session);
   session_leave (session, outermost);
 }
 
 static void
 on_drained (void *data)
 {
+  PoolSession *session = data;
+  const bool outermost = session_enter (session);
+
+  if (!session->active)
+    stream_pause (session->stream, false);
+  session_leave (session, outermost);
 }
 
 static void
--- a/src/pool/pool-session.h
+++ b/src/pool/pool-session.h
@@ -19,7 +19,6 @@
 {
   SESSION_END_CALLER,      /* its caller ended it */
   SESSION_END_CALLER_LOST, /* its caller closed the connection, or the connection broke */
-  SESSION_END_NOT_READING, /* its caller does not read its answers */
   SESSION_END_PROTOCOL,    /* its caller, or the host that forwards it, sent a malformed message */
   SESSION_END_REFUSED,     /* it could not be opened */
   SESSION_END_OWNER,       /* its owner was lost or is draining */
--- a/tests/processes/drain.c
+++ b/tests/processes/drain.c
@@ -27,6 +27,7 @@
   CALLER_PAUSING,    /* waits a moment in between */
   CALLER_PIPELINING, /* sends several statements at once */
   CALLER_GIVING_UP,  /* ends the session when a read has no answer in time */
+  CALLER_BACKLOG,    /* sends statements with long answers, and reads those later */
   CALLER_SLOW_READER /* reads long answers slowly, and ends the session behind each statement */
 } CallerKind;
 
@@ -154,6 +155,22 @@
   return false;
 }
 
+/* Statements one by one; the host has long answers to send meanwhile. */
+static void
+send_backlog (const Caller *caller, const Client *client, int first, int count)
+{
+  char text[64];
+
+  for (int i = first; i < first + count; i++)
+    {
+      const int length
+          = snprintf (text, sizeof text, "QUERY %d-%d READ big\r\n", caller->number, i);
+
+      send (client->fd, text, (size_t) length, MSG_NOSIGNAL);
+      world_sleep_ms (caller->pause_ms);
+    }
+}
+
 static void
 send_statements (const Caller *caller, const Client *client, int first, int count)
 {
@@ -174,7 +191,8 @@
 static void
 run_session (Caller *caller, Client *client, int *statement)
 {
-  const int at_once = caller->kind == CALLER_PIPELINING ? PIPELINED : 1;
+  const int at_once
+      = caller->kind == CALLER_PIPELINING || caller->kind == CALLER_BACKLOG ? PIPELINED : 1;
 
   while (!stopping && !has_ended (client))
     {
@@ -182,7 +200,10 @@
       bool open = true;
 
       *statement += at_once;
-      send_statements (caller, client, first, at_once);
+      if (caller->kind == CALLER_BACKLOG)
+        send_backlog (caller, client, first, at_once);
+      else
+        send_statements (caller, client, first, at_once);
       if (caller->kind == CALLER_SLOW_READER)
         world_sleep_ms (caller->pause_ms);
       for (int i = first; open && i < *statement; i++)
@@ -458,6 +479,7 @@
   const unsigned seed = count < 4 ? 1 : (unsigned) atoi (arguments[3]);
   const bool series = strcmp (name, "series") == 0;
   const bool forwarded = strcmp (name, "forwarded") == 0;
+  const bool backlog = strcmp (name, "backlog") == 0;
   const bool reading = strcmp (name, "reading") == 0;
   const bool giving_up = strcmp (name, "giving-up") == 0;
 
@@ -480,6 +502,8 @@
     add_callers (16, CALLER_PIPELINING, 0, false);
   else if (giving_up)
     add_callers (CALLERS_MAX, CALLER_GIVING_UP, 40, false);
+  else if (backlog)
+    add_callers (4, CALLER_BACKLOG, 100, false);
   else if (reading || strcmp (name, "reading-drain") == 0)
     add_callers (8, CALLER_SLOW_READER, 200, false);
   else if (series || forwarded)
@@ -495,7 +519,7 @@
     }
   if (series || forwarded)
     restart_in_series (seed, count < 5 ? 2 : atoi (arguments[4]));
-  else if (reading)
+  else if (reading || backlog)
     {
       start_callers ();
       world_sleep_ms (3000);
