--- a/Makefile
+++ b/Makefile
@@ -48,7 +48,7 @@
 	BUILD=$(BUILD) tests/run-all
 
 asan-check: setup
-	G_SLICE=always-malloc $(MAKE) check BUILD=build/asan OPT="-O1 -g" SAN="-fsanitize=address,undefined -fno-sanitize-recover=undefined -fno-omit-frame-pointer"
+	G_SLICE=always-malloc $(MAKE) check BUILD=build/asan OPT="-O1 -g" SAN="-fsanitize=address,undefined,float-cast-overflow -fno-sanitize-recover=undefined,float-cast-overflow -fno-omit-frame-pointer"
 
 tsan-check: setup
 	G_SLICE=always-malloc TSAN_OPTIONS="suppressions=$(CURDIR)/tests/tsan.supp" $(MAKE) check BUILD=build/tsan OPT="-O1 -g" SAN="-fsanitize=thread"
--- a/tests/main.c
+++ b/tests/main.c
@@ -18,10 +18,10 @@
 #define KNOWN_FAILURES_FILE "KNOWN-RED.txt"
 
 static const ScriptKind *const kinds[] = {
-  &script_failover, &script_queue,          &script_membership, &script_gate,
-  &script_choice,   &script_sync,           &script_small,      &script_text,
-  &script_config,   &script_primary_change, &script_place,      &script_pool,
-  &script_store,    &script_load,           &script_snapshot,   &script_owners,
+  &script_failover, &script_queue,  &script_membership, &script_gate,   &script_choice,
+  &script_sync,     &script_small,  &script_text,       &script_config, &script_primary_change,
+  &script_place,    &script_pool,   &script_store,      &script_load,   &script_snapshot,
+  &script_owners,   &script_format,
 };
 
 static GPtrArray *script_paths;
--- a/tests/script.h
+++ b/tests/script.h
@@ -37,3 +37,4 @@
 extern const ScriptKind script_load;
 extern const ScriptKind script_snapshot;
 extern const ScriptKind script_owners;
+extern const ScriptKind script_format;
