--- a/tests/processes/drain.c
+++ b/tests/processes/drain.c
@@ -447,6 +447,8 @@
   Instance *late = primary + 3;
   int followed = 0;
 
+  world_put_row ("servers", "b-odd\\u0000", "{}");
+
   world_list_instance (late, false);
   start_callers ();
   world_sleep_ms (3000);
