End the callers of serve between two statements, with their answers delivered

What callers saw: one that sends back to back was never idle for 100 ms, so a shutdown cut it at its limit; and Terminate behind a long result, or an error that ends the connection, dropped what the socket had not taken. Change: while the host closes, a caller is told 57P01 after the ReadyForQuery of its statement; a connection that ends sends the rest of its output and shuts its sending side down before it is closed (stream_finish).

--- a/src/pipeline/caller-state.h
+++ b/src/pipeline/caller-state.h
@@ -42,9 +42,11 @@
   Request *request;
   RunningStatement running;
   bool started;
-  bool ending;
+  bool ending;  /* the rest of its output is being sent */
+  guint unsent; /* bytes at the last look, while it is ending */
   bool processing;
   bool skip_to_sync;
+  bool between; /* the last message was answered with ReadyForQuery */
   bool describe_pending;
   char describe_portal[NAME_BYTES];
   SessionToken reported_token;
@@ -55,7 +57,7 @@
 /** caller_output() - Output buffer. */
 GByteArray *caller_output (Caller *caller);
 
-/** caller_end_malformed() - Ends the connection because of malformed input. Frees @caller. */
+/** caller_end_malformed() - Ends the connection because of malformed input. */
 void caller_end_malformed (Caller *caller, const char *message);
 
 /** caller_refuse_statement() - Responds with an error raised by the entry host itself. */
--- a/src/pipeline/caller.c
+++ b/src/pipeline/caller.c
@@ -17,8 +17,11 @@
 
 /* Above this much unsent output, the owner is granted no further credit. */
 #define OUTPUT_HIGH_WATERMARK_BYTES (128 * 1024)
+/* A caller whose connection ends has this long to take more of its output, or to close. */
+#define END_CHECK_MS 2000
 
 static void process (Caller *caller);
+static void release_pinned_transaction (Caller *caller);
 
 GByteArray *
 caller_output (Caller *caller)
@@ -38,14 +41,45 @@
   g_free (detail);
 }
 
+static void schedule_end_check (Caller *caller);
+
+/* Frees the caller unless it is still taking its output. */
+static void
+on_end_check (struct tevent_context *events, struct tevent_timer *timer, struct timeval now,
+              void *data)
+{
+  Caller *caller = data;
+  const guint unsent = stream_pending (caller->stream);
+
+  if (unsent > 0 && unsent < caller->unsent)
+    {
+      schedule_end_check (caller);
+      return;
+    }
+  if (unsent > 0)
+    log_event (LOG_LEVEL_NOTICE, "caller_not_reading", "unsent_bytes=%u", unsent);
+  caller_table_closed (caller->options.table, caller);
+}
+
+static void
+schedule_end_check (Caller *caller)
+{
+  caller->unsent = stream_pending (caller->stream);
+  tevent_add_timer (caller->options.worker->events, caller,
+                    tevent_timeval_current_ofs (END_CHECK_MS / 1000, 0), on_end_check, caller);
+}
+
+/* The connection ends when the caller has its output and has closed it too. */
 static void
 end_connection (Caller *caller)
 {
+  if (caller->ending)
+    return;
   caller->ending = true;
-  stream_pause (caller->stream, true);
+  release_pinned_transaction (caller);
   stream_flush (caller->stream);
-  // Output that the socket does not accept immediately is small, and is discarded.
-  caller_table_closed (caller->options.table, caller);
+  stream_finish (caller->stream);
+  schedule_end_check (caller);
 }
 
 void
@@ -73,6 +107,7 @@
 {
   report_token (caller);
   pgwire_put_ready (caller_output (caller), session_status (&caller->session));
+  caller->between = true;
   stream_flush (caller->stream);
 }
 
@@ -541,7 +576,7 @@
 {
   PgwireMessage message;
 
-  while (caller->request == NULL)
+  while (caller->request == NULL && !caller->ending)
     {
       PgwireReadResult read = next_message (caller, &message);
       uint8_t *copy;
@@ -563,6 +598,7 @@
       message.body = copy;
       stream_consume (caller->stream, message.size_bytes);
       caller->active_ms = clock_now_ms ();
+      caller->between = false;
       if (message.type == 0)
         handle_startup (caller, &message);
       else
@@ -574,6 +610,18 @@
   return false;
 }
 
+static void
+end_between_operations (Caller *caller)
+{
+  if (caller->request != NULL || caller->ending)
+    return;
+  if (caller->session.transaction != TRANSACTION_NONE || stream_input (caller->stream)->len > 0)
+    return;
+  pgwire_put_error (caller_output (caller), "FATAL", "57P01",
+                    "terminating connection due to administrator command", "not run");
+  end_connection (caller);
+}
+
 static void
 process (Caller *caller)
 {
@@ -597,6 +645,8 @@
   caller->processing = false;
   if (caller->request == NULL)
     stream_pause (caller->stream, false);
+  if (caller->between && daemon_closing (caller->options.worker->daemon))
+    end_between_operations (caller);
 }
 
 static void
@@ -676,11 +726,6 @@
 void
 caller_end_if_idle (Caller *caller, int64_t since_ms)
 {
-  if (caller->request != NULL || caller->active_ms > since_ms)
-    return;
-  if (caller->session.transaction != TRANSACTION_NONE || stream_input (caller->stream)->len > 0)
-    return;
-  pgwire_put_error (caller_output (caller), "FATAL", "57P01",
-                    "terminating connection due to administrator command", "not run");
-  end_connection (caller);
+  if (caller->active_ms <= since_ms)
+    end_between_operations (caller);
 }
