Answer the statements that serve still owes at the end of a shutdown

What callers saw: the connection closed with a statement under way, when the limit of the drain had come: on the last host statements wait for an owner that does not come. Change: 0.3 s before the limit (the phase that the pool has too) each caller gets 57P01 with "not run", or 08007 with "may have run" if an owner may have received its statement, and its connection ends.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -186,6 +186,17 @@
   g_ptr_array_free (frames, true);
 }
 
+/* Transactions may last until the end: their callers are disconnected between two of them. */
+static DrainOptions
+drain_options (const FleetConfig *fleet)
+{
+  DrainOptions options = drain_options_for_limit (fleet->drain_limit_ms);
+
+  options.announce_ms = DRAIN_ANNOUNCE_MS;
+  options.abort_ms = 0;
+  return options;
+}
+
 static void
 config_changed (Control *control, uint64_t before)
 {
@@ -196,7 +207,7 @@
   config_sync_accept (&control->config_sync, version);
   control->config_sync.options.poll_interval_ms = fleet->poll_interval_ms;
   control->config_sync.options.isolated_after_ms = fleet->isolated_after_ms;
-  control->drain.options.limit_ms = fleet->drain_limit_ms;
+  control->drain.options = drain_options (fleet);
   membership_set_config_version (control->membership, version);
   counter_set (daemon_counters (control->daemon), COUNTER_CONFIG_VERSION, version);
   log_event (LOG_LEVEL_NOTICE, "config_in_force", "host=%s version=%" G_GUINT64_FORMAT,
@@ -493,6 +504,8 @@
     return;
   if (phase == DRAIN_CLOSING)
     daemon_set_closing (control->daemon);
+  if (phase == DRAIN_ANSWERING)
+    daemon_set_ending (control->daemon);
   if (phase == DRAIN_ENDED)
     atomic_store (&control->drained, true);
   log_event (LOG_LEVEL_NOTICE, "drain",
@@ -593,10 +606,7 @@
   };
 
   control->membership = membership_new (&membership);
-  control->drain.options = (DrainOptions){
-    .announce_ms = DRAIN_ANNOUNCE_MS,
-    .limit_ms = fleet->drain_limit_ms,
-  };
+  control->drain.options = drain_options (fleet);
   config_sync_init (&control->config_sync, &config_sync, clock_now_ms ());
   control->replica = config_replica_new ();
   config_document_unref (empty);
--- a/src/pipeline/caller-table.c
+++ b/src/pipeline/caller-table.c
@@ -66,6 +66,16 @@
   counter_add (table->worker->counters, COUNTER_CALLERS_OPEN, 1);
 }
 
+static void
+end_callers (CallerTable *table)
+{
+  GList *callers = g_hash_table_get_keys (table->callers);
+
+  for (GList *l = callers; l != NULL; l = l->next)
+    caller_end_now (l->data);
+  g_list_free (callers);
+}
+
 static void
 end_idle_callers (CallerTable *table)
 {
@@ -103,7 +113,10 @@
       close (table->listen_fd);
       table->listen_fd = -1;
     }
-  end_idle_callers (table);
+  if (daemon_ending (table->worker->daemon))
+    end_callers (table);
+  else
+    end_idle_callers (table);
 }
 
 static int
--- a/src/pipeline/caller.c
+++ b/src/pipeline/caller.c
@@ -723,6 +723,26 @@
     request_cancel (caller->request);
 }
 
+void
+caller_end_now (Caller *caller)
+{
+  const bool sent = caller->request != NULL && request_is_sent (caller->request);
+  const Verdict verdict = sent ? VERDICT_MAY_HAVE_RUN : VERDICT_NOT_RUN;
+
+  if (caller->ending)
+    return;
+  if (caller->request != NULL)
+    {
+      log_event (LOG_LEVEL_NOTICE, "statement_unfinished", "service=%s verdict=\"%s\"",
+                 caller->session.service, verdict_name (verdict));
+      request_abandon (caller->request);
+      caller->request = NULL;
+    }
+  pgwire_put_error (caller_output (caller), "FATAL", sent ? "08007" : "57P01",
+                    "terminating connection due to administrator command", verdict_name (verdict));
+  end_connection (caller);
+}
+
 void
 caller_end_if_idle (Caller *caller, int64_t since_ms)
 {
--- a/src/pipeline/caller.h
+++ b/src/pipeline/caller.h
@@ -33,3 +33,9 @@
  * outside a transaction.
  */
 void caller_end_if_idle (Caller *caller, int64_t since_ms);
+
+/**
+ * caller_end_now() - Ends the connection; a statement in flight is answered without its result, and
+ * an open transaction is rolled back.
+ */
+void caller_end_now (Caller *caller);
--- a/src/pipeline/request.c
+++ b/src/pipeline/request.c
@@ -470,6 +470,12 @@
   finish_refused (request, REFUSAL_CANCELLED);
 }
 
+bool
+request_is_sent (const Request *request)
+{
+  return request->phase != PHASE_ROUTING || request->unresolved_attempts > 0;
+}
+
 void
 request_abandon (Request *request)
 {
--- a/src/pipeline/request.h
+++ b/src/pipeline/request.h
@@ -84,6 +84,9 @@
 /** request_cancel() - Cancels a request; @done is called with its outcome as usual. */
 void request_cancel (Request *request);
 
+/** request_is_sent() - Whether an owner may have received it. */
+bool request_is_sent (const Request *request);
+
 /** request_abandon() - Frees the request of a caller that has disconnected; @done is not called. */
 void request_abandon (Request *request);
 
--- a/src/runtime/daemon-state.c
+++ b/src/runtime/daemon-state.c
@@ -21,6 +21,7 @@
   _Atomic uint64_t view_version;
   atomic_bool admitting;
   atomic_bool closing;
+  atomic_bool ending;
   atomic_bool leaving;
   _Atomic uint64_t jobs;
 };
@@ -272,6 +273,18 @@
   atomic_store (&daemon->closing, true);
 }
 
+void
+daemon_set_ending (Daemon *daemon)
+{
+  atomic_store (&daemon->ending, true);
+}
+
+bool
+daemon_ending (const Daemon *daemon)
+{
+  return atomic_load_explicit (&((Daemon *) daemon)->ending, memory_order_relaxed);
+}
+
 bool
 daemon_closing (const Daemon *daemon)
 {
--- a/src/runtime/daemon-state.h
+++ b/src/runtime/daemon-state.h
@@ -185,6 +185,12 @@
 /** daemon_set_closing() - Records that callers are to be disconnected between transactions. */
 void daemon_set_closing (Daemon *daemon);
 
+/** daemon_set_ending() - Records that callers are to be answered and disconnected now. */
+void daemon_set_ending (Daemon *daemon);
+
+/** daemon_ending() - Whether callers are to be answered and disconnected now. */
+bool daemon_ending (const Daemon *daemon);
+
 /** daemon_closing() - Whether callers are to be disconnected between transactions. */
 bool daemon_closing (const Daemon *daemon);
 
