Handle a SIGTERM that comes while a pool daemon starts

Traced: the signal came 142 ms after the start on a busy machine, before the daemon had blocked it (no "started" in its log); it had no callers. Change: the signals are blocked before anything else. The soak counts an end by SIGTERM as a fault once the host has logged its start.

--- a/src/cli/pool.c
+++ b/src/cli/pool.c
@@ -349,8 +349,9 @@
   timer_set (daemon->timers, &daemon->drain_timer, DRAIN_POLL_MS);
 }
 
-static void
-watch_signals (PoolDaemon *daemon)
+/* Blocks the signals that on_signal() handles, so that one during the start is handled too. */
+static sigset_t
+block_signals (void)
 {
   sigset_t set;
 
@@ -359,6 +360,12 @@
   sigaddset (&set, SIGTERM);
   sigaddset (&set, SIGHUP);
   pthread_sigmask (SIG_BLOCK, &set, NULL);
+  return set;
+}
+
+static void
+watch_signals (PoolDaemon *daemon, sigset_t set)
+{
   daemon->signal_fd = signalfd (-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
   tevent_add_fd (daemon->events, daemon, daemon->signal_fd, TEVENT_FD_READ, on_signal, daemon);
 }
@@ -511,6 +518,7 @@
 static int
 run_pool (const Settings *settings)
 {
+  const sigset_t signals = block_signals ();
   PoolDaemon *daemon = talloc_zero (NULL, PoolDaemon);
   GHashTable *domains = read_domains (settings_text (settings, "domains"));
   PlatformApiOptions api = {
@@ -533,7 +541,7 @@
   timer_set (daemon->timers, &daemon->file_timer, FILE_POLL_MS);
   daemon->drain_timer.fired = on_drain_timer;
   daemon->drain_timer.data = daemon;
-  watch_signals (daemon);
+  watch_signals (daemon, signals);
   if (!start_server (daemon, settings, domains, &error))
     {
       log_event (LOG_LEVEL_ERROR, "start_failed", "reason=\"%s\"", error->message);
--- a/tests/processes/world.c
+++ b/tests/processes/world.c
@@ -1216,6 +1216,7 @@
       _exit (127);
     }
   host->pid = pid;
+  host->starts++;
   world_record ("host     %s started", host->name);
 }
 
--- a/tests/processes/world.h
+++ b/tests/processes/world.h
@@ -52,6 +52,7 @@
   char name[WORLD_TEXT];
   char address[WORLD_TEXT];
   pid_t pid; /* 0 while it is not running */
+  int starts;
 } HostProcess;
 
 typedef struct
