--- a/tests/processes/drain.c
+++ b/tests/processes/drain.c
@@ -24,12 +24,13 @@
 
 typedef enum
 {
-  CALLER_BUSY,       /* sends the next statement as soon as it has an answer */
-  CALLER_PAUSING,    /* waits a moment in between */
-  CALLER_PIPELINING, /* sends several statements at once */
-  CALLER_GIVING_UP,  /* ends the session when a read has no answer in time */
-  CALLER_BACKLOG,    /* sends statements with long answers, and reads those later */
-  CALLER_SLOW_READER /* reads long answers slowly, and ends the session behind each statement */
+  CALLER_BUSY,        /* sends the next statement as soon as it has an answer */
+  CALLER_PAUSING,     /* waits a moment in between */
+  CALLER_PIPELINING,  /* sends several statements at once */
+  CALLER_TRANSACTION, /* runs transactions with pauses between their statements */
+  CALLER_GIVING_UP,   /* ends the session when a read has no answer in time */
+  CALLER_BACKLOG,     /* sends statements with long answers, and reads those later */
+  CALLER_SLOW_READER  /* reads long answers slowly, and ends the session behind each statement */
 } CallerKind;
 
 typedef struct
@@ -44,6 +45,7 @@
   int cut;        /* statements whose connection ended before the whole answer */
   int cut_ran;    /* those of them that had run */
   int unanswered; /* no answer within the limit */
+  int wrong;      /* acknowledged and not in the log, or refused and there */
 } Caller;
 
 static const char routes[]
@@ -110,13 +112,25 @@
   return client->length > 0 || recv (client->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
 }
 
+/* The primary of the newest term. */
+static const Instance *
+newest_primary (void)
+{
+  const Instance *found = primary;
+
+  for (int i = 0; i < world.instance_count; i++)
+    if (world.instances[i].primary && world.instances[i].term > found->term)
+      found = &world.instances[i];
+  return found;
+}
+
 static void
 record_cut (Caller *caller, const char *item, const char *code)
 {
   bool ran;
 
   world_lock ();
-  ran = world_find_entry (primary, item) >= 0;
+  ran = world_find_entry (newest_primary (), item) >= 0;
   world_unlock ();
   caller->cut++;
   caller->cut_ran += ran;
@@ -125,14 +139,33 @@
                 *code == '\0' ? "" : ", after ERROR ", code);
 }
 
-/* Reads the answer to one statement; false if the session has to be given up. */
+/* Compares what the caller was told of its write with the log of the primary. */
+static void
+check_write (Caller *caller, const char *item, bool acknowledged)
+{
+  bool present;
+
+  world_lock ();
+  present = world_find_entry (newest_primary (), item) >= 0;
+  world_unlock ();
+  if (present == acknowledged)
+    return;
+  caller->wrong++;
+  world_record ("WRONG    caller %d: %s is %s, and %s", caller->number, item,
+                acknowledged ? "acknowledged" : "refused",
+                present ? "in the log" : "not in the log");
+}
+
+/* Reads the answer to one statement; false if the session has to be given up. @written: the item
+ * that it writes for good, or NULL. */
 static bool
-read_answer (Caller *caller, Client *client, const char *item)
+read_answer (Caller *caller, Client *client, const char *item, const char *written)
 {
   const int64_t until_ms = world_now_ms () + ANSWER_LIMIT_MS;
   char line[LINE_BYTES];
   char code[32] = "";
   bool timed_out;
+  bool in_doubt;
 
   while (read_line (client, line, until_ms, &timed_out))
     {
@@ -140,11 +173,13 @@
         snprintf (code, sizeof code, "%.*s", (int) strcspn (line + 6, " "), line + 6);
       if (strncmp (line, "READY ", 6) != 0)
         continue;
+      in_doubt = strcmp (code, "INDOUBT") == 0 || strcmp (code, "TIMEOUT") == 0;
       caller->answered += *code == '\0';
-      caller->in_doubt += strcmp (code, "INDOUBT") == 0 || strcmp (code, "TIMEOUT") == 0;
-      caller->refused
-          += *code != '\0' && strcmp (code, "INDOUBT") != 0 && strcmp (code, "TIMEOUT") != 0;
-      return line[6] == 'I';
+      caller->in_doubt += in_doubt;
+      caller->refused += *code != '\0' && !in_doubt;
+      if (written != NULL && !in_doubt)
+        check_write (caller, written, *code == '\0');
+      return *code == '\0' ? line[6] != 'E' : line[6] == 'I';
     }
   if (timed_out)
     {
@@ -192,6 +227,7 @@
 static void
 run_session (Caller *caller, Client *client, int *statement)
 {
+  const bool long_answers = caller->kind == CALLER_BACKLOG || caller->kind == CALLER_SLOW_READER;
   const int at_once
       = caller->kind == CALLER_PIPELINING || caller->kind == CALLER_BACKLOG ? PIPELINED : 1;
 
@@ -212,7 +248,7 @@
           char item[64];
 
           snprintf (item, sizeof item, "c%d-%d", caller->number, i);
-          open = read_answer (caller, client, item);
+          open = read_answer (caller, client, item, long_answers ? NULL : item);
         }
       if (!open || caller->kind == CALLER_SLOW_READER)
         return;
@@ -247,6 +283,32 @@
     }
 }
 
+static void
+run_transactions (Caller *caller, Client *client, int *statement)
+{
+  while (!stopping && !has_ended (client))
+    {
+      const int number = (*statement)++;
+      char item[64], text[4][96];
+
+      snprintf (item, sizeof item, "c%d-%d", caller->number, number);
+      snprintf (text[0], sizeof text[0], "QUERY %d-%d-b BEGIN", caller->number, number);
+      snprintf (text[1], sizeof text[1], "QUERY %d-%d-w WRITE %s x", caller->number, number, item);
+      snprintf (text[2], sizeof text[2], "QUERY %d-%d-r READ %s", caller->number, number, item);
+      snprintf (text[3], sizeof text[3], "QUERY %d-%d-c COMMIT", caller->number, number);
+      for (int i = 0; i < 4; i++)
+        {
+          if (i > 0)
+            world_sleep_ms (caller->pause_ms);
+          if (has_ended (client))
+            return;
+          client_send (client, text[i]);
+          if (!read_answer (caller, client, item, i == 3 ? item : NULL))
+            return;
+        }
+    }
+}
+
 static void *
 run_caller (void *data)
 {
@@ -258,8 +320,9 @@
       Client client = { .fd = -1 };
 
       if (world.hosts[caller->host].pid != 0 && client_open (&client, caller->host, "sales"))
-        (caller->kind == CALLER_GIVING_UP ? run_impatient_session : run_session) (caller, &client,
-                                                                                  &statement);
+        (caller->kind == CALLER_GIVING_UP     ? run_impatient_session
+         : caller->kind == CALLER_TRANSACTION ? run_transactions
+                                              : run_session) (caller, &client, &statement);
       else
         {
           // The host is away or refuses sessions.
@@ -362,7 +425,7 @@
 static void
 print_results (void)
 {
-  int answered = 0, refused = 0, in_doubt = 0, cut = 0, cut_ran = 0, unanswered = 0;
+  int answered = 0, refused = 0, in_doubt = 0, cut = 0, cut_ran = 0, unanswered = 0, wrong = 0;
 
   stopping = true;
   for (int i = 0; i < caller_count; i++)
@@ -374,6 +437,7 @@
       cut += callers[i].cut;
       cut_ran += callers[i].cut_ran;
       unanswered += callers[i].unanswered;
+      wrong += callers[i].wrong;
     }
   world_record ("total    answered %d, refused %d, in doubt %d, cut %d (ran %d), unanswered %d",
                 answered, refused, in_doubt, cut, cut_ran, unanswered);
@@ -381,11 +445,12 @@
   printf ("in doubt: %s\n", in_doubt > 0 ? "yes" : "no");
   printf ("cut: %d, of them ran: %d\n", cut, cut_ran);
   printf ("unanswered: %d\n", unanswered);
+  printf ("acknowledged and missing, or refused and there: %d\n", wrong);
   for (int i = 0; i < world.host_count; i++)
     is_running (i);
   printf ("hosts that ended late: %d, by a fault: %d\n", late_exits, bad_exits);
   fflush (stdout);
-  world_end (cut + unanswered + late_exits + bad_exits == 0 ? 0 : 1);
+  world_end (cut + unanswered + wrong + late_exits + bad_exits == 0 ? 0 : 1);
 }
 
 /* Ends one host while its callers go on. */
@@ -608,6 +673,8 @@
                giving_up ? stock_routes : routes);
   if (strcmp (name, "busy") == 0 || strcmp (name, "silent") == 0)
     add_callers (24, CALLER_BUSY, 0, false);
+  else if (strcmp (name, "transactions") == 0)
+    add_callers (24, CALLER_TRANSACTION, 40, false);
   else if (strcmp (name, "pausing") == 0)
     add_callers (40, CALLER_PAUSING, 3, false);
   else if (strcmp (name, "pipelining") == 0)
@@ -625,6 +692,7 @@
       add_callers (16, CALLER_BUSY, 0, true);
       add_callers (16, CALLER_PAUSING, 3, true);
       add_callers (4, CALLER_PIPELINING, 0, true);
+      add_callers (8, CALLER_TRANSACTION, 15, true);
     }
   else
     {
--- /dev/null
+++ b/tests/system/drain-cuts-transactions.sh
@@ -0,0 +1,3 @@
+set -u
+. tests/system/drain.bash
+run_drain_case transactions
--- a/tests/system/drain.bash
+++ b/tests/system/drain.bash
@@ -10,6 +10,7 @@
 in doubt: ${3:-no}
 cut: 0, of them ran: 0
 unanswered: 0
+acknowledged and missing, or refused and there: 0
 hosts that ended late: 0, by a fault: 0"
   got=$(WORLD_BINARY=$BUILD/peridotstep WORLD_DIRECTORY=$work timeout -s KILL 120 \
     "$BUILD/pool-drain" "$1" "$work/record" "${2:-1}")
