End a connection as soon as its last output is sent, also by a flush

A session that ended with output in its buffer, all of which the next flush sent, was shut down only a second later, since only the write event did it: callers that send TERMINATE behind a statement waited that long for the close.

--- a/src/base/stream.c
+++ b/src/base/stream.c
@@ -162,18 +162,13 @@
     stream->events->closed (stream->data);
 }
 
-/* Returns false if a callback ran. */
-static bool
+static void
 shut_down_when_sent (Stream *stream)
 {
   if (!stream->finishing || stream->shut_down || stream_pending (stream) > 0)
-    return true;
+    return;
   stream->shut_down = true;
   shutdown (stream->fd, SHUT_WR);
-  if (!stream->at_end)
-    return true;
-  stream->events->closed (stream->data);
-  return false;
 }
 
 static void
@@ -190,8 +185,12 @@
         }
       trim_output (stream);
       update_interest (stream);
-      if (!shut_down_when_sent (stream))
-        return;
+      shut_down_when_sent (stream);
+      if (stream->shut_down && stream->at_end)
+        {
+          stream->events->closed (stream->data);
+          return;
+        }
       if (stream->above_low_watermark && stream_pending (stream) < LOW_WATERMARK_BYTES)
         {
           stream->above_low_watermark = false;
@@ -252,6 +251,7 @@
   // A write error is reported as a closed connection by the event loop.
   write_some (stream);
   trim_output (stream);
+  shut_down_when_sent (stream);
   if (stream_pending (stream) >= LOW_WATERMARK_BYTES)
     stream->above_low_watermark = true;
   update_interest (stream);
@@ -261,12 +261,7 @@
 stream_finish (Stream *stream)
 {
   stream->finishing = true;
-  // Without output left to send, the peer may have closed already: the event loop finds out.
-  if (stream_pending (stream) == 0 && !stream->shut_down)
-    {
-      stream->shut_down = true;
-      shutdown (stream->fd, SHUT_WR);
-    }
+  shut_down_when_sent (stream);
   update_interest (stream);
 }
 
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -684,6 +684,8 @@
     g_string_append_printf (out, "%" PRIu64 " statements\n",
                             counter_get (&find_host (state, script_word (words, 1))->counters,
                                          COUNTER_STATEMENTS_FORWARDED));
+  else if (strcmp (verb, "ended") == 0)
+    g_string_append (out, receive (find_caller (state, script_word (words, 1))) ? "no\n" : "yes\n");
   else if (strcmp (verb, "leave") == 0)
     {
       fake_group_set_leaving (state->group, script_word (words, 1));
