--- a/src/pool/session-answer.c
+++ b/src/pool/session-answer.c
@@ -87,7 +87,6 @@
                                 clock_now_us () - session->connection_since_us);
   session->active = false;
   session->step = STEP_NONE;
-  session->idle_since_ms = clock_now_ms ();
   if (session->transaction == TRANSACTION_BOUND && session->catalog->idle_transaction_ms > 0)
     {
       session->timer.fired = on_idle_transaction;
@@ -122,7 +121,8 @@
              " required_position=%" PRIu64 ".%" PRIu64 " position_age_ms=%" PRId64
              " config=%" PRIu64 " attempts=%u took_ms=%" PRId64
              " reason=\"%s\" text=\"%s\" suppressed=%u",
-             session->statement.id, session->id, session->database_name,
+             session->statement.id, session->id,
+             session->database_name == NULL ? "-" : session->database_name,
              database == NULL ? "-" : database->service,
              database == NULL ? "-" : priority_name (database->priority),
              statement_kind_name (session->statement.kind), answer_code_name (code),
--- a/src/pool/session-forward.c
+++ b/src/pool/session-forward.c
@@ -148,7 +148,6 @@
     forward->wrote = false;
   session->transaction = state == 'I' ? TRANSACTION_NONE : TRANSACTION_BOUND;
   session->active = false;
-  session->idle_since_ms = clock_now_ms ();
 }
 
 /* Returns false if the owner did not open the session and another one is being tried. */
--- a/src/pool/session-state.h
+++ b/src/pool/session-state.h
@@ -1,8 +1,8 @@
 /**
  * DOC: Internals of a caller's session, shared by the files that implement it: pool-session.c
  * handles the caller's messages, session-route.c chooses an instance and gets a connection,
- * session-run.c runs the statement, session-answer.c answers the caller, and session-forward.c
- * hands the session to another host.
+ * session-run.c runs the statement, session-answer.c answers the caller, session-forward.c hands
+ * the session to another host, and session-end.c ends it.
  */
 #pragma once
 
@@ -80,7 +80,6 @@
   ConnectionRequest request;
   GroupWaiter waiter;
   Timer timer;
-  int64_t idle_since_ms;
 
   bool forwarded;          /* another host forwards it to this one */
   char *forwarded_service; /* that the other host expects; %NULL before its first message */
@@ -177,6 +176,27 @@
 /** session_can_wait_for_slot() - Whether there is time to retry at a busy instance. */
 bool session_can_wait_for_slot (const PoolSession *session);
 
+/* Implemented in session-end.c. */
+
+/**
+ * session_notify_end() - Tells the caller, between two statements, that the session ends; an open
+ * transaction is rolled back. The session ends when the caller closes it, or soon.
+ */
+void session_notify_end (PoolSession *session, SessionEnd reason);
+
+/**
+ * session_complete_notice() - Answers a statement that was sent before its caller had the notice:
+ * the notice is the first part of the answer, and the statement is not run. The caller is told
+ * again.
+ */
+void session_complete_notice (PoolSession *session);
+
+/** session_may_start() - Whether a statement that arrives now is run. */
+bool session_may_start (const PoolSession *session);
+
+/** session_apply_drain() - Ends the session if the phase of the host's shutdown asks for that. */
+void session_apply_drain (PoolSession *session);
+
 /* Implemented in pool-session.c. */
 
 /**
@@ -186,13 +206,6 @@
  */
 bool session_enter (PoolSession *session);
 
-/**
- * session_notify_end() - Tells the caller, between two statements, that the session ends; an open
- * transaction is rolled back. A statement that was on its way then takes the notice for its answer,
- * and is not run. The session ends when the caller closes it, or soon.
- */
-void session_notify_end (PoolSession *session, SessionEnd reason);
-
 /**
  * session_leave() - Ends what session_enter() began. The outermost event handles the caller's next
  * messages until one has to wait, and frees a session that has ended.
