--- a/tests/system/common.bash
+++ b/tests/system/common.bash
@@ -35,6 +35,16 @@
   hosts=$(printf '127.0.0.1:%s,' "${ports[@]}")
 }
 
+# Starts stand-ins as a process of their own and applies their configuration; sets platform.
+start_standin() {
+  "$binary" standin --platform-port 0 --database-port 0 --print-config >"$work/standin.out" 2>"$work/standin.err" &
+  pids+=($!)
+  wait_for_line "$work/standin.out" '^ready' || exit 1
+  platform=$(sed -n 's/^platform //p' "$work/standin.out")
+  sed '/^platform /,$d' "$work/standin.out" >"$work/config.json"
+  "$binary" apply --platform-url "$platform" --base 0 --author test --reason first "$work/config.json" || exit 1
+}
+
 # Runs statement $3 at port $1 against service $2.
 run_sql() {
   psql -X -q -A -t -h 127.0.0.1 -p "$1" -U shop -d "$2" -c "$3" 2>&1
--- a/tests/system/separate-processes.sh
+++ b/tests/system/separate-processes.sh
@@ -2,12 +2,7 @@
 set -u
 . tests/system/common.bash
 
-"$binary" standin --platform-port 0 --database-port 0 --print-config >"$work/standin.out" 2>"$work/standin.err" &
-pids+=($!)
-wait_for_line "$work/standin.out" '^ready' || exit 1
-platform=$(sed -n 's/^platform //p' "$work/standin.out")
-sed '/^platform /,$d' "$work/standin.out" >"$work/config.json"
-"$binary" apply --platform-url "$platform" --base 0 --author test --reason first "$work/config.json" || exit 1
+start_standin
 
 start_host() {
   "$binary" serve --id "$1" --failure-domain "$2" --region "$3" --port 0 --link-port 0 --gossip-port 0 \
--- a/tests/system/serve-drain.bash
+++ b/tests/system/serve-drain.bash
@@ -3,12 +3,7 @@
 
 # Starts the hosts named by the arguments and ends the first one while six callers insert back to back.
 run_serve_drain() {
-  "$binary" standin --platform-port 0 --database-port 0 --print-config >"$work/standin.out" 2>"$work/standin.err" &
-  pids+=($!)
-  wait_for_line "$work/standin.out" '^ready' || exit 1
-  platform=$(sed -n 's/^platform //p' "$work/standin.out")
-  sed '/^platform /,$d' "$work/standin.out" >"$work/config.json"
-  "$binary" apply --platform-url "$platform" --base 0 --author test --reason first "$work/config.json" || exit 1
+  start_standin
   "$binary" apply --platform-url "$platform" --base 1 --author test --reason 'short drain' - \
   <<<'{"drain_limit_ms": 4000}' || exit 1
   for id in "$@"; do
