--- a/tests/processes/drain.c
+++ b/tests/processes/drain.c
@@ -1,5 +1,11 @@
-/* Callers keep using their connections while host processes shut down. Prints what was left
- * unanswered. Usage: drain CASE RECORD. */
+/* Pool daemons as processes, with callers that keep using their connections while hosts are told to
+ * end, start again, or have to do with instances and store entries that misbehave. Prints what was
+ * left unanswered.
+ *
+ *   WORLD_BINARY=build/peridotstep WORLD_DIRECTORY=DIRECTORY build/pool-drain CASE RECORD [SEED
+ * [ROUNDS]]
+ *
+ * The cases "series" and "forwarded" are the soak: the tests run one seed of two rounds of each. */
 #include "world.h"
 
 #include <errno.h>
@@ -33,6 +39,13 @@
   CALLER_SLOW_READER  /* reads long answers slowly, and ends the session behind each statement */
 } CallerKind;
 
+typedef struct
+{
+  int count;
+  CallerKind kind;
+  int64_t pause_ms;
+} CallerGroup;
+
 typedef struct
 {
   int number;
@@ -336,16 +349,16 @@
 }
 
 static void
-add_callers (int count, CallerKind kind, int64_t pause_ms, bool roams)
+add_callers (const CallerGroup *group, bool roams)
 {
-  for (int i = 0; i < count; i++)
+  for (int i = 0; i < group->count; i++)
     {
       Caller *caller = &callers[caller_count];
 
       caller->number = caller_count++;
-      caller->kind = kind;
+      caller->kind = group->kind;
       caller->host = i % world.host_count;
-      caller->pause_ms = kind == CALLER_PAUSING ? pause_ms + 7 * i : pause_ms;
+      caller->pause_ms = group->pause_ms + (group->kind == CALLER_PAUSING ? 7 * i : 0);
       caller->roams = roams;
     }
 }
@@ -455,7 +468,7 @@
 
 /* Ends one host while its callers go on. */
 static void
-end_one_host (void)
+end_one_host (unsigned seed, int rounds)
 {
   start_callers ();
   world_sleep_ms (1000);
@@ -465,7 +478,7 @@
 
 /* The primary stops answering within the drain. */
 static void
-end_beside_silent_primary (void)
+end_beside_silent_primary (unsigned seed, int rounds)
 {
   start_callers ();
   world_sleep_ms (1000);
@@ -531,7 +544,7 @@
 /* Another writer leaves odd entries, more than a page of them; one replaces a good one for a while.
  */
 static void
-follow_beside_odd_entries (void)
+follow_beside_odd_entries (unsigned seed, int rounds)
 {
   Instance *late = primary + 3;
   int followed = 0;
@@ -558,7 +571,7 @@
 
 /* The replicas stop answering in turn, and callers give up. */
 static void
-silence_replicas (int rounds)
+silence_replicas (unsigned seed, int rounds)
 {
   start_callers ();
   world_sleep_ms (1000);
@@ -616,31 +629,83 @@
     }
 }
 
+/* Nothing happens to the hosts. */
 static void
-add_instances (void)
+let_callers_run (unsigned seed, int rounds)
 {
-  primary = world_add_instance ("orders", "i-primary", 0, 0);
-  world_add_instance ("orders", "i-one", 2, 60);
-  world_add_instance ("orders", "i-two", 2, 60);
+  start_callers ();
+  world_sleep_ms (3000);
+}
+
+typedef struct
+{
+  const char *name;
+  int hosts;
+  bool owners;      /* services have owners */
+  bool stale_reads; /* the database accepts reads of some age */
+  int rounds;
+  CallerGroup groups[4];
+  void (*run) (unsigned seed, int rounds);
+} Case;
+
+static const Case cases[] = {
+  { "busy", 1, .groups = { { 24, CALLER_BUSY } }, .run = end_one_host },
+  { "pausing", 1, .groups = { { 40, CALLER_PAUSING, 3 } }, .run = end_one_host },
+  { "pipelining", 1, .groups = { { 16, CALLER_PIPELINING } }, .run = end_one_host },
+  { "transactions", 1, .groups = { { 24, CALLER_TRANSACTION, 40 } }, .run = end_one_host },
+  { "reading-drain", 1, .groups = { { 8, CALLER_SLOW_READER, 200 } }, .run = end_one_host },
+  { "silent", 1, .groups = { { 24, CALLER_BUSY } }, .run = end_beside_silent_primary },
+  { "reading", 1, .groups = { { 8, CALLER_SLOW_READER, 200 } }, .run = let_callers_run },
+  { "backlog", 1, .groups = { { 4, CALLER_BACKLOG, 100 } }, .run = let_callers_run },
+  { "odd-entries", 2, .groups = { { 16, CALLER_PAUSING, 20 } }, .run = follow_beside_odd_entries },
+  { "giving-up", 2, .stale_reads = true, .rounds = 3,
+    .groups = { { CALLERS_MAX, CALLER_GIVING_UP, 40 } }, .run = silence_replicas },
+  { "series", 4, .rounds = 2,
+    .groups = { { 16, CALLER_BUSY },
+                { 16, CALLER_PAUSING, 3 },
+                { 4, CALLER_PIPELINING },
+                { 8, CALLER_TRANSACTION, 15 } },
+    .run = restart_in_series },
+  { "forwarded", 4, .owners = true, .rounds = 2,
+    .groups = { { 16, CALLER_BUSY },
+                { 16, CALLER_PAUSING, 3 },
+                { 4, CALLER_PIPELINING },
+                { 8, CALLER_TRANSACTION, 15 } },
+    .run = restart_in_series },
+};
+
+static const Case *
+find_case (const char *name)
+{
+  for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
+    if (strcmp (cases[i].name, name) == 0)
+      return &cases[i];
+  return NULL;
 }
 
 static void
-start_world (const char *record, int hosts, const char *config)
+start_world (const char *record, const Case *chosen)
 {
-  for (int i = 0; i < hosts; i++)
+  primary = world_add_instance ("orders", "i-primary", 0, 0);
+  world_add_instance ("orders", "i-one", 2, 60);
+  world_add_instance ("orders", "i-two", 2, 60);
+  if (chosen->run == follow_beside_odd_entries)
+    world_add_instance ("orders", "z-late", 2, 60);
+  for (int i = 0; i < chosen->hosts; i++)
     {
       char name[32];
 
       snprintf (name, sizeof name, "front-%d", i + 1);
       world_add_host (name);
     }
+  world.owners_from = chosen->owners ? 2 : 0;
   world.promote_ms = 300;
   world.quiet = true;
   primary->work_ms = 30;
   primary->big_rows = 4;
   world_start (record);
-  world_put_config (1, config, services);
-  for (int i = 0; i < hosts; i++)
+  world_put_config (1, chosen->stale_reads ? stock_routes : routes, services);
+  for (int i = 0; i < chosen->hosts; i++)
     world_start_host (i);
   world_wait_ready ();
 }
@@ -648,71 +713,17 @@
 int
 main (int count, char **arguments)
 {
-  const char *name = count < 3 ? "" : arguments[1];
+  const Case *chosen = count < 3 ? NULL : find_case (arguments[1]);
   const unsigned seed = count < 4 ? 1 : (unsigned) atoi (arguments[3]);
-  const bool series = strcmp (name, "series") == 0;
-  const bool forwarded = strcmp (name, "forwarded") == 0;
-  const bool odd = strcmp (name, "odd-entries") == 0;
-  const bool backlog = strcmp (name, "backlog") == 0;
-  const bool reading = strcmp (name, "reading") == 0;
-  const bool giving_up = strcmp (name, "giving-up") == 0;
-
-  if (count < 3)
+
+  if (chosen == NULL)
     {
-      fprintf (stderr, "usage: drain CASE RECORD [SEED]\n");
+      fprintf (stderr, "usage: pool-drain CASE RECORD [SEED [ROUNDS]]\n");
       return 2;
     }
-  world.owners_from = forwarded ? 2 : 0;
-  add_instances ();
-  if (odd)
-    world_add_instance ("orders", "z-late", 2, 60);
-  start_world (arguments[2],
-               series || forwarded ? 4
-               : giving_up || odd  ? 2
-                                   : 1,
-               giving_up ? stock_routes : routes);
-  if (strcmp (name, "busy") == 0 || strcmp (name, "silent") == 0)
-    add_callers (24, CALLER_BUSY, 0, false);
-  else if (strcmp (name, "transactions") == 0)
-    add_callers (24, CALLER_TRANSACTION, 40, false);
-  else if (strcmp (name, "pausing") == 0)
-    add_callers (40, CALLER_PAUSING, 3, false);
-  else if (strcmp (name, "pipelining") == 0)
-    add_callers (16, CALLER_PIPELINING, 0, false);
-  else if (giving_up)
-    add_callers (CALLERS_MAX, CALLER_GIVING_UP, 40, false);
-  else if (odd)
-    add_callers (16, CALLER_PAUSING, 20, false);
-  else if (backlog)
-    add_callers (4, CALLER_BACKLOG, 100, false);
-  else if (reading || strcmp (name, "reading-drain") == 0)
-    add_callers (8, CALLER_SLOW_READER, 200, false);
-  else if (series || forwarded)
-    {
-      add_callers (16, CALLER_BUSY, 0, true);
-      add_callers (16, CALLER_PAUSING, 3, true);
-      add_callers (4, CALLER_PIPELINING, 0, true);
-      add_callers (8, CALLER_TRANSACTION, 15, true);
-    }
-  else
-    {
-      fprintf (stderr, "no such case: %s\n", name);
-      world_end (2);
-    }
-  if (series || forwarded)
-    restart_in_series (seed, count < 5 ? 2 : atoi (arguments[4]));
-  else if (reading || backlog)
-    {
-      start_callers ();
-      world_sleep_ms (3000);
-    }
-  else if (odd)
-    follow_beside_odd_entries ();
-  else if (giving_up)
-    silence_replicas (3);
-  else if (strcmp (name, "silent") == 0)
-    end_beside_silent_primary ();
-  else
-    end_one_host ();
+  start_world (arguments[2], chosen);
+  for (size_t i = 0; i < sizeof chosen->groups / sizeof *chosen->groups; i++)
+    add_callers (&chosen->groups[i], chosen->run == restart_in_series);
+  chosen->run (seed, count < 5 ? chosen->rounds : atoi (arguments[4]));
   print_results ();
 }
