Log what the hosts' word on commits rests on when a change of primary advances

lead_change gives whether every host knows a position, the position that no acknowledged commit is beyond, and the age of this host's sample.

--- a/src/pool/primary-change-manager.c
+++ b/src/pool/primary-change-manager.c
@@ -540,6 +540,16 @@
   peer_mesh_send_services_now (manager->options.mesh);
 }
 
+/* Age of the last known position of the primary; -1 if none is known. */
+static int64_t
+position_age_ms (const PrimaryChangeManager *manager, int64_t now_ms)
+{
+  GroupView view;
+
+  service_group_view (manager->options.group, &view);
+  return view.position.at_ms == 0 ? -1 : now_ms - view.position.at_ms;
+}
+
 static void
 log_phase (PrimaryChangeManager *manager, const PrimaryChangeInput *input)
 {
@@ -554,11 +564,14 @@
       LOG_LEVEL_NOTICE, "lead_change",
       "service=%s phase=%s fencing_token=%" G_GUINT64_FORMAT " term=%" G_GUINT64_FORMAT
       " leaving=%d suspect=%d commits_stalled=%d votes=%u hosts=%u rank=%u all_acknowledged=%d "
-      "peer_fencing_token=%" G_GUINT64_FORMAT,
+      "peer_fencing_token=%" G_GUINT64_FORMAT
+      " all_know_position=%d committed=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT
+      " position_age_ms=%" G_GINT64_FORMAT,
       service_group_name (manager->options.group), primary_change_phase_name (phase),
       primary_change_fencing_token (manager->change), input->term, input->leaving, input->suspect,
       input->commits_stalled, input->votes, input->hosts, input->rank, input->all_acknowledged,
-      input->peer_fencing_token);
+      input->peer_fencing_token, input->all_know_position, input->committed.term,
+      input->committed.position, position_age_ms (manager, input->now_ms));
 }
 
 static void
