End pauses of replicas that no host will end, and none that a promotion needs

Cause: a pause ends by a command of the host that made it, so it outlives that host, or a lost command. With both replicas paused no commit is sent and no report gives a lease; the primary answers, so no host sees a reason for a change. One paused replica of two shows in no answer at all.

The host of the lowest rank asks the replicas every 5 s. A promotion that took effect was not confirmed, and the other replica resumed under the old primary. Now a change whose promotion may take effect is not ended by the old primary's answer, and a pause is lifted only if a primary of its term leads, or no promotion under it can be in effect: its own, or all instances answer.

--- a/src/policy/change-members.c
+++ b/src/policy/change-members.c
@@ -118,6 +118,15 @@
   return true;
 }
 
+bool
+change_members_all_responded (const ChangeMembers *members)
+{
+  for (uint32_t i = 0; i < members->count; i++)
+    if (!members->items[i].responded)
+      return false;
+  return true;
+}
+
 uint64_t
 change_members_highest_term (const ChangeMembers *members, uint64_t minimum)
 {
@@ -132,14 +141,17 @@
 const ChangeMember *
 change_members_find_primary (const ChangeMembers *members, uint64_t term)
 {
+  const ChangeMember *primary = NULL;
+
   for (uint32_t i = 0; i < members->count; i++)
     {
       const ChangeMember *member = &members->items[i];
 
-      if (member->responded && member->report.primary && member->report.term >= term)
-        return member;
+      if (member->responded && member->report.primary && member->report.term >= term
+          && (primary == NULL || member->report.term > primary->report.term))
+        primary = member;
     }
-  return NULL;
+  return primary;
 }
 
 uint64_t
--- a/src/policy/change-members.h
+++ b/src/policy/change-members.h
@@ -79,12 +79,15 @@
  */
 bool change_members_responsive_done (const ChangeMembers *members);
 
+/** change_members_all_responded() - Whether every instance answered the last command. */
+bool change_members_all_responded (const ChangeMembers *members);
+
 /** change_members_highest_term() - Greatest term reported, but at least @minimum. */
 uint64_t change_members_highest_term (const ChangeMembers *members, uint64_t minimum);
 
 /**
- * change_members_find_primary() - An instance that reports that it is the primary of @term or of
- * a later one, or %NULL.
+ * change_members_find_primary() - The instance that reports that it is the primary of the latest
+ * term, @term or later; %NULL for none.
  */
 const ChangeMember *change_members_find_primary (const ChangeMembers *members, uint64_t term);
 
--- a/src/policy/primary-change.c
+++ b/src/policy/primary-change.c
@@ -51,8 +51,10 @@
   uint64_t other_pause_token;
   int64_t other_pause_seen_ms;
   bool commits_stalled; /* the primary answered, but its commits stalled, when the change began */
+  uint64_t abandoned_pause; /* the same for the pauses that no host would end; 0 for none */
   bool is_announced;
   bool promotion_failed;
+  bool may_have_promoted; /* a promotion was requested and not refused, and is not confirmed */
   uint64_t fencing_token;
   uint64_t term;
   uint32_t old_primary;
@@ -191,16 +193,35 @@
     send_command (change, &change->members.items[i], INSTANCE_COMMAND_STATUS, now_ms);
 }
 
+/* Whether the pause of @member can end: a primary of the term that it was made for leads (or of a
+ * later one, up to @leading_term), or no instance can have been promoted under it. For the pause of
+ * another host only the answers of @all_responded instances show that. */
+static bool
+may_resume (const PrimaryChange *change, const ChangeMember *member, uint64_t leading_term,
+            bool all_responded)
+{
+  const uint64_t token = member->paused ? change->fencing_token : member->report.pause_token;
+
+  if (primary_change_fencing_token_term (token) <= leading_term)
+    return true;
+  return !change->may_have_promoted && (member->paused || all_responded);
+}
+
 /* Ends the change, with a backoff that differs between hosts. With @resume the paused replicas
  * replicate again. */
 static void
 end_change (PrimaryChange *change, bool resume, int64_t now_ms)
 {
+  const ChangeMember *primary = change_members_find_primary (&change->members, 0);
+  const uint64_t leading_term = primary == NULL ? 0 : primary->report.term;
+  const bool all_responded = change_members_all_responded (&change->members);
+
   for (uint32_t i = 0; i < change->members.count; i++)
     {
       ChangeMember *member = &change->members.items[i];
 
-      if (resume && (member->paused || (member->responded && member->report.pause_token != 0)))
+      if (resume && (member->paused || (member->responded && member->report.pause_token != 0))
+          && may_resume (change, member, leading_term, all_responded))
         {
           member->pending = false;
           send_command (change, member, INSTANCE_COMMAND_RESUME, now_ms);
@@ -236,7 +257,7 @@
   const int64_t now_ms = input->now_ms;
   int64_t delay_ms;
 
-  if (!is_needed (input) || change->members.count == 0)
+  if ((!is_needed (input) && input->abandoned_pause == 0) || change->members.count == 0)
     {
       change->needed_since_ms = 0;
       return;
@@ -252,6 +273,8 @@
   change->started_ms = now_ms;
   change->old_primary = input->primary;
   change->commits_stalled = input->commits_stalled;
+  change->abandoned_pause = input->abandoned_pause;
+  change->may_have_promoted = false;
   start_querying (change, now_ms);
 }
 
@@ -261,7 +284,7 @@
 {
   const uint64_t token = change_members_highest_pause_token (&change->members);
 
-  if (token == 0 || token == change->fencing_token)
+  if (token <= change->abandoned_pause || token == change->fencing_token)
     return false;
   if (token != change->other_pause_token)
     {
@@ -335,6 +358,13 @@
       end_change (change, true, now_ms);
       return;
     }
+  if (change->abandoned_pause != 0 && !is_needed (input)
+      && (reported_primary == NULL || !change_members_all_responded (&change->members)))
+    {
+      // An instance that does not answer may have been promoted by the host that paused the others.
+      end_change (change, false, now_ms);
+      return;
+    }
   if (is_paused_by_other (change, now_ms))
     {
       if (now_ms - change->last_command_ms >= QUERY_INTERVAL_MS)
@@ -356,7 +386,7 @@
       send_command (change, primary, INSTANCE_COMMAND_STEP_DOWN, now_ms);
       return;
     }
-  if (reported_primary != NULL && !change->commits_stalled)
+  if (reported_primary != NULL && !change->commits_stalled && !change->may_have_promoted)
     {
       end_change (change, true, now_ms);
       return;
@@ -514,7 +544,8 @@
     }
   reported_primary = change_members_find_primary (&change->members, change->term);
   if ((reported_primary != NULL
-       && (!change->commits_stalled || reported_primary->report.term > change->term))
+       && (reported_primary->report.term > change->term
+           || (!change->commits_stalled && !change->may_have_promoted)))
       || now_ms - change->started_ms > WAIT_LIMIT_MS)
     {
       end_change (change, true, now_ms);
@@ -548,6 +579,7 @@
     {
     case PROMOTION_DONE:
     case PROMOTION_UNKNOWN:
+      change->may_have_promoted = true;
       enter_phase (change, PRIMARY_CHANGE_CONFIRMING, now_ms);
       return;
     case PROMOTION_REFUSED:
--- a/src/policy/primary-change.h
+++ b/src/policy/primary-change.h
@@ -58,6 +58,7 @@
  * @all_follow: all of them that this host hears from rely on @primary.
  * @committed: none of them has acknowledged, or will acknowledge, a commit beyond it.
  * @synchronous: number of replicas that hold a commit before it is acknowledged.
+ * @abandoned_pause: greatest fencing token of the pauses that no host will end; 0 for none.
  */
 typedef struct
 {
@@ -77,6 +78,7 @@
   bool all_follow;
   SessionToken committed;
   uint32_t synchronous;
+  uint64_t abandoned_pause;
 } PrimaryChangeInput;
 
 /** enum PrimaryChangeActionKind - Kind of an action. */
--- a/src/pool/primary-change-manager.c
+++ b/src/pool/primary-change-manager.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "policy/acknowledged-bound.h"
 #include "policy/connection-share.h"
+#include "policy/pause-watch.h"
 #include "policy/primary-change.h"
 
 /* A peer's view is valid for two heartbeat rounds plus this time. */
@@ -30,6 +31,10 @@
 /* In a fleet with owners, the view of an owner that went silent is kept for this time, in which its
  * connections end and its leases run out. */
 #define OWNER_VIEW_KEPT_MS 10000
+/* Interval at which one host looks for pauses left behind, which may show in no answer ... */
+#define PAUSE_CHECK_MS 5000
+/* ... and while there is one. */
+#define PAUSE_RECHECK_MS 500
 #define AGE_UNKNOWN 0
 
 typedef struct
@@ -58,6 +63,9 @@
   PrimaryChange *change;
   GHashTable *peers; /* peer id to PeerView */
   AcknowledgedBound *acknowledged;
+  PauseWatch pauses;
+  int64_t pauses_checked_ms;
+  bool pauses_checked_here; /* this host is the one that looks for pauses left behind */
   uint32_t synchronous;
   uint32_t connection_limit;
   uint64_t highest_fencing_token;
@@ -331,6 +339,7 @@
   PrimaryChangeInput *input;
   int64_t now_ms;
   uint32_t stalled_votes;
+  bool changing; /* a peer changes the primary, or ends its change */
 } PeerCount;
 
 static void
@@ -355,9 +364,12 @@
   if (session_token_compare (view->committed, input->committed) > 0)
     input->committed = view->committed;
   silent_ms = count->now_ms - view->heard_ms;
-  if (silent_ms < FENCING_TOKEN_FRESH_MS + 2 * round_ms (manager)
-      && primary_change_fencing_token_term (view->fencing_token) > input->term)
-    input->peer_fencing_token = MAX (input->peer_fencing_token, view->fencing_token);
+  if (silent_ms < FENCING_TOKEN_FRESH_MS + 2 * round_ms (manager))
+    {
+      count->changing |= view->fencing_token != 0;
+      if (primary_change_fencing_token_term (view->fencing_token) > input->term)
+        input->peer_fencing_token = MAX (input->peer_fencing_token, view->fencing_token);
+    }
   if (silent_ms >= fresh_ms)
     return;
   input->hosts++;
@@ -370,11 +382,25 @@
     input->rank++;
 }
 
+static void
+watch_pauses (PrimaryChangeManager *manager, bool changing, int64_t now_ms)
+{
+  uint32_t count;
+  GroupMember *const *members = service_group_members (manager->options.group, &count);
+
+  for (uint32_t i = 0; i < count; i++)
+    if (members[i]->report_sent_ms > 0)
+      pause_watch_record (&manager->pauses, member_key (members[i]), members[i]->pause_token,
+                          members[i]->report_sent_ms);
+  if (changing || primary_change_phase (manager->change) != PRIMARY_CHANGE_IDLE)
+    pause_watch_restart (&manager->pauses, now_ms);
+}
+
 static void
 fill_input (PrimaryChangeManager *manager, PrimaryChangeInput *input)
 {
   const int64_t now_ms = clock_now_ms ();
-  PeerCount count = { manager, input, now_ms, 0 };
+  PeerCount count = { manager, input, now_ms, 0, false };
   const GroupMember *member;
   GroupView view;
 
@@ -400,6 +426,9 @@
   input->votes = input->suspect;
   count.stalled_votes = input->commits_stalled;
   for_each_peer (manager, count_peer, &count);
+  watch_pauses (manager, count.changing, now_ms);
+  input->abandoned_pause = pause_watch_abandoned (&manager->pauses, now_ms);
+  manager->pauses_checked_here = input->rank == 0 && !count.changing;
   // Another host may act as an owner without this one having heard of it yet: the leases of such a
   // host have to run out.
   if (peer_mesh_has_owners (manager->options.mesh))
@@ -522,7 +551,10 @@
 
   for (uint32_t i = 0; i < known; i++)
     if (find_member (manager, keys[i]) == NULL)
-      primary_change_set_member (manager->change, keys[i], false, false);
+      {
+        primary_change_set_member (manager->change, keys[i], false, false);
+        pause_watch_remove (&manager->pauses, keys[i]);
+      }
   for (uint32_t i = 0; i < count; i++)
     primary_change_set_member (manager->change, member_key (members[i]), true,
                                instance_pool_info (members[i]->pool)->leaving);
@@ -564,7 +596,11 @@
   if (phase == manager->logged_phase)
     return;
   if (manager->logged_phase == PRIMARY_CHANGE_IDLE)
-    manager->started_ms = input->now_ms;
+    {
+      manager->started_ms = input->now_ms;
+      if (input->abandoned_pause != 0)
+        pool_metrics_count (manager->options.metrics, POOL_COUNT_PAUSES_LIFTED);
+    }
   manager->logged_phase = phase;
   log_event (
       LOG_LEVEL_NOTICE, "lead_change",
@@ -572,13 +608,13 @@
       " leaving=%d suspect=%d commits_stalled=%d votes=%u hosts=%u rank=%u all_acknowledged=%d "
       "peer_fencing_token=%" G_GUINT64_FORMAT " committed_known=%d committed=%" G_GUINT64_FORMAT
       ".%" G_GUINT64_FORMAT " position_age_ms=%" G_GINT64_FORMAT
-      " hosts_changed_age_ms=%" G_GINT64_FORMAT,
+      " hosts_changed_age_ms=%" G_GINT64_FORMAT " abandoned_pause=%" G_GUINT64_FORMAT,
       service_group_name (manager->options.group), primary_change_phase_name (phase),
       primary_change_fencing_token (manager->change), input->term, input->leaving, input->suspect,
       input->commits_stalled, input->votes, input->hosts, input->rank, input->all_acknowledged,
       input->peer_fencing_token, input->committed_known, input->committed.term,
       input->committed.position, position_age_ms (manager, input->now_ms),
-      input->now_ms - acknowledged_bound_since_ms (manager->acknowledged));
+      input->now_ms - acknowledged_bound_since_ms (manager->acknowledged), input->abandoned_pause);
 }
 
 static void
@@ -695,6 +731,21 @@
       g_hash_table_iter_remove (&iter);
 }
 
+/* A replica that was left paused serves no reads and confirms no commits, and beside one that is
+ * not paused nobody would ask for its state. */
+static void
+check_pauses (PrimaryChangeManager *manager, int64_t now_ms)
+{
+  const int64_t interval_ms
+      = pause_watch_is_empty (&manager->pauses) ? PAUSE_CHECK_MS : PAUSE_RECHECK_MS;
+
+  if (!manager->pauses_checked_here || now_ms - manager->pauses_checked_ms < interval_ms
+      || primary_change_phase (manager->change) != PRIMARY_CHANGE_IDLE)
+    return;
+  manager->pauses_checked_ms = now_ms;
+  service_group_query_replicas (manager->options.group);
+}
+
 void
 primary_change_manager_tick (PrimaryChangeManager *manager, int64_t now_ms)
 {
@@ -703,4 +754,5 @@
   share_connections (manager, now_ms);
   check_primary (manager);
   run_step (manager);
+  check_pauses (manager, now_ms);
 }
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -435,6 +435,11 @@
 {
   const char *id = instance_pool_info (member->pool)->id;
 
+  if (sent_ms >= member->report_sent_ms)
+    {
+      member->report_sent_ms = sent_ms;
+      member->pause_token = report->pause_token;
+    }
   if (report->primary && report->term >= group->term)
     set_primary (group, id, report->term, "report");
   else if (confirms_primary (group, report))
@@ -467,6 +472,15 @@
   return !lease_is_valid (group, now_ms) || now_ms - last.at_ms > PRIMARY_LEASE_MS;
 }
 
+static void
+query_member (GroupMember *member)
+{
+  if (member->report_pending)
+    return;
+  member->report_pending = true;
+  command_channel_send (member->commands, INSTANCE_COMMAND_STATUS, 0, on_report, member);
+}
+
 /* Queries every instance without a pending query, rate limited. */
 static void
 probe (ServiceGroup *group, int64_t now_ms)
@@ -475,14 +489,15 @@
     return;
   group->probed_ms = now_ms;
   for (uint32_t i = 0; i < group->count; i++)
-    {
-      GroupMember *member = group->members[i];
+    query_member (group->members[i]);
+}
 
-      if (member->report_pending)
-        continue;
-      member->report_pending = true;
-      command_channel_send (member->commands, INSTANCE_COMMAND_STATUS, 0, on_report, member);
-    }
+void
+service_group_query_replicas (ServiceGroup *group)
+{
+  for (uint32_t i = 0; i < group->count; i++)
+    if (!service_group_is_primary (group, group->members[i]->pool))
+      query_member (group->members[i]);
 }
 
 void
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -49,6 +49,8 @@
  * @answered_sent_ms: send time of the latest statement that it has answered.
  * @check_pending: a liveness check is under way. @checked_ms: when the last one started.
  * @report_pending: a status command is under way.
+ * @pause_token: fencing token of the pause that it reported last; 0 for none.
+ * @report_sent_ms: when that report was asked for; 0 for none.
  */
 typedef struct
 {
@@ -68,6 +70,8 @@
   bool check_pending;
   int64_t checked_ms;
   bool report_pending;
+  uint64_t pause_token;
+  int64_t report_sent_ms;
 } GroupMember;
 
 /**
@@ -185,6 +189,9 @@
 void service_group_record_report (ServiceGroup *group, GroupMember *member,
                                   const InstanceReport *report, int64_t sent_ms);
 
+/** service_group_query_replicas() - Asks the instances other than the primary for a report. */
+void service_group_query_replicas (ServiceGroup *group);
+
 /** service_group_adopt_primary() - A peer reports @member as the primary of a higher @term. */
 void service_group_adopt_primary (ServiceGroup *group, const GroupMember *member, uint64_t term);
 
--- a/tests/primary-change-model.c
+++ b/tests/primary-change-model.c
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "policy/acknowledged-bound.h"
+#include "policy/pause-watch.h"
 #include "policy/primary-change.h"
 
 #define HOSTS 2
@@ -36,6 +37,8 @@
 #define UNRESPONSIVE_MS 300
 #define COMMIT_STALL_MS 700
 #define PROBE_MS 100
+#define PAUSE_CHECK_MS 5000
+#define PAUSE_RECHECK_MS 500
 #define WRITE_MS 40
 
 typedef struct
@@ -90,6 +93,8 @@
 {
   PrimaryChange *change;
   AcknowledgedBound *acknowledged;
+  PauseWatch pauses;
+  int64_t pauses_checked_ms;
   uint32_t boot;
   int64_t down_until_ms;
   int primary; /* -1 for none */
@@ -139,7 +144,8 @@
   uint32_t boot; /* of the host */
   int instance;
   uint32_t id;
-  bool probe; /* a status query of the host's own, not of its change */
+  bool probe;       /* a status query of the host's own, not of its change */
+  bool pause_check; /* one that looks for pauses left behind */
   InstanceCommand command;
   uint64_t token;
   Reply reply;
@@ -155,6 +161,8 @@
 typedef struct
 {
   GRand *random;
+  GRand *faults; /* of everything but pause checks: a seed's faults don't depend on those */
+  GRand *pause_checks;
   int64_t now_ms;
   Instance instances[INSTANCES];
   Host hosts[HOSTS];
@@ -531,15 +539,25 @@
   event->token = action->fencing_token;
 }
 
+static bool
+is_peer_changing (const Model *model, const Host *host)
+{
+  return host->peer.fencing_token != 0 && !host->peer.left
+         && model->now_ms - host->peer.heard_ms < PEER_TOKEN_FRESH_MS;
+}
+
 static void
 step_host (Model *model, int index)
 {
   Host *host = &model->hosts[index];
   PrimaryChangeAction actions[PRIMARY_CHANGE_ACTIONS_MAX];
   const uint64_t token = primary_change_fencing_token (host->change);
-  const PrimaryChangeInput input = make_input (model, host);
+  PrimaryChangeInput input = make_input (model, host);
   uint32_t count;
 
+  if (primary_change_phase (host->change) != PRIMARY_CHANGE_IDLE || is_peer_changing (model, host))
+    pause_watch_restart (&host->pauses, model->now_ms);
+  input.abandoned_pause = pause_watch_abandoned (&host->pauses, model->now_ms);
   for (uint32_t i = 0; i < INSTANCES; i++)
     primary_change_set_member (host->change, i + 1, true, false);
   count = primary_change_step (host->change, &input, actions);
@@ -614,7 +632,10 @@
   const uint32_t key = (uint32_t) event->instance + 1;
 
   if (event->reply == REPLY_REPORT)
-    record_report (host, event->instance, &event->report, event->sent_ms);
+    {
+      record_report (host, event->instance, &event->report, event->sent_ms);
+      pause_watch_record (&host->pauses, key, event->report.pause_token, event->sent_ms);
+    }
   if (event->probe || host->command_ids[event->instance] != event->id)
     return;
   host->command_ids[event->instance] = 0;
@@ -670,6 +691,7 @@
   event->boot = command->boot;
   event->id = command->id;
   event->probe = command->probe;
+  event->pause_check = command->pause_check;
   event->sent_ms = command->sent_ms;
   event->reply = reply;
   event->report = report_of (model, command->instance);
@@ -718,6 +740,7 @@
 static void
 handle_event (Model *model, const Event *event)
 {
+  model->random = event->pause_check ? model->pause_checks : model->faults;
   switch (event->kind)
     {
     case EVENT_COMMAND:
@@ -779,6 +802,7 @@
       if (is_for_host (event.kind) && is_lost (&model->hosts[event.host], &event, model->now_ms))
         continue;
       handle_event (model, &event);
+      model->random = model->faults;
     }
 }
 
@@ -903,6 +927,31 @@
   end_writes (model);
 }
 
+/* The host of the lowest rank looks for pauses left behind. */
+static void
+check_pauses (Model *model, int index)
+{
+  Host *host = &model->hosts[index];
+  const bool is_first
+      = index == 0 || host->peer.left || model->now_ms - host->peer.heard_ms >= PEER_FRESH_MS;
+  const int64_t interval_ms
+      = pause_watch_is_empty (&host->pauses) ? PAUSE_CHECK_MS : PAUSE_RECHECK_MS;
+
+  if (!is_first || model->now_ms - host->pauses_checked_ms < interval_ms
+      || is_peer_changing (model, host)
+      || primary_change_phase (host->change) != PRIMARY_CHANGE_IDLE)
+    return;
+  host->pauses_checked_ms = model->now_ms;
+  model->random = model->pause_checks;
+  for (int i = 0; i < INSTANCES; i++)
+    if (i != host->primary)
+      {
+        send_command (model, index, i, NULL);
+        model->events[model->event_count - 1].pause_check = true;
+      }
+  model->random = model->faults;
+}
+
 static void
 tick_host (Model *model, int index)
 {
@@ -931,6 +980,7 @@
   if (model->now_ms - host->heartbeat_ms >= HEARTBEAT_MS)
     send_heartbeat (model, index, false);
   step_host (model, index);
+  check_pauses (model, index);
 }
 
 static const char *
@@ -939,7 +989,8 @@
   Model *model = g_new0 (Model, 1);
   const char *broken;
 
-  model->random = g_rand_new_with_seed (seed);
+  model->random = model->faults = g_rand_new_with_seed (seed);
+  model->pause_checks = g_rand_new_with_seed (seed);
   model->owners = seed % 2 == 0;
   model->restarts = restarts;
   model->newest_term = 1;
@@ -966,7 +1017,8 @@
   broken = model->broken;
   for (int i = 0; i < HOSTS; i++)
     end_host (&model->hosts[i]);
-  g_rand_free (model->random);
+  g_rand_free (model->faults);
+  g_rand_free (model->pause_checks);
   g_free (model);
   return broken;
 }
--- a/tests/processes/failover.c
+++ b/tests/processes/failover.c
@@ -18,6 +18,8 @@
 #define DARK_MS 3800
 #define WATCH_MS 12000
 #define STATEMENT_LIMIT_MS 2500
+/* Fencing token of a change from term 1 to 2. */
+#define LEFT_TOKEN ((uint64_t) 2 << 32 | 1 << 16 | 7)
 
 static const char routes[]
     = "[{\"name\":\"r1\",\"host\":\"shop\",\"prefix\":\"/"
@@ -169,6 +171,64 @@
   watch (false);
 }
 
+/* Pauses @instance the way that a host does which is gone by now. */
+static void
+leave_paused (Instance *instance)
+{
+  world_lock ();
+  instance->pause_token = LEFT_TOKEN;
+  world_unlock ();
+}
+
+/* Callers write at all hosts until every replica replicates again. */
+static void
+watch_pauses (void)
+{
+  const int64_t start_ms = world_now_ms ();
+  bool paused = true, served = false;
+
+  while ((paused || !served) && world_now_ms () - start_ms < WATCH_MS)
+    {
+      served = false;
+      for (int i = 0; i < HOSTS; i++)
+        served |= ask (i, "QUERY 05 WRITE next one");
+      world_lock ();
+      paused = behind->pause_token != 0 || holder->pause_token != 0;
+      world_unlock ();
+      world_sleep_ms (50);
+    }
+  printf ("replicas paused: %s\n", paused ? "yes" : "no");
+  printf ("writes served again: %s\n", served ? "yes" : "no");
+}
+
+/* All hosts are killed while both replicas are paused, and the primary answers when they are back.
+ */
+static void
+kill_while_paused (int gap_ms)
+{
+  require (ask (0, "QUERY 01 WRITE first one"), "the first write failed");
+  for (int i = 0; i < HOSTS; i++)
+    {
+      world_signal_host (i, SIGKILL);
+      client_close (&clients[i]);
+    }
+  leave_paused (behind);
+  leave_paused (holder);
+  world_sleep_ms (RESTART_MS);
+  for (int i = 0; i < HOSTS; i++)
+    world_start_host (i);
+  watch_pauses ();
+}
+
+/* One of two replicas stays paused: its host is gone, or its command to resume was lost. */
+static void
+leave_one_paused (int gap_ms)
+{
+  require (ask (0, "QUERY 01 WRITE first one"), "the first write failed");
+  leave_paused (behind);
+  watch_pauses ();
+}
+
 typedef struct
 {
   const char *name;
@@ -178,6 +238,8 @@
 static const Case cases[] = {
   { "killed", kill_acknowledger },
   { "ended", end_acknowledger },
+  { "paused", kill_while_paused },
+  { "one-paused", leave_one_paused },
 };
 
 int
--- a/tests/script-primary-change.c
+++ b/tests/script-primary-change.c
@@ -113,7 +113,7 @@
       = (SessionToken){ instance->report.term, (guint64) script_number (words, 4) };
 }
 
-/* set HOST KEY VALUE */
+/* set HOST KEY VALUE; for abandoned, the term of the fencing tokens */
 static void
 set_input (State *state, char **words)
 {
@@ -143,6 +143,8 @@
     input->committed_known = value != 0;
   else if (strcmp (key, "following") == 0)
     input->all_follow = value != 0;
+  else if (strcmp (key, "abandoned") == 0)
+    input->abandoned_pause = (guint64) value << 32 | G_MAXUINT32;
   else if (strcmp (key, "committed") == 0)
     input->committed = (SessionToken){ input->term, (guint64) value };
   else
--- a/tests/script-small.c
+++ b/tests/script-small.c
@@ -1,10 +1,12 @@
 /**
- * DOC: Small policies: connection health, drain, retry budget, session token, failed requests.
+ * DOC: Small policies: connection health, drain, pauses left behind, retry budget, session token,
+ * failed requests.
  */
 #include <string.h>
 
 #include "policy/conn-health.h"
 #include "policy/drain.h"
+#include "policy/pause-watch.h"
 #include "policy/request-failure.h"
 #include "policy/retry-budget.h"
 #include "policy/session-token.h"
@@ -14,6 +16,7 @@
 {
   ConnHealth health;
   Drain drain;
+  PauseWatch pauses;
   RetryBudget budget;
   SessionToken token;
 } State;
@@ -84,6 +87,17 @@
   g_string_append (out, drain_may_open (drain->phase) ? "new ones open\n" : "no new ones\n");
 }
 
+static void
+print_abandoned (const PauseWatch *watch, gint64 now_ms, GString *out)
+{
+  const guint64 token = pause_watch_abandoned (watch, now_ms);
+
+  if (token == 0)
+    g_string_append (out, "none\n");
+  else
+    g_string_append_printf (out, "%" G_GUINT64_FORMAT "\n", token);
+}
+
 static void
 command (void *data, char **words, GString *out)
 {
@@ -144,6 +158,13 @@
     }
   else if (strcmp (verb, "failure") == 0)
     print_failure_action (words, out);
+  else if (strcmp (verb, "pause") == 0)
+    pause_watch_record (&state->pauses, (guint32) script_number (words, 1),
+                        (guint64) script_number (words, 2), script_number (words, 3));
+  else if (strcmp (verb, "pause-restart") == 0)
+    pause_watch_restart (&state->pauses, script_number (words, 1));
+  else if (strcmp (verb, "abandoned") == 0)
+    print_abandoned (&state->pauses, script_number (words, 1), out);
   else if (strcmp (verb, "resolved") == 0)
     g_string_append_printf (
         out, "%s\n",
