Keep the fence of a host that ended in a change of primary

Cause: the announced token was dropped with the view of the process that had announced it. A host that went silent kept its fence for 1 s and two heartbeat rounds; one that was back sooner, or left, did not.

Change: policy/ended-fence keeps the token for the same time after the end of the process; pauses are not counted as left behind meanwhile.

--- a/src/pool/primary-change-manager.c
+++ b/src/pool/primary-change-manager.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "policy/acknowledged-bound.h"
 #include "policy/connection-share.h"
+#include "policy/ended-fence.h"
 #include "policy/pause-watch.h"
 #include "policy/primary-change.h"
 
@@ -66,6 +67,7 @@
   PauseWatch pauses;
   int64_t pauses_checked_ms;
   bool pauses_checked_here; /* this host is the one that looks for pauses left behind */
+  EndedFence ended_fence;
   uint32_t synchronous;
   uint32_t connection_limit;
   uint64_t highest_fencing_token;
@@ -333,6 +335,13 @@
     service_group_record_position (group, sent_ms - heartbeat->position_age, position);
 }
 
+/* How long an announced fencing token is respected after the last message of its host. */
+static int64_t
+fence_valid_ms (const PrimaryChangeManager *manager)
+{
+  return FENCING_TOKEN_FRESH_MS + 2 * round_ms (manager);
+}
+
 typedef struct
 {
   PrimaryChangeManager *manager;
@@ -364,7 +373,7 @@
   if (session_token_compare (view->committed, input->committed) > 0)
     input->committed = view->committed;
   silent_ms = count->now_ms - view->heard_ms;
-  if (silent_ms < FENCING_TOKEN_FRESH_MS + 2 * round_ms (manager))
+  if (silent_ms < fence_valid_ms (manager))
     {
       count->changing |= view->fencing_token != 0;
       if (primary_change_fencing_token_term (view->fencing_token) > input->term)
@@ -402,6 +411,7 @@
   const int64_t now_ms = clock_now_ms ();
   PeerCount count = { manager, input, now_ms, 0, false };
   const GroupMember *member;
+  uint64_t ended_token;
   GroupView view;
 
   service_group_view (manager->options.group, &view);
@@ -422,11 +432,14 @@
   };
   input->suspect
       = manager->suspect || input->commits_stalled || (input->primary != 0 && member == NULL);
+  ended_token = ended_fence_token (&manager->ended_fence, now_ms);
+  if (primary_change_fencing_token_term (ended_token) > input->term)
+    input->peer_fencing_token = ended_token;
   session_token_advance (&input->committed, acknowledged_bound_committed (manager->acknowledged));
   input->votes = input->suspect;
   count.stalled_votes = input->commits_stalled;
   for_each_peer (manager, count_peer, &count);
-  watch_pauses (manager, count.changing, now_ms);
+  watch_pauses (manager, count.changing || ended_token != 0, now_ms);
   input->abandoned_pause = pause_watch_abandoned (&manager->pauses, now_ms);
   manager->pauses_checked_here = input->rank == 0 && !count.changing;
   // Another host may act as an owner without this one having heard of it yet: the leases of such a
@@ -685,6 +698,9 @@
   else
     acknowledged_bound_host_left (manager->acknowledged, committed, view != NULL && view->final,
                                   clock_now_ms ());
+  if (view != NULL)
+    ended_fence_record (&manager->ended_fence, view->fencing_token,
+                        clock_now_ms () + fence_valid_ms (manager));
   g_hash_table_remove (manager->peers, &peer);
 }
 
--- a/tests/primary-change-model.c
+++ b/tests/primary-change-model.c
@@ -8,6 +8,7 @@
 #include <glib.h>
 
 #include "policy/acknowledged-bound.h"
+#include "policy/ended-fence.h"
 #include "policy/pause-watch.h"
 #include "policy/primary-change.h"
 
@@ -95,6 +96,7 @@
   AcknowledgedBound *acknowledged;
   PauseWatch pauses;
   int64_t pauses_checked_ms;
+  EndedFence ended_fence;
   uint32_t boot;
   int64_t down_until_ms;
   int primary; /* -1 for none */
@@ -442,6 +444,7 @@
 {
   const PeerView *peer = &host->peer;
   const int64_t silent_ms = model->now_ms - peer->heard_ms;
+  const uint64_t ended = ended_fence_token (&host->ended_fence, model->now_ms);
   const bool stalled
       = host->pending_since_ms > 0 && model->now_ms - host->pending_since_ms >= COMMIT_STALL_MS;
   const bool unresponsive
@@ -462,6 +465,8 @@
     .synchronous = SYNCHRONOUS,
   };
 
+  if (primary_change_fencing_token_term (ended) > host->term)
+    input.peer_fencing_token = ended;
   session_token_advance (&input.committed, host->position);
   session_token_advance (&input.committed, acknowledged_bound_committed (host->acknowledged));
   if (model->owners)
@@ -475,7 +480,7 @@
   session_token_advance (&input.committed, peer->committed);
   if (silent_ms < PEER_TOKEN_FRESH_MS
       && primary_change_fencing_token_term (peer->fencing_token) > host->term)
-    input.peer_fencing_token = peer->fencing_token;
+    input.peer_fencing_token = MAX (input.peer_fencing_token, peer->fencing_token);
   if (silent_ms < PEER_FRESH_MS)
     {
       input.hosts++;
@@ -542,8 +547,9 @@
 static bool
 is_peer_changing (const Model *model, const Host *host)
 {
-  return host->peer.fencing_token != 0 && !host->peer.left
-         && model->now_ms - host->peer.heard_ms < PEER_TOKEN_FRESH_MS;
+  return ended_fence_token (&host->ended_fence, model->now_ms) != 0
+         || (host->peer.fencing_token != 0 && !host->peer.left
+             && model->now_ms - host->peer.heard_ms < PEER_TOKEN_FRESH_MS);
 }
 
 static void
@@ -584,11 +590,17 @@
       if (host->peer.boot != 0 && !host->peer.left)
         acknowledged_bound_host_left (host->acknowledged, host->peer.committed, false,
                                       model->now_ms);
+      ended_fence_record (&host->ended_fence, host->peer.fencing_token,
+                          model->now_ms + PEER_TOKEN_FRESH_MS);
       acknowledged_bound_host_started (host->acknowledged, (uint64_t) (1 - event->host),
                                        model->now_ms);
     }
   if (event->view.left)
-    acknowledged_bound_host_left (host->acknowledged, event->view.committed, true, model->now_ms);
+    {
+      acknowledged_bound_host_left (host->acknowledged, event->view.committed, true, model->now_ms);
+      ended_fence_record (&host->ended_fence, event->view.fencing_token,
+                          model->now_ms + PEER_TOKEN_FRESH_MS);
+    }
   host->peer = event->view;
   host->peer.heard_ms = model->now_ms;
   host->peer.sent_ms = event->sent_ms;
--- a/tests/script-small.c
+++ b/tests/script-small.c
@@ -6,6 +6,7 @@
 
 #include "policy/conn-health.h"
 #include "policy/drain.h"
+#include "policy/ended-fence.h"
 #include "policy/pause-watch.h"
 #include "policy/request-failure.h"
 #include "policy/retry-budget.h"
@@ -17,6 +18,7 @@
   ConnHealth health;
   Drain drain;
   PauseWatch pauses;
+  EndedFence ended_fence;
   RetryBudget budget;
   SessionToken token;
 } State;
@@ -165,6 +167,12 @@
     pause_watch_restart (&state->pauses, script_number (words, 1));
   else if (strcmp (verb, "abandoned") == 0)
     print_abandoned (&state->pauses, script_number (words, 1), out);
+  else if (strcmp (verb, "ended-fence") == 0)
+    ended_fence_record (&state->ended_fence, (guint64) script_number (words, 1),
+                        script_number (words, 2));
+  else if (strcmp (verb, "ended-fence-at") == 0)
+    g_string_append_printf (out, "%" G_GUINT64_FORMAT "\n",
+                            ended_fence_token (&state->ended_fence, script_number (words, 1)));
   else if (strcmp (verb, "resolved") == 0)
     g_string_append_printf (
         out, "%s\n",
