End a change of primary when another host's new primary is learned

Cause: whether a change is needed was judged at its start only; the primary and term known then outlived their replacement.

Change: from the query to the wait, a change ends when this host knows a newer term than at its start, unless its own promotion may be the reason. The pauses stay for the other host, which ends them.

Tests: primary-change-newer-primary-learned, failing before.

--- a/src/policy/primary-change.c
+++ b/src/policy/primary-change.c
@@ -58,6 +58,7 @@
   uint64_t fencing_token;
   uint64_t term;
   uint32_t old_primary;
+  uint64_t old_term;             /* of @old_primary, as known when the change began */
   SessionToken stepped_down_log; /* end of the primary's log when it had stepped down */
   uint32_t candidate;
   PrimaryChangeAction *actions;
@@ -272,6 +273,7 @@
     return;
   change->started_ms = now_ms;
   change->old_primary = input->primary;
+  change->old_term = input->term;
   change->commits_stalled = input->commits_stalled;
   change->abandoned_pause = input->abandoned_pause;
   change->may_have_promoted = false;
@@ -659,15 +661,32 @@
     }
 }
 
+/* Whether another host has changed the primary meanwhile. */
+static bool
+is_superseded (const PrimaryChange *change, const PrimaryChangeInput *input)
+{
+  switch (change->phase)
+    {
+    case PRIMARY_CHANGE_QUERYING:
+    case PRIMARY_CHANGE_STEPPING_DOWN:
+    case PRIMARY_CHANGE_CATCHING_UP:
+    case PRIMARY_CHANGE_PAUSING:
+    case PRIMARY_CHANGE_WAITING:
+      return input->term > change->old_term && !change->may_have_promoted;
+    default:
+      return false;
+    }
+}
+
 uint32_t
 primary_change_step (PrimaryChange *change, const PrimaryChangeInput *input,
                      PrimaryChangeAction *actions)
 {
   change->actions = actions;
   change->action_count = 0;
-  if (must_yield (change, input))
+  if (must_yield (change, input) || is_superseded (change, input))
     {
-      // The other host's pauses must stay in force, so no replica is resumed.
+      // The pauses stay in force for the other host, which ends them.
       end_change (change, false, input->now_ms);
       return 0;
     }
