Ask an old primary that was down to step down as well

Cause: "refuses connections", seen in the query, was still believed at the end of the change, up to a second later.

Change: when the new primary is confirmed, an instance that was down counts as running again until it refuses once more.

Tests: primary-change-old-primary-back, failing before. pool-primary-crash: the waiting read is served by the new primary now, as the host confirms it before the change ends; it was refused.

--- a/src/policy/change-members.c
+++ b/src/policy/change-members.c
@@ -86,6 +86,13 @@
   member->down = true;
 }
 
+void
+change_members_forget_down (ChangeMembers *members)
+{
+  for (uint32_t i = 0; i < members->count; i++)
+    members->items[i].down = false;
+}
+
 ChangeMember *
 change_members_find_unretired (ChangeMembers *members, uint32_t successor)
 {
--- a/src/policy/change-members.h
+++ b/src/policy/change-members.h
@@ -64,6 +64,9 @@
 /** change_members_record_down() - The instance is not running. */
 void change_members_record_down (ChangeMembers *members, uint32_t key);
 
+/** change_members_forget_down() - An instance that refused a connection may be running again. */
+void change_members_forget_down (ChangeMembers *members);
+
 /**
  * change_members_find_unretired() - An instance other than @successor that may still act as a
  * primary of an earlier term; %NULL for none.
--- a/src/policy/primary-change.c
+++ b/src/policy/primary-change.c
@@ -630,6 +630,8 @@
       && candidate->report.term > change->term)
     {
       enter_phase (change, PRIMARY_CHANGE_RETIRING, now_ms);
+      // An instance that refused connections before the promotion may be back, as the old primary.
+      change_members_forget_down (&change->members);
       step_retiring (change, input);
       return;
     }
