Count the fence of an ended host from its last message

Found in the last read: the token was kept for 1.5 s from the moment at which the host was no longer tracked. For a host removed after 30 s of silence it had expired long before, and the primary would have been fenced again for that time.

Change: the time runs from the last message of the host, as for one that is silent.

--- a/src/pool/primary-change-manager.c
+++ b/src/pool/primary-change-manager.c
@@ -700,7 +700,7 @@
                                   clock_now_ms ());
   if (view != NULL)
     ended_fence_record (&manager->ended_fence, view->fencing_token,
-                        clock_now_ms () + fence_valid_ms (manager));
+                        view->heard_ms + fence_valid_ms (manager));
   g_hash_table_remove (manager->peers, &peer);
 }
 
