--- a/src/cli/pool.c
+++ b/src/cli/pool.c
@@ -13,6 +13,7 @@
 #include <tevent.h>
 
 #include "adapter/http-client.h"
+#include "base/clock.h"
 #include "base/log.h"
 #include "base/timer-queue.h"
 #include "base/verdict.h"
@@ -40,6 +41,9 @@
   { "descriptor-limit", SETTING_NUMBER, "4096", 300, 1000000, "descriptors the process may open" },
   { "store", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the platform's store" },
   { "promoter", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the platform's promote call" },
+  { "revoke-limit", SETTING_NUMBER, "0", 0, 86400000,
+    "milliseconds after which a key that was taken away is served nowhere; a host that can't tell "
+    "whether its configuration is the newest stops serving keys by then; 0 for no limit" },
   { "drain-limit", SETTING_NUMBER, "6", 1, 3600, "seconds that a graceful shutdown may take" },
   { "pool-log-level", SETTING_NUMBER, "6", 3, 7, "syslog severity up to which lines are written" },
   { "metrics-listen", SETTING_TEXT, "", 0, 0, "IP:PORT of a second metrics page; empty for none" },
@@ -79,6 +83,7 @@
   StatusHttp *status;
   StatusHttp *metrics_page;
   PoolMetrics metrics;
+  ConfigProof proof;
   Settings *settings;
   struct timespec file_time;
   Timer file_timer;
@@ -166,6 +171,7 @@
   const uint32_t rank
       = owners ? peer_mesh_domain_rank (daemon->mesh) : peer_mesh_rank (daemon->mesh);
   const ReaderRole role = {
+    .rank = rank,
     .reader = rank < (owners ? DOMAIN_READERS : STORE_READERS),
     .standby = !owners || rank < DOMAIN_STANDBY_READERS,
     .follower = owners,
@@ -184,6 +190,11 @@
   if (daemon->discovery == NULL)
     return;
   heartbeat->store_era = discovery_era (daemon->discovery);
+  if (daemon->proof.at_ms != 0)
+    {
+      heartbeat->proof_version = daemon->proof.version;
+      heartbeat->proof_age = (uint32_t) MIN (clock_now_ms () - daemon->proof.at_ms, INT32_MAX) + 1;
+    }
   heartbeat->instances_hash = discovery_instances_hash (daemon->discovery);
   if (heartbeat->instances_hash != 0)
     heartbeat->instances_age = (uint32_t) discovery_instances_age_ms (daemon->discovery);
@@ -241,6 +252,9 @@
 
   if (daemon->registry == NULL)
     return;
+  if (heartbeat->proof_age > 0 && sent_ms > 0)
+    config_proof_record (&daemon->proof, heartbeat->proof_version,
+                         sent_ms - (heartbeat->proof_age - 1));
   host_registry_record_era (daemon->registry, heartbeat->store_era);
   if ((catalog == NULL || heartbeat->config_version >= catalog->version)
       && (heartbeat->instances_hash != 0
@@ -427,6 +441,8 @@
     .timers = daemon->timers,
     .directory = daemon->directory,
     .refresh_instances = on_refresh_instances,
+    .proof = &daemon->proof,
+    .revoke_limit_ms = settings_number (settings, "revoke-limit"),
     .data = daemon,
   };
   PeerMeshOptions mesh = {
@@ -492,6 +508,8 @@
     .timers = daemon->timers,
     .metrics = &daemon->metrics,
     .catalog = on_catalog,
+    .proof = &daemon->proof,
+    .proof_limit_ms = settings_number (settings, "revoke-limit"),
     .instances = on_instances,
     .store_restored = on_store_restored,
     .request_snapshot = on_request_snapshot,
--- /dev/null
+++ b/src/policy/config-proof.c
@@ -0,0 +1,54 @@
+#include "policy/config-proof.h"
+
+/* The first host of a failure domain asks for a proof at this part of the limit; each further one
+ * later by the other part. */
+#define FIRST_DIVISOR 4
+#define NEXT_DIVISOR 16
+
+static int64_t
+max_i64 (int64_t a, int64_t b)
+{
+  return a > b ? a : b;
+}
+
+void
+config_proof_record (ConfigProof *proof, uint64_t version, int64_t at_ms)
+{
+  if (version <= proof->own_version)
+    proof->current_ms = max_i64 (proof->current_ms, at_ms);
+  if (at_ms <= proof->at_ms)
+    return;
+  proof->version = version;
+  proof->at_ms = at_ms;
+}
+
+void
+config_proof_set_version (ConfigProof *proof, uint64_t version)
+{
+  if (version <= proof->own_version)
+    return;
+  proof->own_version = version;
+  if (proof->version <= version)
+    proof->current_ms = max_i64 (proof->current_ms, proof->at_ms);
+}
+
+int64_t
+config_proof_age_ms (const ConfigProof *proof, int64_t now_ms)
+{
+  return proof->current_ms == 0 ? INT64_MAX : now_ms - proof->current_ms;
+}
+
+bool
+config_proof_is_current (const ConfigProof *proof, int64_t limit_ms, int64_t now_ms)
+{
+  return limit_ms == 0 || config_proof_age_ms (proof, now_ms) < limit_ms;
+}
+
+bool
+config_proof_is_due (const ConfigProof *proof, int64_t limit_ms, uint32_t rank, int64_t now_ms)
+{
+  if (limit_ms == 0)
+    return false;
+  return config_proof_age_ms (proof, now_ms)
+         >= limit_ms / FIRST_DIVISOR + (int64_t) rank * (limit_ms / NEXT_DIVISOR);
+}
--- a/src/pool/answer-code.c
+++ b/src/pool/answer-code.c
@@ -22,6 +22,8 @@
   [ANSWER_UNKNOWN_DATABASE] = { "unknown_database", VERDICT_NOT_RUN },
   [ANSWER_MALFORMED] = { "malformed", VERDICT_NOT_RUN },
   [ANSWER_TOO_LARGE] = { "too_large", VERDICT_NOT_RUN },
+  [ANSWER_UNAUTHENTICATED] = { "unauthenticated", VERDICT_NOT_RUN },
+  [ANSWER_OVER_LIMIT] = { "over_limit", VERDICT_NOT_RUN },
 };
 
 const char *
--- a/src/pool/answer-code.h
+++ b/src/pool/answer-code.h
@@ -25,6 +25,8 @@
   ANSWER_UNKNOWN_DATABASE,
   ANSWER_MALFORMED,
   ANSWER_TOO_LARGE,
+  ANSWER_UNAUTHENTICATED, /* the key belongs to no customer */
+  ANSWER_OVER_LIMIT,      /* beyond the customer's limit */
   ANSWER_CODE_COUNT
 } AnswerCode;
 
--- a/src/pool/beat.pb-c.c
+++ b/src/pool/beat.pb-c.c
@@ -343,7 +343,7 @@
   (ProtobufCMessageInit) pool__service_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool__beat__field_descriptors[14] =
+static const ProtobufCFieldDescriptor pool__beat__field_descriptors[16] =
 {
   {
     "sender",
@@ -513,6 +513,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "proof_version",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pool__Beat, proof_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "proof_age",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Pool__Beat, proof_age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool__beat__field_indices_by_name[] = {
   1,   /* field[1] = boot */
@@ -525,6 +549,8 @@
   8,   /* field[8] = instances_hash */
   9,   /* field[9] = known */
   5,   /* field[5] = leaving */
+  15,   /* field[15] = proof_age */
+  14,   /* field[14] = proof_version */
   0,   /* field[0] = sender */
   2,   /* field[2] = sent */
   7,   /* field[7] = services */
@@ -533,7 +559,7 @@
 static const ProtobufCIntRange pool__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 16 }
 };
 const ProtobufCMessageDescriptor pool__beat__descriptor =
 {
@@ -543,7 +569,7 @@
   "Pool__Beat",
   "pool",
   sizeof(Pool__Beat),
-  14,
+  16,
   pool__beat__field_descriptors,
   pool__beat__field_indices_by_name,
   1,  pool__beat__number_ranges,
--- a/src/pool/beat.pb-c.h
+++ b/src/pool/beat.pb-c.h
@@ -133,10 +133,18 @@
    * of the store, as the sender knows it; 0 for unknown
    */
   uint64_t store_era;
+  /*
+   * this configuration version was the newest ...
+   */
+  uint64_t proof_version;
+  /*
+   * ... this time ago, plus 1; 0 for unknown
+   */
+  uint32_t proof_age;
 };
 #define POOL__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
 
 
 /* Pool__ServiceBeat methods */
--- a/src/pool/catalog.h
+++ b/src/pool/catalog.h
@@ -25,6 +25,7 @@
  * @statement_ms: time limit of one statement.
  * @operation_ms: time in which a whole operation is expected to end.
  * @attempts: maximum number of attempts for a read whose connection is lost.
+ * @anonymous: callers need no key.
  */
 typedef struct
 {
@@ -36,8 +37,21 @@
   int64_t operation_ms;
   uint32_t attempts;
   Priority priority;
+  bool anonymous;
 } Database;
 
+/**
+ * struct Customer - A customer of the configuration, whose callers are known by their keys.
+ * @rate_per_s: operations per second of all hosts together; 0 for no limit.
+ * @burst: operations beyond the rate that may come at once.
+ */
+typedef struct
+{
+  char *name;
+  double rate_per_s;
+  double burst;
+} Customer;
+
 /**
  * struct ServiceEntry - A service of the configuration.
  * @connection_limit: connections that one instance accepts from all hosts together.
@@ -54,6 +68,8 @@
  * struct Catalog - One version of the configuration; immutable and reference counted.
  * @databases: name to &struct Database.
  * @services: name to &struct ServiceEntry.
+ * @customers: name to &struct Customer; %NULL if callers are not told apart by keys.
+ * @keys: key to &struct Customer in @customers; to %NULL for a key that two customers hold.
  * @idle_transaction_ms: a transaction idle for longer may be rolled back; 0 for no limit.
  */
 typedef struct
@@ -62,6 +78,8 @@
   uint64_t version;
   GHashTable *databases;
   GHashTable *services;
+  GHashTable *customers;
+  GHashTable *keys;
   int64_t idle_transaction_ms;
 } Catalog;
 
@@ -80,5 +98,20 @@
 /** catalog_add_service() - Adds a service; its text is copied. */
 void catalog_add_service (Catalog *catalog, const ServiceEntry *service);
 
+/** catalog_require_keys() - From now on callers are told apart by keys, of which there are none. */
+void catalog_require_keys (Catalog *catalog);
+
+/** catalog_add_customer() - Adds a customer, which replaces one of the same name. */
+const Customer *catalog_add_customer (Catalog *catalog, const Customer *customer);
+
+/**
+ * catalog_add_key() - @key belongs to @customer. Returns false if another customer holds it too,
+ * which makes it useless for both.
+ */
+bool catalog_add_key (Catalog *catalog, const char *key, const Customer *customer);
+
+/** catalog_customer() - Customer that holds @key, or %NULL. */
+const Customer *catalog_customer (const Catalog *catalog, const char *key);
+
 /** catalog_database() - Database called @name, or %NULL. */
 const Database *catalog_database (const Catalog *catalog, const char *name);
--- a/src/pool/codec.h
+++ b/src/pool/codec.h
@@ -26,11 +26,15 @@
   CALLER_MESSAGE_TOO_LARGE
 } CallerMessageKind;
 
-/** struct CallerMessage - Tagged by @kind; the reader frees the statement and the database name. */
+/**
+ * struct CallerMessage - Tagged by @kind; the reader frees the statement, the database name and the
+ * caller's key, which is %NULL if the caller sent none.
+ */
 typedef struct
 {
   CallerMessageKind kind;
   char *database;
+  char *key;
   Statement statement;
 } CallerMessage;
 
@@ -64,7 +68,8 @@
 /**
  * struct Codec - The protocol. Readers parse the front of an input buffer and return the number of
  * bytes used; 0 if the message is not complete. Writers append to @out. @after is a position that
- * the instance must have received for the statement to run, or %NULL.
+ * the instance must have received for the statement to run, or %NULL. @customer is the one that a
+ * connection serves, or %NULL.
  */
 typedef struct
 {
@@ -75,7 +80,8 @@
   void (*write_complete) (GByteArray *out, const char *text);
   void (*write_error) (GByteArray *out, AnswerCode code, const char *text);
   void (*write_ready) (GByteArray *out, char state, SessionToken position);
-  void (*write_open) (GByteArray *out, const char *service, const char *instance);
+  void (*write_open) (GByteArray *out, const char *service, const char *customer,
+                      const char *instance);
   void (*write_statement) (GByteArray *out, const char *id, const SessionToken *after,
                            const char *text);
   void (*write_execute) (GByteArray *out, const char *id, const SessionToken *after,
--- a/src/pool/directory.h
+++ b/src/pool/directory.h
@@ -29,12 +29,14 @@
  * @era: rises when the store comes back from a backup, without the latest changes; 0 if the answer
  *   does not tell.
  * @revision: of the store at the time of the answer; issued again in a later era.
+ * @time_ms: the store's steady clock at that time; negative if the answer does not tell.
  */
 typedef struct
 {
   DirectoryResult result;
   uint64_t era;
   uint64_t revision;
+  int64_t time_ms;
 } StoreAnswer;
 
 /**
--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "policy/feed-position.h"
 #include "policy/instance-list.h"
+#include "policy/store-clock.h"
 #include "policy/store-era.h"
 
 /* A long poll ends by itself after this time, so that a dead connection is detected soon enough for
@@ -39,6 +40,8 @@
 #define RETRY_MAX_MS 1000
 /* The same for a follower, of which a large fleet has hundreds. */
 #define FOLLOWER_RETRY_MAX_MS 4000
+/* Minimum interval between a host's calls for a proof of its configuration. */
+#define PROOF_INTERVAL_MS 500
 /* Log lines per second for answers with a revision lower than an earlier one. */
 #define REVISION_LINES_PER_S 2
 
@@ -47,6 +50,7 @@
 {
   Discovery *discovery;
   bool watch; /* for what changes after the position, else for everything */
+  int64_t sent_ms;
 } ConfigCall;
 
 struct Discovery
@@ -55,7 +59,9 @@
   Timer config_timer;
   Timer instances_timer;
   int64_t created_ms;
-  uint64_t era; /* of the store; 0 while unknown */
+  StoreClock store_clock;
+  int64_t prove_ms; /* when a proof of the configuration was last asked for */
+  uint64_t era;     /* of the store; 0 while unknown */
   FeedPosition position;
   LogRateLimit revision_log;
   ConfigCall *config_call; /* the one whose answer moves the position; %NULL for none */
@@ -66,6 +72,7 @@
   bool reading;
   InstanceList list;
   bool store_lost;
+  bool proving; /* asking for a proof of the configuration */
   bool reader;
   bool follower;
   int64_t list_read_ms; /* when the list in use was read from the store, by this or another host */
@@ -123,6 +130,7 @@
   timer_clear (&discovery->config_timer);
   call->discovery = discovery;
   call->watch = discovery->position.valid;
+  call->sent_ms = clock_now_ms ();
   discovery->config_call = call;
   if (call->watch)
     directory->watch_configuration (directory->self, discovery->position.revision,
@@ -162,6 +170,7 @@
     case STORE_ERA_BEGUN:
       break;
     }
+  discovery->store_clock.known = false;
   pool_metrics_count (discovery->options.metrics, POOL_COUNT_STORE_RESTORED);
   log_event (LOG_LEVEL_WARNING, "store_restored",
              "era=%" G_GUINT64_FORMAT " previous=%" G_GUINT64_FORMAT " revision=%" G_GUINT64_FORMAT
@@ -189,6 +198,19 @@
     return;
   discovery->version = MAX (discovery->version, catalog->version);
   discovery->options.catalog (discovery->options.data, catalog);
+  config_proof_set_version (discovery->options.proof, catalog->version);
+}
+
+/* The answer tells all changes up to its making. A version that this host had already is the
+ * newest, or a store that came back from a backup has an older one. */
+static void
+record_proof (Discovery *discovery, const StoreAnswer *answer, int64_t sent_ms)
+{
+  const int64_t made_ms
+      = store_clock_record (&discovery->store_clock, answer->time_ms, sent_ms, clock_now_ms ());
+
+  if (discovery->version > 0)
+    config_proof_record (discovery->options.proof, discovery->version, made_ms);
 }
 
 /* Asks another host after a failed call, if that host may have data that this one lacks. */
@@ -267,6 +289,7 @@
   Discovery *discovery = call->discovery;
   const bool superseded = discovery->config_call != call;
   const bool watched = call->watch;
+  const int64_t sent_ms = call->sent_ms;
   DirectoryResult result = answer->result;
 
   if (!superseded)
@@ -294,6 +317,7 @@
   if (!discovery->feed_refused)
     discovery->config_retry_ms = RETRY_MS;
   apply_catalog (discovery, catalog);
+  record_proof (discovery, answer, sent_ms);
   timer_set (discovery->options.timers, &discovery->config_timer,
              discovery->follower && discovery->position.valid ? FOLLOWER_CONFIG_INTERVAL_MS : 0);
 }
@@ -371,6 +395,38 @@
                MAX (due_ms - clock_now_ms (), 0));
 }
 
+static void
+on_proof (void *data, const StoreAnswer *answer, Catalog *catalog)
+{
+  Discovery *discovery = data;
+
+  discovery->proving = false;
+  if (!record_era (discovery, answer) || answer->result != DIRECTORY_OK)
+    return;
+  apply_catalog (discovery, catalog);
+  record_proof (discovery, answer, discovery->prove_ms);
+}
+
+/* Reads the configuration, or only what has changed of it, if the proof has become old. */
+static void
+prove_if_due (Discovery *discovery, uint32_t rank)
+{
+  const DiscoveryOptions *options = &discovery->options;
+  const Directory *directory = options->directory;
+  const int64_t now_ms = clock_now_ms ();
+
+  if (discovery->proving || now_ms - discovery->prove_ms < PROOF_INTERVAL_MS
+      || !config_proof_is_due (options->proof, options->proof_limit_ms, rank, now_ms))
+    return;
+  discovery->proving = true;
+  discovery->prove_ms = now_ms;
+  if (discovery->position.valid)
+    directory->watch_configuration (directory->self, discovery->position.revision, 0, on_proof,
+                                    discovery);
+  else
+    directory->get_configuration (directory->self, CALL_TIMEOUT_MS, on_proof, discovery);
+}
+
 void
 discovery_set_role (Discovery *discovery, const ReaderRole *role)
 {
@@ -380,6 +436,8 @@
   const bool reader = role->reader || (role->standby && reads_missing);
   const bool stops_following = discovery->follower && (reader || !role->follower);
 
+  if (reader || role->standby)
+    prove_if_due (discovery, role->rank);
   discovery->follower = role->follower && !reader;
   if (stops_following && discovery->config_call == NULL)
     timer_set (discovery->options.timers, &discovery->config_timer, 0);
--- a/src/pool/discovery.h
+++ b/src/pool/discovery.h
@@ -10,6 +10,7 @@
 #include <talloc.h>
 
 #include "base/timer-queue.h"
+#include "policy/config-proof.h"
 #include "pool/directory.h"
 #include "pool/pool-metrics.h"
 #include "pool/snapshot.h"
@@ -22,6 +23,8 @@
  * @instances: the instance list was read; holds &struct InstanceInfo.
  * @store_restored: the store came back from a backup, and is in @era now.
  * @request_snapshot: the store can't be read, and another host may have newer data.
+ * @proof: records what the store's answers prove of the configuration.
+ * @proof_limit_ms: age at which a proof expires; 0 if none is needed.
  */
 typedef struct
 {
@@ -32,6 +35,8 @@
   void (*instances) (void *data, const GArray *infos);
   void (*store_restored) (void *data, uint64_t era);
   void (*request_snapshot) (void *data);
+  ConfigProof *proof;
+  int64_t proof_limit_ms;
   void *data;
 } DiscoveryOptions;
 
@@ -44,6 +49,7 @@
  *   change.
  * @standby: it becomes a reader when it knows of no recent read by any host.
  * @follower: unless it is a reader, it takes changes from peers rather than from the store.
+ * @rank: among the hosts that may become readers in its place, counting from 0.
  * @round_ms: time in which a heartbeat reaches every host that depends on it.
  */
 typedef struct
@@ -51,6 +57,7 @@
   bool reader;
   bool standby;
   bool follower;
+  uint32_t rank;
   int64_t round_ms;
 } ReaderRole;
 
--- a/src/pool/instance-connection.c
+++ b/src/pool/instance-connection.c
@@ -228,7 +228,8 @@
   connection->received_ms = connection->used_ms = clock_now_ms ();
   talloc_set_destructor (connection, connection_destroy);
   connection->stream = stream_new (connection, options->events, fd, &connection_events, connection);
-  options->codec->write_open (output (connection), options->service, options->instance);
+  options->codec->write_open (output (connection), options->service, options->customer,
+                              options->instance);
   stream_flush (connection->stream);
   return connection;
 }
--- a/src/pool/instance-connection.h
+++ b/src/pool/instance-connection.h
@@ -18,6 +18,7 @@
 
 /**
  * struct InstanceConnectionOptions - Address, codec and callbacks. Text is copied.
+ * @customer: whose statements it runs; %NULL for none.
  * @opened: the connection is ready for its first statement.
  * @refused: the instance rejected the session with this code; the connection is dead.
  * @lost: the connection closed; a statement running on it has no outcome; the connection is dead.
@@ -31,6 +32,7 @@
   const char *address;
   uint16_t port;
   const char *service;
+  const char *customer;
   const char *instance;
   void (*opened) (void *data);
   void (*refused) (void *data, AnswerCode code);
--- a/src/pool/instance-pool.c
+++ b/src/pool/instance-pool.c
@@ -1,5 +1,7 @@
 #include "pool/instance-pool.h"
 
+#include <string.h>
+
 #include "base/clock.h"
 #include "base/log.h"
 
@@ -17,6 +19,8 @@
 #define IDLE_TIMEOUT_MS 800
 /* The same where there are more hosts than connections. */
 #define SCARCE_IDLE_TIMEOUT_MS 100
+/* The same for a connection of a customer, which is of use to that customer only. */
+#define CUSTOMER_IDLE_TIMEOUT_MS 3000
 /* Time in which the reported demand for connections falls by one. */
 #define DEMAND_DECAY_MS 200
 /* Waiting requests per priority; further ones are refused immediately. */
@@ -38,6 +42,7 @@
   bool opening;
   int64_t opened_ms;
   Priority priority;
+  char customer[CATALOG_NAME_BYTES]; /* whose statements it runs; empty for none */
 };
 
 struct InstancePool
@@ -275,7 +280,7 @@
 }
 
 static bool
-open_connection (InstancePool *pool)
+open_connection (InstancePool *pool, const char *customer)
 {
   PoolConnection *connection = talloc_zero (pool, PoolConnection);
   const InstanceConnectionOptions options = {
@@ -284,6 +289,7 @@
     .address = pool->info.address,
     .port = pool->info.port,
     .service = pool->info.service,
+    .customer = *customer == '\0' ? NULL : customer,
     .instance = pool->info.id,
     .opened = on_opened,
     .refused = on_refused,
@@ -294,6 +300,7 @@
   connection->pool = pool;
   connection->opening = true;
   connection->opened_ms = clock_now_ms ();
+  g_strlcpy (connection->customer, customer, sizeof connection->customer);
   connection->backend = instance_connection_new (connection, &options);
   if (connection->backend == NULL)
     {
@@ -305,20 +312,69 @@
   return true;
 }
 
+/* An idle connection that can serve @request, best one that has the session's values already. */
 static PoolConnection *
-pop_idle (InstancePool *pool, const SessionValues *values)
+pop_idle (InstancePool *pool, const ConnectionRequest *request)
 {
   PoolConnection *connection;
+  GList *found = NULL;
 
-  for (GList *node = pool->idle.head; node != NULL && values != NULL; node = node->next)
+  for (GList *node = pool->idle.head; node != NULL; node = node->next)
     {
       connection = node->data;
-      if (!instance_connection_matches (connection->backend, values))
+      if (strcmp (connection->customer, request->customer) != 0)
+        continue;
+      if (found == NULL)
+        found = node;
+      if (request->values == NULL
+          || !instance_connection_matches (connection->backend, request->values))
         continue;
-      g_queue_delete_link (&pool->idle, node);
-      return connection;
+      found = node;
+      break;
     }
-  return g_queue_pop_head (&pool->idle);
+  if (found == NULL)
+    return NULL;
+  connection = found->data;
+  g_queue_delete_link (&pool->idle, found);
+  return connection;
+}
+
+static uint32_t
+count_opening (const InstancePool *pool, const char *customer)
+{
+  uint32_t count = 0;
+
+  for (const GList *node = pool->connections.head; node != NULL; node = node->next)
+    {
+      const PoolConnection *connection = node->data;
+
+      count += connection->opening && strcmp (connection->customer, customer) == 0;
+    }
+  return count;
+}
+
+/* Whether connections being opened are enough for the request at @node and those before it. */
+static bool
+is_opening_for (const InstancePool *pool, const GList *node)
+{
+  const ConnectionRequest *request = node->data;
+  uint32_t before = 0;
+
+  for (const GList *other = node->prev; other != NULL; other = other->prev)
+    before += strcmp (((const ConnectionRequest *) other->data)->customer, request->customer) == 0;
+  return before < count_opening (pool, request->customer);
+}
+
+/* Makes room for a connection: the least recently used idle one serves another customer. */
+static bool
+make_room (InstancePool *pool)
+{
+  if (pool->connections.length < pool->limit)
+    return true;
+  if (pool->idle.length == 0)
+    return false;
+  remove_connection (g_queue_peek_tail (&pool->idle));
+  return pool->connections.length < pool->limit;
 }
 
 /* Opens the connections that waiting requests need beyond those being opened. */
@@ -327,18 +383,47 @@
 {
   const int64_t now_ms = clock_now_ms ();
 
-  while (pool->waiting.length > pool->opening && pool->connections.length < pool->limit
-         && now_ms >= pool->open_after_ms)
-    if (!open_connection (pool))
-      {
-        pool->open_after_ms = now_ms + CONNECT_RETRY_MS;
+  for (const GList *node = pool->waiting.head; node != NULL && now_ms >= pool->open_after_ms;
+       node = node->next)
+    {
+      const ConnectionRequest *request = node->data;
+
+      if (is_opening_for (pool, node))
+        continue;
+      if (!make_room (pool))
         break;
-      }
+      if (!open_connection (pool, request->customer))
+        pool->open_after_ms = now_ms + CONNECT_RETRY_MS;
+    }
   if (pool->failures > 0 && pool->connections.length == 0 && pool->waiting.length > 0
       && now_ms < pool->open_after_ms)
     refuse_waiting (pool, ANSWER_UNREACHABLE);
 }
 
+/* Gives idle connections to the requests that wait for one, in their order. */
+static void
+grant_waiting (InstancePool *pool)
+{
+  GList *node = pool->waiting.head;
+
+  while (node != NULL && pool->idle.length > 0)
+    {
+      ConnectionRequest *request = node->data;
+      PoolConnection *connection = pop_idle (pool, request);
+
+      if (connection == NULL)
+        {
+          node = node->next;
+          continue;
+        }
+      g_queue_delete_link (&pool->waiting, node);
+      request->waiting = false;
+      grant (connection, request);
+      // The callback may have changed the queue.
+      node = pool->waiting.head;
+    }
+}
+
 /* Connections that are or can be made available, minus those for requests that already have a
  * slot. */
 static uint32_t
@@ -377,12 +462,7 @@
       request->waiting = true;
       g_queue_push_tail (&pool->waiting, request);
     }
-  while (pool->waiting.length > 0 && pool->idle.length > 0)
-    {
-      ConnectionRequest *request = pop_waiting (pool);
-
-      grant (pop_idle (pool, request->values), request);
-    }
+  grant_waiting (pool);
   open_for_waiting (pool);
   pool->dispatching = false;
 }
@@ -418,6 +498,8 @@
     }
   request->pool = pool;
   request->waiting = false;
+  if (request->customer == NULL)
+    request->customer = "";
   request->item = (AdmissionItem){
     .priority = request->priority,
     .source = request->source,
@@ -633,15 +715,22 @@
   return waiting_since_ms == 0 ? 0 : now_ms - waiting_since_ms;
 }
 
+static int64_t
+idle_timeout_ms (const InstancePool *pool, const PoolConnection *connection)
+{
+  if (pool->scarce)
+    return SCARCE_IDLE_TIMEOUT_MS;
+  return *connection->customer == '\0' ? IDLE_TIMEOUT_MS : CUSTOMER_IDLE_TIMEOUT_MS;
+}
+
 static void
 close_idle (InstancePool *pool, int64_t now_ms)
 {
-  const int64_t limit_ms = pool->scarce ? SCARCE_IDLE_TIMEOUT_MS : IDLE_TIMEOUT_MS;
   const guint kept = pool->scarce ? 0 : 1;
   PoolConnection *oldest;
 
   while (pool->connections.length > kept && (oldest = g_queue_peek_tail (&pool->idle)) != NULL
-         && now_ms - instance_connection_used_ms (oldest->backend) > limit_ms)
+         && now_ms - instance_connection_used_ms (oldest->backend) > idle_timeout_ms (pool, oldest))
     remove_connection (oldest);
 }
 
@@ -688,7 +777,7 @@
     }
   // No request reaches an instance that is down, so the pool itself probes it by connecting.
   if (pool->failures > 0 && pool->connections.length == 0 && now_ms >= pool->open_after_ms)
-    open_connection (pool);
+    open_connection (pool, "");
   close_surplus (pool);
   close_timed_out_connects (pool, now_ms);
   if (pool->limit < pool->assigned_limit && now_ms >= pool->open_after_ms
--- a/src/pool/instance-pool.h
+++ b/src/pool/instance-pool.h
@@ -21,6 +21,7 @@
  * @priority: priority of the statement.
  * @deadline_ms: absolute time after which the request is refused.
  * @source: fairness key.
+ * @customer: whose statement it is, as a connection serves one customer only; empty for none.
  * @restartable: the statement may be abandoned and run on another instance.
  * @values: session values that the connection should already have, if there is a choice.
  * @granted: a connection is available.
@@ -32,6 +33,7 @@
   Priority priority;
   int64_t deadline_ms;
   uint64_t source;
+  const char *customer;
   bool restartable;
   const SessionValues *values;
   void (*granted) (void *data, PoolConnection *connection);
--- a/src/pool/pool-metrics.h
+++ b/src/pool/pool-metrics.h
@@ -31,6 +31,7 @@
   POOL_COUNT_FEED_GONE,      /* the store no longer has the revision to watch from */
   POOL_COUNT_ANSWERS_CUT,    /* this host ended a session with an answer owed */
   POOL_COUNT_PAUSES_LIFTED,  /* this host set out to end pauses that another one left behind */
+  POOL_COUNT_KEYS_REFUSED,   /* sessions not opened because no customer holds the key */
   POOL_COUNT_COUNT
 } PoolCount;
 
--- a/src/pool/pool-server.c
+++ b/src/pool/pool-server.c
@@ -1,5 +1,6 @@
 #include "pool/pool-server.h"
 
+#include <inttypes.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -20,8 +21,9 @@
 #define END_LINES_PER_S 50
 /* No session is forwarded to an owner for this time after it was lost. */
 #define OWNER_AVOID_MS 2000
-/* Interval at which forwarded sessions are checked for draining owners and changed routes. */
-#define FORWARD_CHECK_MS 250
+/* Interval at which sessions are checked for keys that are gone, draining owners and changed
+ * routes. */
+#define SESSION_CHECK_MS 250
 
 struct PoolServer
 {
@@ -32,7 +34,8 @@
   int link_fd; /* for sessions that other hosts forward */
   struct tevent_fd *link_fde;
   GHashTable *avoided; /* id of an owner to the end of the time, in ms */
-  int64_t forwards_checked_ms;
+  int64_t sessions_checked_ms;
+  bool outdated; /* callers with keys are refused, see pool_server_config_is_current() */
   GHashTable *sessions;
   Catalog *catalog;
   GHashTable *services; /* name to HostedService */
@@ -119,19 +122,38 @@
 }
 
 static void
-check_forwarded_sessions (PoolServer *server, int64_t now_ms)
+check_sessions (PoolServer *server, int64_t now_ms)
 {
+  const bool has_keys = server->catalog != NULL && server->catalog->customers != NULL;
   GList *sessions;
 
-  if (!pool_server_has_owners (server) || now_ms - server->forwards_checked_ms < FORWARD_CHECK_MS)
+  if ((!has_keys && !pool_server_has_owners (server))
+      || now_ms - server->sessions_checked_ms < SESSION_CHECK_MS)
     return;
-  server->forwards_checked_ms = now_ms;
+  server->sessions_checked_ms = now_ms;
   sessions = g_hash_table_get_keys (server->sessions);
   for (GList *node = sessions; node != NULL; node = node->next)
-    pool_session_check_forward (node->data);
+    pool_session_check (node->data);
   g_list_free (sessions);
 }
 
+/* Logs when callers with keys begin to be refused, or are served again. */
+static void
+check_configuration_age (PoolServer *server, int64_t now_ms)
+{
+  const bool outdated = server->catalog != NULL && !pool_server_config_is_current (server);
+  const ConfigProof *proof = server->options.proof;
+
+  if (outdated == server->outdated)
+    return;
+  server->outdated = outdated;
+  log_event (LOG_LEVEL_WARNING, "configuration_unproved",
+             "value=%d version=%" PRIu64 " proof_age_ms=%" PRId64 " newest_version=%" PRIu64
+             " limit_ms=%" PRId64,
+             outdated, proof->own_version, config_proof_age_ms (proof, now_ms), proof->version,
+             server->options.revoke_limit_ms);
+}
+
 static void
 on_tick (void *data)
 {
@@ -144,7 +166,8 @@
   g_hash_table_iter_init (&iter, server->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     hosted_service_tick (value, now_ms);
-  check_forwarded_sessions (server, now_ms);
+  check_sessions (server, now_ms);
+  check_configuration_age (server, now_ms);
   if (server->drain.phase != DRAIN_SERVING)
     advance_drain (server, now_ms);
 }
@@ -285,6 +308,16 @@
   return server->catalog;
 }
 
+bool
+pool_server_config_is_current (const PoolServer *server)
+{
+  const PoolServerOptions *options = &server->options;
+
+  return options->revoke_limit_ms == 0 || server->catalog == NULL
+         || server->catalog->customers == NULL
+         || config_proof_is_current (options->proof, options->revoke_limit_ms, clock_now_ms ());
+}
+
 void
 pool_server_set_instances (PoolServer *server, const GArray *infos)
 {
@@ -465,7 +498,7 @@
 pool_server_is_ready (const PoolServer *server)
 {
   return server->catalog != NULL && server->instances->len > 0 && server->hosts_known
-         && server->drain.phase == DRAIN_SERVING;
+         && server->drain.phase == DRAIN_SERVING && pool_server_config_is_current (server);
 }
 
 void
--- a/src/pool/pool-server.h
+++ b/src/pool/pool-server.h
@@ -12,6 +12,7 @@
 
 #include "base/counters.h"
 #include "base/timer-queue.h"
+#include "policy/config-proof.h"
 #include "policy/drain.h"
 #include "policy/ownership.h"
 #include "pool/catalog.h"
@@ -34,6 +35,8 @@
  * @directory: platform calls, to change primaries.
  * @mesh: heartbeats with the other hosts.
  * @refresh_instances: the instance list may be out of date.
+ * @proof: what is known of the configuration's age. @revoke_limit_ms: a key that was taken away
+ * must not be served after this time, 0 for no limit.
  */
 typedef struct
 {
@@ -52,6 +55,8 @@
   const Directory *directory;
   PeerMesh *mesh;
   void (*refresh_instances) (void *data);
+  const ConfigProof *proof;
+  int64_t revoke_limit_ms;
   void *data;
 } PoolServerOptions;
 
@@ -71,6 +76,12 @@
 /** pool_server_catalog() - Configuration in force; %NULL before the first. */
 Catalog *pool_server_catalog (const PoolServer *server);
 
+/**
+ * pool_server_config_is_current() - Whether the configuration is known to be new enough to serve
+ * callers with keys.
+ */
+bool pool_server_config_is_current (const PoolServer *server);
+
 /** pool_server_set_instances() - Sets the current instance list. */
 void pool_server_set_instances (PoolServer *server, const GArray *infos);
 
--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -29,29 +29,32 @@
   statement_done (&session->begin);
   session_values_done (&session->values);
   g_free (session->database_name);
+  g_free (session->key);
   g_free (session->forwarded_service);
   pool_server_remove_session (session->server, session);
   counter_add (session->options->counters, COUNTER_CALLERS_OPEN, -1);
   return 0;
 }
 
-/* A new configuration applies from the next operation on. */
-static bool
+/* A new configuration applies from the next operation on, except that a key that is gone is not
+ * served any more. */
+static SessionAccess
 look_up_route (PoolSession *session)
 {
   Catalog *catalog = pool_server_catalog (session->server);
 
   if (session->transaction != TRANSACTION_NONE)
-    return true;
+    return session_check_access (session, session->database);
   session_release_catalog (session);
   if (catalog == NULL)
-    return false;
+    return SESSION_NO_DATABASE;
   session->catalog = catalog_ref (catalog);
   session->database = catalog_database (catalog, session->database_name);
   if (session->database == NULL)
-    return false;
+    return SESSION_NO_DATABASE;
   session->group = pool_server_group (session->server, session->database->service);
-  return session->group != NULL;
+  return session->group == NULL ? SESSION_NO_DATABASE
+                                : session_check_access (session, session->database);
 }
 
 static void
@@ -166,15 +169,15 @@
   session_answer_complete (session, "-", (SessionToken){ 0 });
 }
 
-/* The statement is not run, and neither is the rest of its transaction. */
+/* The statement is not run, and neither is the rest of its transaction. @reason is static text. */
 static void
-refuse_to_start (PoolSession *session)
+refuse_to_start (PoolSession *session, AnswerCode code, const char *reason)
 {
-  session->reason = "this host is shutting down";
+  session->reason = reason;
   switch (session->transaction)
     {
     case TRANSACTION_NONE:
-      session_answer_error (session, ANSWER_OVERLOADED, session->reason);
+      session_answer_error (session, code, session->reason);
       return;
     case TRANSACTION_FAILED:
       run_in_failed_transaction (session);
@@ -188,6 +191,29 @@
     }
 }
 
+/* Returns whether the statement may go on; otherwise it has been answered. */
+static bool
+check_access (PoolSession *session)
+{
+  switch (look_up_route (session))
+    {
+    case SESSION_ALLOWED:
+      return true;
+    case SESSION_NO_DATABASE:
+      session_answer_error (session, ANSWER_UNKNOWN_DATABASE, "no such database");
+      return false;
+    case SESSION_NO_KEY:
+      refuse_to_start (session, ANSWER_UNAUTHENTICATED, "unknown key");
+      if (session->transaction == TRANSACTION_NONE)
+        pool_session_finish (session, SESSION_END_KEY);
+      return false;
+    case SESSION_OUT_OF_DATE:
+      refuse_to_start (session, ANSWER_OVERLOADED, "the configuration may be out of date");
+      return false;
+    }
+  return false;
+}
+
 static void
 start_statement (PoolSession *session)
 {
@@ -200,14 +226,11 @@
   counter_add (session->options->counters, COUNTER_STATEMENTS, 1);
   if (!session_may_start (session))
     {
-      refuse_to_start (session);
-      return;
-    }
-  if (!look_up_route (session))
-    {
-      session_answer_error (session, ANSWER_UNKNOWN_DATABASE, "no such database");
+      refuse_to_start (session, ANSWER_OVERLOADED, "this host is shutting down");
       return;
     }
+  if (!check_access (session))
+    return;
   session->deadline_ms = session->started_ms + session->database->statement_ms;
   if (session->transaction == TRANSACTION_FAILED)
     {
@@ -264,19 +287,48 @@
   return !session->forwarded || strcmp (session->forwarded_service, database->service) == 0;
 }
 
+/* Returns whether the caller may use the database; otherwise the session ends. */
+static bool
+may_open (PoolSession *session, const Database *route)
+{
+  switch (session_check_access (session, route))
+    {
+    case SESSION_ALLOWED:
+      return true;
+    case SESSION_NO_DATABASE:
+      end_with_error (session, SESSION_END_REFUSED, ANSWER_UNKNOWN_DATABASE,
+                      session->database_name);
+      return false;
+    case SESSION_NO_KEY:
+      pool_metrics_count (session->options->metrics, POOL_COUNT_KEYS_REFUSED);
+      // The host that forwards the session knows the key, from a newer configuration perhaps.
+      end_with_error (session, SESSION_END_REFUSED,
+                      session->forwarded ? ANSWER_OVERLOADED : ANSWER_UNAUTHENTICATED,
+                      "unknown key");
+      return false;
+    case SESSION_OUT_OF_DATE:
+      end_with_error (session, SESSION_END_REFUSED, ANSWER_OVERLOADED,
+                      "the configuration may be out of date");
+      return false;
+    }
+  return false;
+}
+
 static void
-open_session (PoolSession *session, char *database, GBytes *message)
+open_session (PoolSession *session, CallerMessage *opening, GBytes *message)
 {
   Catalog *catalog = pool_server_catalog (session->server);
   const Database *route;
 
   if (session->database_name != NULL)
     {
-      g_free (database);
+      g_free (opening->database);
+      g_free (opening->key);
       end_with_error (session, SESSION_END_PROTOCOL, ANSWER_MALFORMED, "the session is open");
       return;
     }
-  session->database_name = database;
+  session->database_name = opening->database;
+  session->key = opening->key;
   if (session->notified || !drain_may_open (pool_server_drain_phase (session->server)))
     {
       end_with_error (session, SESSION_END_DRAIN, ANSWER_OVERLOADED, "this host is shutting down");
@@ -287,12 +339,9 @@
       end_with_error (session, SESSION_END_REFUSED, ANSWER_OVERLOADED, "starting");
       return;
     }
-  route = catalog_database (catalog, database);
-  if (route == NULL)
-    {
-      end_with_error (session, SESSION_END_REFUSED, ANSWER_UNKNOWN_DATABASE, database);
-      return;
-    }
+  route = catalog_database (catalog, session->database_name);
+  if (!may_open (session, route))
+    return;
   if (session->forwarded
       && (!pool_server_is_ready (session->server) || !route_matches (session, route)))
     {
@@ -316,7 +365,7 @@
     case CALLER_MESSAGE_NONE:
       return;
     case CALLER_MESSAGE_OPEN:
-      open_session (session, message->database, bytes);
+      open_session (session, message, bytes);
       return;
     case CALLER_MESSAGE_STATEMENT:
       session->statement = message->statement;
@@ -483,11 +532,31 @@
 
 static const StreamEvents session_events = { on_readable, on_drained, on_closed };
 
+/* A key that is gone ends the session after its operation. */
+static void
+check_key (PoolSession *session)
+{
+  const Database *database
+      = catalog_database (pool_server_catalog (session->server), session->database_name);
+
+  if (session_check_access (session, database) == SESSION_NO_KEY)
+    session_notify_end (session, SESSION_END_KEY);
+}
+
+static bool
+is_between_operations (const PoolSession *session)
+{
+  return session->database_name != NULL && !session->active && !session->notified
+         && !session->finishing && session->transaction == TRANSACTION_NONE;
+}
+
 void
-pool_session_check_forward (PoolSession *session)
+pool_session_check (PoolSession *session)
 {
   const bool outermost = session_enter (session);
 
+  if (is_between_operations (session))
+    check_key (session);
   if (session->forward != NULL)
     session_forward_check (session);
   session_leave (session, outermost);
--- a/src/pool/pool-session.h
+++ b/src/pool/pool-session.h
@@ -23,6 +23,7 @@
   SESSION_END_REFUSED,     /* it could not be opened */
   SESSION_END_OWNER,       /* its owner was lost or is draining */
   SESSION_END_ROUTE,       /* its route leads to another owner */
+  SESSION_END_KEY,         /* its caller's key is no longer valid */
   SESSION_END_DRAIN,       /* this host is draining */
   SESSION_END_PROCESS,     /* the process ends */
   SESSION_END_COUNT
@@ -34,8 +35,11 @@
  */
 PoolSession *pool_session_new (PoolServer *server, int fd, bool forwarded);
 
-/** pool_session_check_forward() - See session_forward_check(); no effect on other sessions. */
-void pool_session_check_forward (PoolSession *session);
+/**
+ * pool_session_check() - Ends the session, between two operations, if its key is gone or its owner
+ * can no longer serve it.
+ */
+void pool_session_check (PoolSession *session);
 
 /**
  * pool_session_finish() - Ends the session as soon as the caller has what was written to it. Work
--- a/src/pool/session-answer.c
+++ b/src/pool/session-answer.c
@@ -116,13 +116,15 @@
   if (session->group != NULL)
     service_group_view (session->group, &view);
   log_event (LOG_LEVEL_INFO, "statement",
-             "request=%s session=%" PRIu64 " database=%s service=%s priority=%s kind=%s code=%s "
+             "request=%s session=%" PRIu64
+             " database=%s customer=%s service=%s priority=%s kind=%s code=%s "
              "verdict=\"%s\" instance=%s primary=%s term=%" PRIu64 " confirmed_age_ms=%" PRId64
              " required_position=%" PRIu64 ".%" PRIu64 " position_age_ms=%" PRId64
              " config=%" PRIu64 " attempts=%u took_ms=%" PRId64
              " reason=\"%s\" text=\"%s\" suppressed=%u",
              session->statement.id, session->id,
              session->database_name == NULL ? "-" : session->database_name,
+             *session->customer == '\0' ? "-" : session->customer,
              database == NULL ? "-" : database->service,
              database == NULL ? "-" : priority_name (database->priority),
              statement_kind_name (session->statement.kind), answer_code_name (code),
--- a/src/pool/session-forward.c
+++ b/src/pool/session-forward.c
@@ -322,6 +322,30 @@
   return database != NULL && strcmp (database->service, session->forward->service) == 0;
 }
 
+/* Returns whether the caller may go on; otherwise the statement is answered, and not run. */
+static bool
+check_access (PoolSession *session, const Database *database)
+{
+  switch (session_check_access (session, database))
+    {
+    case SESSION_ALLOWED:
+    case SESSION_NO_DATABASE:
+      return true;
+    case SESSION_NO_KEY:
+      answer_and_end (session, SESSION_END_KEY, ANSWER_UNAUTHENTICATED, "unknown key");
+      return false;
+    case SESSION_OUT_OF_DATE:
+      session->reason = "the configuration may be out of date";
+      session_record_outcome (session, ANSWER_OVERLOADED, session->reason);
+      session->options->codec->write_error (session_output (session), ANSWER_OVERLOADED,
+                                            session->reason);
+      session->options->codec->write_ready (session_output (session), 'I', (SessionToken){ 0 });
+      statement_done (&session->statement);
+      return false;
+    }
+  return false;
+}
+
 void
 session_forward_message (PoolSession *session, CallerMessage *message, const guint8 *bytes,
                          size_t length)
@@ -334,6 +358,7 @@
     {
       // Ends the session at the owner too.
       g_free (message->database);
+      g_free (message->key);
       pool_session_finish (session, SESSION_END_CALLER);
       return;
     }
@@ -346,6 +371,8 @@
                       "the owner of the service was lost");
       return;
     }
+  if (forward->state == 'I' && !check_access (session, database))
+    return;
   if (forward->state == 'I' && !route_is_unchanged (session, database))
     {
       answer_and_end (session, SESSION_END_ROUTE,
--- a/src/pool/session-route.c
+++ b/src/pool/session-route.c
@@ -114,6 +114,12 @@
              sizeof session->instance);
   pool_metrics_add (session->options->metrics, POOL_LATENCY_CONNECTION,
                     clock_now_ms () - session->requested_ms);
+  if (!session_may_send (session))
+    {
+      session_release_connection (session);
+      session_refuse (session, ANSWER_OVERLOADED, "the configuration may be out of date");
+      return;
+    }
   // The lease on the primary may have expired during the wait.
   if (needs_primary (session)
       && service_group_primary (session->group) != instance_pool_of_connection (connection))
@@ -199,7 +205,10 @@
              session->started_ms + session->database->operation_ms / QUEUE_WAIT_DIVISOR);
   session->request.restartable
       = session->transaction == TRANSACTION_NONE && !session_statement_writes (session);
-  session->request.source = session->id;
+  // Customers take turns; without customers, sessions do.
+  session->request.source
+      = *session->customer == '\0' ? session->id : g_str_hash (session->customer);
+  session->request.customer = session_customer (session);
   session->request.values = &session->values;
   instance_pool_request (pool, &session->request);
 }
--- a/src/pool/session-state.h
+++ b/src/pool/session-state.h
@@ -2,7 +2,8 @@
  * DOC: Internals of a caller's session, shared by the files that implement it: pool-session.c
  * handles the caller's messages, session-route.c chooses an instance and gets a connection,
  * session-run.c runs the statement, session-answer.c answers the caller, session-forward.c hands
- * the session to another host, and session-end.c ends it.
+ * the session to another host, session-access.c knows which customer's it is and what that customer
+ * may do, and session-end.c ends it.
  */
 #pragma once
 
@@ -49,7 +50,9 @@
   uint32_t finish_stalls;
   uint64_t id;
   char *database_name;
-  Catalog *catalog; /* of the current operation */
+  char *key;                         /* of its caller; %NULL if it sent none */
+  char customer[CATALOG_NAME_BYTES]; /* that holds the key; empty if keys are not required */
+  Catalog *catalog;                  /* of the current operation */
   const Database *database;
   ServiceGroup *group;
   SessionValues values;
@@ -176,6 +179,32 @@
 /** session_can_wait_for_slot() - Whether there is time to retry at a busy instance. */
 bool session_can_wait_for_slot (const PoolSession *session);
 
+/* Implemented in session-access.c. */
+
+/** enum SessionAccess - Whether a session may use its database. */
+typedef enum
+{
+  SESSION_ALLOWED,
+  SESSION_NO_DATABASE,
+  SESSION_NO_KEY,      /* no customer holds the caller's key */
+  SESSION_OUT_OF_DATE, /* a newer configuration may be in force, in which the key is gone */
+} SessionAccess;
+
+/**
+ * session_check_access() - Whether the configuration in force lets the caller use @database; sets
+ * the customer of the session.
+ */
+SessionAccess session_check_access (PoolSession *session, const Database *database);
+
+/**
+ * session_may_send() - Whether a statement may be sent to an instance now: the configuration that
+ * allows it is still known to be the newest.
+ */
+bool session_may_send (const PoolSession *session);
+
+/** session_customer() - Customer for a connection to an instance; empty for none. */
+const char *session_customer (const PoolSession *session);
+
 /* Implemented in session-end.c. */
 
 /**
--- a/src/pool/snapshot.c
+++ b/src/pool/snapshot.c
@@ -35,6 +35,7 @@
       entry->operation_ms = database->operation_ms;
       entry->attempts = database->attempts;
       entry->priority = database->priority;
+      entry->anonymous = database->anonymous;
       message->databases[message->n_databases++] = entry;
     }
 }
@@ -60,6 +61,37 @@
     }
 }
 
+/* A key that two customers hold is sent with neither of them, so the receiver refuses it too. */
+static void
+fill_customers (const Catalog *catalog, Pool__Snapshot *message)
+{
+  GHashTableIter iter;
+  void *key, *value;
+
+  message->keys_required = catalog->customers != NULL;
+  if (catalog->customers == NULL)
+    return;
+  message->customers = g_new (Pool__SnapshotCustomer *, g_hash_table_size (catalog->customers) + 1);
+  g_hash_table_iter_init (&iter, catalog->customers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const Customer *customer = value;
+      Pool__SnapshotCustomer *entry = g_new (Pool__SnapshotCustomer, 1);
+      GHashTableIter keys;
+
+      pool__snapshot_customer__init (entry);
+      entry->name = customer->name;
+      entry->rate_per_s = customer->rate_per_s;
+      entry->burst = customer->burst;
+      entry->keys = g_new (char *, g_hash_table_size (catalog->keys) + 1);
+      g_hash_table_iter_init (&keys, catalog->keys);
+      while (g_hash_table_iter_next (&keys, &key, &value))
+        if (value == customer)
+          entry->keys[entry->n_keys++] = key;
+      message->customers[message->n_customers++] = entry;
+    }
+}
+
 static void
 fill_instances (const GArray *infos, Pool__Snapshot *message)
 {
@@ -124,6 +156,7 @@
       message.idle_transaction_ms = snapshot->catalog->idle_transaction_ms;
       fill_databases (snapshot->catalog, &message);
       fill_services (snapshot->catalog, &message);
+      fill_customers (snapshot->catalog, &message);
     }
   if (snapshot->infos != NULL)
     fill_instances (snapshot->infos, &message);
@@ -137,6 +170,9 @@
   memcpy (out->data + start, &length, LENGTH_BYTES);
   free_entries (message.databases, message.n_databases);
   free_entries (message.services, message.n_services);
+  for (size_t i = 0; i < message.n_customers; i++)
+    g_free (message.customers[i]->keys);
+  free_entries (message.customers, message.n_customers);
   free_entries (message.instances, message.n_instances);
   free_entries (message.hosts, message.n_hosts);
 }
@@ -165,6 +201,7 @@
         .operation_ms = entry->operation_ms,
         .attempts = entry->attempts,
         .priority = (Priority) entry->priority,
+        .anonymous = entry->anonymous,
       };
 
       catalog_add_database (catalog, &database);
@@ -180,6 +217,18 @@
 
       catalog_add_service (catalog, &service);
     }
+  if (message->keys_required)
+    catalog_require_keys (catalog);
+  for (size_t i = 0; i < message->n_customers && message->keys_required; i++)
+    {
+      const Pool__SnapshotCustomer *entry = message->customers[i];
+      const Customer customer
+          = { .name = entry->name, .rate_per_s = entry->rate_per_s, .burst = entry->burst };
+      const Customer *added = catalog_add_customer (catalog, &customer);
+
+      for (size_t j = 0; j < entry->n_keys; j++)
+        catalog_add_key (catalog, entry->keys[j], added);
+    }
   return catalog;
 }
 
@@ -194,6 +243,10 @@
   for (size_t i = 0; i < message->n_services; i++)
     if (!is_name (message->services[i]->name))
       return false;
+  for (size_t i = 0; i < message->n_customers; i++)
+    if (!is_name (message->customers[i]->name) || !(message->customers[i]->rate_per_s >= 0)
+        || !(message->customers[i]->burst >= 0))
+      return false;
   for (size_t i = 0; i < message->n_instances; i++)
     if (!is_name (message->instances[i]->id) || !is_name (message->instances[i]->service)
         || !is_name (message->instances[i]->address)
--- a/src/pool/snapshot.pb-c.c
+++ b/src/pool/snapshot.pb-c.c
@@ -97,6 +97,51 @@
   assert(message->base.descriptor == &pool__snapshot_service__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   pool__snapshot_customer__init
+                     (Pool__SnapshotCustomer         *message)
+{
+  static const Pool__SnapshotCustomer init_value = POOL__SNAPSHOT_CUSTOMER__INIT;
+  *message = init_value;
+}
+size_t pool__snapshot_customer__get_packed_size
+                     (const Pool__SnapshotCustomer *message)
+{
+  assert(message->base.descriptor == &pool__snapshot_customer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t pool__snapshot_customer__pack
+                     (const Pool__SnapshotCustomer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &pool__snapshot_customer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t pool__snapshot_customer__pack_to_buffer
+                     (const Pool__SnapshotCustomer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &pool__snapshot_customer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Pool__SnapshotCustomer *
+       pool__snapshot_customer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Pool__SnapshotCustomer *)
+     protobuf_c_message_unpack (&pool__snapshot_customer__descriptor,
+                                allocator, len, data);
+}
+void   pool__snapshot_customer__free_unpacked
+                     (Pool__SnapshotCustomer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &pool__snapshot_customer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   pool__snapshot_instance__init
                      (Pool__SnapshotInstance         *message)
 {
@@ -232,7 +277,7 @@
   assert(message->base.descriptor == &pool__snapshot__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor pool__snapshot_database__field_descriptors[8] =
+static const ProtobufCFieldDescriptor pool__snapshot_database__field_descriptors[9] =
 {
   {
     "name",
@@ -330,8 +375,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "anonymous",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pool__SnapshotDatabase, anonymous),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool__snapshot_database__field_indices_by_name[] = {
+  8,   /* field[8] = anonymous */
   6,   /* field[6] = attempts */
   2,   /* field[2] = consistency */
   0,   /* field[0] = name */
@@ -344,7 +402,7 @@
 static const ProtobufCIntRange pool__snapshot_database__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor pool__snapshot_database__descriptor =
 {
@@ -354,7 +412,7 @@
   "Pool__SnapshotDatabase",
   "pool",
   sizeof(Pool__SnapshotDatabase),
-  8,
+  9,
   pool__snapshot_database__field_descriptors,
   pool__snapshot_database__field_indices_by_name,
   1,  pool__snapshot_database__number_ranges,
@@ -425,6 +483,83 @@
   (ProtobufCMessageInit) pool__snapshot_service__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor pool__snapshot_customer__field_descriptors[4] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Pool__SnapshotCustomer, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rate_per_s",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Pool__SnapshotCustomer, rate_per_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "burst",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Pool__SnapshotCustomer, burst),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "keys",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Pool__SnapshotCustomer, n_keys),
+    offsetof(Pool__SnapshotCustomer, keys),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned pool__snapshot_customer__field_indices_by_name[] = {
+  2,   /* field[2] = burst */
+  3,   /* field[3] = keys */
+  0,   /* field[0] = name */
+  1,   /* field[1] = rate_per_s */
+};
+static const ProtobufCIntRange pool__snapshot_customer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor pool__snapshot_customer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "pool.SnapshotCustomer",
+  "SnapshotCustomer",
+  "Pool__SnapshotCustomer",
+  "pool",
+  sizeof(Pool__SnapshotCustomer),
+  4,
+  pool__snapshot_customer__field_descriptors,
+  pool__snapshot_customer__field_indices_by_name,
+  1,  pool__snapshot_customer__number_ranges,
+  (ProtobufCMessageInit) pool__snapshot_customer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor pool__snapshot_instance__field_descriptors[9] =
 {
   {
@@ -631,7 +766,7 @@
   (ProtobufCMessageInit) pool__snapshot_host__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool__snapshot__field_descriptors[7] =
+static const ProtobufCFieldDescriptor pool__snapshot__field_descriptors[9] =
 {
   {
     "version",
@@ -717,20 +852,46 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "keys_required",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pool__Snapshot, keys_required),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "customers",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Pool__Snapshot, n_customers),
+    offsetof(Pool__Snapshot, customers),
+    &pool__snapshot_customer__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool__snapshot__field_indices_by_name[] = {
+  8,   /* field[8] = customers */
   2,   /* field[2] = databases */
   6,   /* field[6] = hosts */
   1,   /* field[1] = idle_transaction_ms */
   5,   /* field[5] = instances */
   4,   /* field[4] = instances_fresh */
+  7,   /* field[7] = keys_required */
   3,   /* field[3] = services */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange pool__snapshot__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor pool__snapshot__descriptor =
 {
@@ -740,7 +901,7 @@
   "Pool__Snapshot",
   "pool",
   sizeof(Pool__Snapshot),
-  7,
+  9,
   pool__snapshot__field_descriptors,
   pool__snapshot__field_indices_by_name,
   1,  pool__snapshot__number_ranges,
--- a/src/pool/snapshot.pb-c.h
+++ b/src/pool/snapshot.pb-c.h
@@ -17,6 +17,7 @@
 
 typedef struct Pool__SnapshotDatabase Pool__SnapshotDatabase;
 typedef struct Pool__SnapshotService Pool__SnapshotService;
+typedef struct Pool__SnapshotCustomer Pool__SnapshotCustomer;
 typedef struct Pool__SnapshotInstance Pool__SnapshotInstance;
 typedef struct Pool__SnapshotHost Pool__SnapshotHost;
 typedef struct Pool__Snapshot Pool__Snapshot;
@@ -38,10 +39,11 @@
   int64_t operation_ms;
   uint32_t attempts;
   uint32_t priority;
+  protobuf_c_boolean anonymous;
 };
 #define POOL__SNAPSHOT_DATABASE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool__snapshot_database__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Pool__SnapshotService
@@ -56,6 +58,20 @@
     , (char *)protobuf_c_empty_string, 0, 0 }
 
 
+struct  Pool__SnapshotCustomer
+{
+  ProtobufCMessage base;
+  char *name;
+  double rate_per_s;
+  double burst;
+  size_t n_keys;
+  char **keys;
+};
+#define POOL__SNAPSHOT_CUSTOMER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&pool__snapshot_customer__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0, 0,NULL }
+
+
 struct  Pool__SnapshotInstance
 {
   ProtobufCMessage base;
@@ -109,10 +125,16 @@
    */
   size_t n_hosts;
   Pool__SnapshotHost **hosts;
+  /*
+   * callers are told apart by keys
+   */
+  protobuf_c_boolean keys_required;
+  size_t n_customers;
+  Pool__SnapshotCustomer **customers;
 };
 #define POOL__SNAPSHOT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool__snapshot__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0,NULL }
 
 
 /* Pool__SnapshotDatabase methods */
@@ -153,6 +175,25 @@
 void   pool__snapshot_service__free_unpacked
                      (Pool__SnapshotService *message,
                       ProtobufCAllocator *allocator);
+/* Pool__SnapshotCustomer methods */
+void   pool__snapshot_customer__init
+                     (Pool__SnapshotCustomer         *message);
+size_t pool__snapshot_customer__get_packed_size
+                     (const Pool__SnapshotCustomer   *message);
+size_t pool__snapshot_customer__pack
+                     (const Pool__SnapshotCustomer   *message,
+                      uint8_t             *out);
+size_t pool__snapshot_customer__pack_to_buffer
+                     (const Pool__SnapshotCustomer   *message,
+                      ProtobufCBuffer     *buffer);
+Pool__SnapshotCustomer *
+       pool__snapshot_customer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   pool__snapshot_customer__free_unpacked
+                     (Pool__SnapshotCustomer *message,
+                      ProtobufCAllocator *allocator);
 /* Pool__SnapshotInstance methods */
 void   pool__snapshot_instance__init
                      (Pool__SnapshotInstance         *message);
@@ -218,6 +259,9 @@
 typedef void (*Pool__SnapshotService_Closure)
                  (const Pool__SnapshotService *message,
                   void *closure_data);
+typedef void (*Pool__SnapshotCustomer_Closure)
+                 (const Pool__SnapshotCustomer *message,
+                  void *closure_data);
 typedef void (*Pool__SnapshotInstance_Closure)
                  (const Pool__SnapshotInstance *message,
                   void *closure_data);
@@ -235,6 +279,7 @@
 
 extern const ProtobufCMessageDescriptor pool__snapshot_database__descriptor;
 extern const ProtobufCMessageDescriptor pool__snapshot_service__descriptor;
+extern const ProtobufCMessageDescriptor pool__snapshot_customer__descriptor;
 extern const ProtobufCMessageDescriptor pool__snapshot_instance__descriptor;
 extern const ProtobufCMessageDescriptor pool__snapshot_host__descriptor;
 extern const ProtobufCMessageDescriptor pool__snapshot__descriptor;
--- a/tests/fake-group.c
+++ b/tests/fake-group.c
@@ -174,7 +174,7 @@
 {
   const GPtrArray *log = session->instance->log;
 
-  // "@name" reads a session value.
+  // "@name" reads a session value; "@caller" the customer that the instance was told.
   if (*item == '@')
     {
       const char *value = g_hash_table_lookup (session->values, item + 1);
@@ -420,7 +420,10 @@
   else if (instance->fault == FAKE_FAULT_FULL)
     send_line (session, "ERROR CONNLIMIT %s", instance->name);
   else
-    send_ready (session);
+    {
+      g_hash_table_replace (session->values, g_strdup ("caller"), g_strdup (words[2]));
+      send_ready (session);
+    }
   g_strfreev (words);
   return true;
 }
--- a/tests/script-format.c
+++ b/tests/script-format.c
@@ -94,6 +94,40 @@
                             host.failure_domain);
 }
 
+static int
+compare_text (gconstpointer a, gconstpointer b)
+{
+  return g_strcmp0 (a, b);
+}
+
+/* Customers and keys in alphabetical order; a key with the customer that it selects. */
+static void
+print_customers (const Catalog *catalog, GString *out)
+{
+  GList *names, *keys;
+
+  if (catalog->customers == NULL)
+    return;
+  names = g_list_sort (g_hash_table_get_keys (catalog->customers), compare_text);
+  keys = g_list_sort (g_hash_table_get_keys (catalog->keys), compare_text);
+  for (GList *node = names; node != NULL; node = node->next)
+    {
+      const Customer *customer = g_hash_table_lookup (catalog->customers, node->data);
+
+      g_string_append_printf (out, "customer %s: %g operations/s, burst %g\n", customer->name,
+                              customer->rate_per_s, customer->burst);
+    }
+  for (GList *node = keys; node != NULL; node = node->next)
+    {
+      const Customer *customer = catalog_customer (catalog, node->data);
+
+      g_string_append_printf (out, "key %s: %s\n", (const char *) node->data,
+                              customer == NULL ? "nobody" : customer->name);
+    }
+  g_list_free (names);
+  g_list_free (keys);
+}
+
 static void
 print_catalog (const json_t *document, GString *out)
 {
@@ -119,6 +153,8 @@
                               database->name, database->service, database->staleness_ms,
                               database->statement_ms, database->operation_ms, database->attempts,
                               database->priority);
+      if (database->anonymous)
+        g_string_append_printf (out, "%s needs no key\n", database->name);
     }
   g_hash_table_iter_init (&iter, catalog->services);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -128,6 +164,7 @@
       g_string_append_printf (out, "service %s: %u connections, %u synchronous\n", service->name,
                               service->connection_limit, service->synchronous);
     }
+  print_customers (catalog, out);
   catalog_unref (catalog);
 }
 
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -37,6 +37,7 @@
   PoolMetrics metrics;
   PeerMesh *mesh;
   PoolServer *server;
+  ConfigProof proof;
   guint16 port;
   guint16 peer_port;
 } TestHost;
@@ -63,7 +64,8 @@
   Caller callers[CALLERS_MAX];
   guint caller_count;
   Catalog *catalog;
-  guint owners_from; /* hosts from which on services have owners; 0 for never */
+  guint owners_from;      /* hosts from which on services have owners; 0 for never */
+  gint64 revoke_limit_ms; /* of hosts added from now on */
   Timer wake;
 };
 
@@ -146,6 +148,18 @@
   catalog_add_database (catalog, &database);
 }
 
+/* Customers amber and blue; blue's key is gone if @revoked. */
+static void
+add_customers (Catalog *catalog, bool revoked)
+{
+  const Customer amber = { .name = (char *) "amber" };
+  const Customer blue = { .name = (char *) "blue" };
+
+  catalog_add_key (catalog, "amber-key", catalog_add_customer (catalog, &amber));
+  catalog_add_key (catalog, revoked ? "blue-key-2" : "blue-key",
+                   catalog_add_customer (catalog, &blue));
+}
+
 static Catalog *
 make_catalog (guint64 version, bool with_sales)
 {
@@ -374,6 +388,8 @@
     .timers = state->timers,
     .directory = &state->directory,
     .refresh_instances = on_refresh_instances,
+    .proof = &host->proof,
+    .revoke_limit_ms = state->revoke_limit_ms,
     .data = host,
   };
 
@@ -461,12 +477,14 @@
     g_error ("cannot send to the host");
 }
 
-/* open CALLER HOST DATABASE: opens a session */
+/* open CALLER HOST DATABASE [KEY]: opens a session */
 static void
 open_caller (State *state, char **words, GString *out)
 {
   Caller *caller = &state->callers[state->caller_count++];
-  char *text = g_strdup_printf ("START %s user\r\n", script_word (words, 3));
+  const char *key = script_word (words, 4);
+  char *text
+      = g_strdup_printf ("START %s %s\r\n", script_word (words, 3), *key == '\0' ? "user" : key);
   guint16 port = 0;
 
   for (guint i = 0; i < state->host_count; i++)
@@ -515,16 +533,30 @@
   g_error ("no such fault: %s", script_word (words, 2));
 }
 
+/* configure all|less|keys|revoked: a new configuration: complete, without sales, with customers, or
+ * with another key for blue */
 static void
-configure (State *state, bool with_sales)
+configure (State *state, const char *kind)
 {
   const guint64 version = state->catalog->version + 1;
 
   catalog_unref (state->catalog);
-  state->catalog = make_catalog (version, with_sales);
+  state->catalog = make_catalog (version, strcmp (kind, "less") != 0);
+  if (strcmp (kind, "keys") == 0 || strcmp (kind, "revoked") == 0)
+    add_customers (state->catalog, strcmp (kind, "revoked") == 0);
   for (guint i = 0; i < state->host_count; i++)
     if (state->hosts[i]->server != NULL)
-      pool_server_set_catalog (state->hosts[i]->server, state->catalog);
+      {
+        pool_server_set_catalog (state->hosts[i]->server, state->catalog);
+        config_proof_set_version (&state->hosts[i]->proof, version);
+      }
+}
+
+/* prove HOST: the configuration is known to be the newest now */
+static void
+prove (TestHost *host)
+{
+  config_proof_record (&host->proof, host->state->catalog->version, clock_now_ms ());
 }
 
 /* await INSTANCE: waits until it serves databases with strict reads */
@@ -696,7 +728,11 @@
   else if (strcmp (verb, "list") == 0)
     list_instances (state);
   else if (strcmp (verb, "configure") == 0)
-    configure (state, strcmp (script_word (words, 1), "all") == 0);
+    configure (state, script_word (words, 1));
+  else if (strcmp (verb, "prove") == 0)
+    prove (find_host (state, script_word (words, 1)));
+  else if (strcmp (verb, "revoke_limit") == 0)
+    state->revoke_limit_ms = script_number (words, 1);
   else if (strcmp (verb, "drain") == 0)
     pool_server_drain (find_host (state, script_word (words, 1))->server, script_number (words, 2));
   else if (strcmp (verb, "heartbeat") == 0)
--- a/tests/script-small.c
+++ b/tests/script-small.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "policy/config-proof.h"
 #include "policy/conn-health.h"
 #include "policy/drain.h"
 #include "policy/ended-fence.h"
@@ -11,6 +12,7 @@
 #include "policy/request-failure.h"
 #include "policy/retry-budget.h"
 #include "policy/session-token.h"
+#include "policy/store-clock.h"
 #include "script.h"
 
 typedef struct
@@ -21,6 +23,8 @@
   EndedFence ended_fence;
   RetryBudget budget;
   SessionToken token;
+  ConfigProof proof;
+  StoreClock store_clock;
 } State;
 
 static void *
@@ -107,7 +111,28 @@
   State *state = data;
   const char *verb = words[0];
 
-  if (strcmp (verb, "request-sent") == 0)
+  if (strcmp (verb, "proof") == 0)
+    config_proof_record (&state->proof, (guint64) script_number (words, 1),
+                         script_number (words, 2));
+  else if (strcmp (verb, "own-version") == 0)
+    config_proof_set_version (&state->proof, (guint64) script_number (words, 1));
+  else if (strcmp (verb, "current") == 0)
+    g_string_append (out, config_proof_is_current (&state->proof, script_number (words, 1),
+                                                   script_number (words, 2))
+                              ? "yes\n"
+                              : "no\n");
+  else if (strcmp (verb, "proof-due") == 0)
+    g_string_append (out, config_proof_is_due (&state->proof, script_number (words, 1),
+                                               (guint) script_number (words, 2),
+                                               script_number (words, 3))
+                              ? "yes\n"
+                              : "no\n");
+  else if (strcmp (verb, "store-answer") == 0)
+    g_string_append_printf (out, "made at %" G_GINT64_FORMAT "\n",
+                            store_clock_record (&state->store_clock, script_number (words, 1),
+                                                script_number (words, 2),
+                                                script_number (words, 3)));
+  else if (strcmp (verb, "request-sent") == 0)
     conn_health_request_sent (&state->health, script_number (words, 1));
   else if (strcmp (verb, "data-received") == 0)
     conn_health_received (&state->health, script_number (words, 1));
--- a/tests/script-snapshot.c
+++ b/tests/script-snapshot.c
@@ -33,6 +33,7 @@
   SnapshotExchange *exchange;
   Catalog *catalog;
   guint instances; /* known to the host */
+  ConfigProof proof;
 } Host;
 
 struct State
@@ -166,6 +167,7 @@
     .instances = on_instances,
     .store_restored = on_store_restored,
     .request_snapshot = on_request_snapshot,
+    .proof = &host->proof,
     .data = host,
   };
   SnapshotExchangeOptions exchange = {
