--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,8 @@
 	@echo "  LD $@"; $(CC) -std=gnu11 -O1 -g $(WARN) -pthread -o $@ $(filter %.c,$^)
 
 check: setup
-	@$(MAKE) --no-print-directory $(BUILD)/peridotstep $(BUILD)/run-tests $(BUILD)/pool-drain $(BUILD)/pool-failover
+	@$(MAKE) --no-print-directory $(BUILD)/peridotstep $(BUILD)/run-tests $(BUILD)/pool-drain $(BUILD)/pool-failover \
+	  $(BUILD)/pool-crowd
 	BUILD=$(BUILD) tests/run-all
 
 asan-check: setup
--- a/src/pool/session-forward.c
+++ b/src/pool/session-forward.c
@@ -164,6 +164,17 @@
   return true;
 }
 
+/* The owner may know sooner than this host's check that the key is gone. */
+static SessionEnd
+owner_end_reason (PoolSession *session)
+{
+  const Database *database
+      = catalog_database (pool_server_catalog (session->server), session->database_name);
+
+  return session_check_access (session, database) == SESSION_NO_KEY ? SESSION_END_KEY
+                                                                    : SESSION_END_OWNER;
+}
+
 static void
 relay_replies (SessionForward *forward)
 {
@@ -184,7 +195,7 @@
       // Between two statements: the owner tells that it ends the session.
       if (kind == REPLY_ERROR && forward->open && !session->active)
         {
-          session_notify_end (session, SESSION_END_OWNER);
+          session_notify_end (session, owner_end_reason (session));
           return;
         }
       if (!forward->open && !handle_open_reply (forward, &reply))
--- a/tests/processes/world.c
+++ b/tests/processes/world.c
@@ -1183,7 +1183,7 @@
 {
   HostProcess *host = &world.hosts[index];
   char listen_text[96], status[96], peer[16], store[96], promoter[96], metrics[96], path[256];
-  char owners_from[16], drain_limit[16];
+  char owners_from[16], drain_limit[16], memory_limit[16], descriptor_limit[16];
   const char *directory = getenv ("WORLD_DIRECTORY");
   const char *binary
       = getenv ("WORLD_BINARY") == NULL ? "target/peridotstep" : getenv ("WORLD_BINARY");
@@ -1195,6 +1195,9 @@
   snprintf (owners_from, sizeof owners_from, "%d", world.owners_from == 0 ? 33 : world.owners_from);
   snprintf (drain_limit, sizeof drain_limit, "%d",
             world.drain_limit_s == 0 ? 6 : world.drain_limit_s);
+  snprintf (memory_limit, sizeof memory_limit, "%d", world.memory_limit_mb);
+  snprintf (descriptor_limit, sizeof descriptor_limit, "%d",
+            world.descriptor_limit == 0 ? 4300 : world.descriptor_limit);
   snprintf (store, sizeof store, "%s:%d", world.store_address, world.store_port);
   snprintf (promoter, sizeof promoter, "%s:%d", world.promoter_address, world.promoter_port);
   snprintf (metrics, sizeof metrics, "%s:9464", host->address);
@@ -1211,8 +1214,8 @@
       execl (binary, binary, "pool", "--host", host->name, "--failure-domain", "z1", "--region",
              "r1", "--listen", listen_text, "--status-listen", status, "--peer-port", peer,
              "--store", store, "--promoter", promoter, "--drain-limit", drain_limit,
-             "--owners-from", owners_from, "--descriptor-limit", "4300", "--metrics-listen",
-             metrics, (char *) NULL);
+             "--owners-from", owners_from, "--descriptor-limit", descriptor_limit,
+             "--memory-limit", memory_limit, "--metrics-listen", metrics, (char *) NULL);
       _exit (127);
     }
   host->pid = pid;
--- a/tests/processes/world.h
+++ b/tests/processes/world.h
@@ -69,6 +69,8 @@
   bool quiet;        /* reads and commits are not recorded one by one */
   int owners_from;   /* setting of the hosts; 0 for the default */
   int drain_limit_s; /* the same */
+  int memory_limit_mb;  /* the same */
+  int descriptor_limit; /* the same */
 } World;
 
 extern World world;
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -533,17 +533,19 @@
   g_error ("no such fault: %s", script_word (words, 2));
 }
 
-/* configure all|less|keys|revoked: a new configuration: complete, without sales, with customers, or
- * with another key for blue */
+/* configure all|keys|revoked|OTHER: a new configuration: complete, with customers, with customers and
+ * another key for blue, or without sales */
 static void
 configure (State *state, const char *kind)
 {
   const guint64 version = state->catalog->version + 1;
+  const bool revoked = strcmp (kind, "revoked") == 0;
+  const bool keys = revoked || strcmp (kind, "keys") == 0;
 
   catalog_unref (state->catalog);
-  state->catalog = make_catalog (version, strcmp (kind, "less") != 0);
-  if (strcmp (kind, "keys") == 0 || strcmp (kind, "revoked") == 0)
-    add_customers (state->catalog, strcmp (kind, "revoked") == 0);
+  state->catalog = make_catalog (version, keys || strcmp (kind, "all") == 0);
+  if (keys)
+    add_customers (state->catalog, revoked);
   for (guint i = 0; i < state->host_count; i++)
     if (state->hosts[i]->server != NULL)
       {
