Bound the memory and the places that callers can take

Cause: a session could hold 1 MiB of input and 4 MiB of answers, and nothing added that up; buffers kept their greatest size; a message in small pieces was searched from its start for each piece; a caller that stopped half-way, or never opened its session, kept its place for ever.

Change: a budget of memory for all sessions, a fifth of the host's unless set; while it is nearly spent, the sessions that hold the most end first. Large buffers are freed when they are empty. At the limit of sessions the one that is idle for longest, or was never opened, makes room for a new caller. A message has to arrive whole, and answers have to be taken, within 30 s (message-limit, answer-limit). Kernel buffers of a caller's socket are bounded.

--- a/src/base/stream.c
+++ b/src/base/stream.c
@@ -13,6 +13,10 @@
 #define READ_LIMIT_BYTES (256 * 1024)
 #define LOW_WATERMARK_BYTES (32 * 1024)
 #define LISTEN_BACKLOG 1024
+/* Kernel buffers of a bounded socket, each way; the kernel doubles the figure. */
+#define SOCKET_BUFFER_BYTES (64 * 1024)
+/* A buffer that has been larger is freed when it is empty. */
+#define KEPT_BUFFER_BYTES (32 * 1024)
 /* The kernel closes the connection if sent data stays unacknowledged this long. */
 #define TCP_USER_TIMEOUT_MS 5000
 /* Keep-alive: idle time before the first probe, probe interval, and unanswered probes until an idle
@@ -30,6 +34,8 @@
   GByteArray *input;
   GByteArray *output;
   guint output_sent;
+  guint input_peak; /* most bytes since the buffer was allocated */
+  guint output_peak;
   bool paused;
   bool above_low_watermark;
   bool finishing;
@@ -48,6 +54,17 @@
   return 0;
 }
 
+/* The buffers do not shrink by themselves. */
+static void
+free_if_large (GByteArray **buffer, guint *peak)
+{
+  if ((*buffer)->len > 0 || *peak <= KEPT_BUFFER_BYTES)
+    return;
+  g_byte_array_free (*buffer, true);
+  *buffer = g_byte_array_new ();
+  *peak = 0;
+}
+
 static void
 update_interest (Stream *stream)
 {
@@ -103,6 +120,7 @@
       g_byte_array_set_size (stream->input, at + READ_CHUNK_BYTES);
       got = read (stream->fd, stream->input->data + at, READ_CHUNK_BYTES);
       g_byte_array_set_size (stream->input, at + (guint) MAX (got, 0));
+      stream->input_peak = MAX (stream->input_peak, at + READ_CHUNK_BYTES);
     }
   while (got == READ_CHUNK_BYTES && stream->input->len - before < READ_LIMIT_BYTES);
 
@@ -149,6 +167,7 @@
     return;
   g_byte_array_remove_range (stream->output, 0, stream->output_sent);
   stream->output_sent = 0;
+  free_if_large (&stream->output, &stream->output_peak);
 }
 
 /* After a write error: what the peer sent before it closed can still be read. */
@@ -237,6 +256,7 @@
 {
   if (count > 0)
     g_byte_array_remove_range (stream->input, 0, count);
+  free_if_large (&stream->input, &stream->input_peak);
 }
 
 GByteArray *
@@ -248,6 +268,7 @@
 void
 stream_flush (Stream *stream)
 {
+  stream->output_peak = MAX (stream->output_peak, stream->output->len);
   // A write error is reported as a closed connection by the event loop.
   write_some (stream);
   trim_output (stream);
@@ -284,6 +305,22 @@
   return stream->error;
 }
 
+gsize
+stream_buffered (const Stream *stream)
+{
+  return (gsize) MAX (stream->input_peak, stream->input->len)
+         + MAX (stream->output_peak, stream->output->len);
+}
+
+void
+stream_bound_socket (const Stream *stream)
+{
+  int size = SOCKET_BUFFER_BYTES;
+
+  setsockopt (stream->fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  setsockopt (stream->fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof size);
+}
+
 guint
 stream_pending (const Stream *stream)
 {
--- a/src/base/stream.h
+++ b/src/base/stream.h
@@ -58,6 +58,15 @@
 /** stream_error() - errno value of the failure; 0 if the peer closed the connection. */
 int stream_error (const Stream *stream);
 
+/** stream_buffered() - Memory of both buffers, in bytes. */
+gsize stream_buffered (const Stream *stream);
+
+/**
+ * stream_bound_socket() - Limits the kernel's buffers of the connection, which would grow to
+ * megabytes for a peer that does not read, or that sends faster than this process reads.
+ */
+void stream_bound_socket (const Stream *stream);
+
 /** stream_pending() - Bytes not yet written to the socket. */
 guint stream_pending (const Stream *stream);
 
--- a/src/cli/pool.c
+++ b/src/cli/pool.c
@@ -3,6 +3,8 @@
  */
 #include <arpa/inet.h>
 #include <errno.h>
+#include <inttypes.h>
+#include <malloc.h>
 #include <signal.h>
 #include <string.h>
 #include <sys/signalfd.h>
@@ -40,6 +42,12 @@
     "hosts from which on a few of them hold the connections to each service" },
   { "descriptor-limit", SETTING_NUMBER, "4096", 300, 1000000, "descriptors the process may open" },
   { "memory-limit", SETTING_NUMBER, "0", 0, 1000000, "MB of memory of this host; 0 for unknown" },
+  { "buffer-limit", SETTING_NUMBER, "0", 0, 1000000,
+    "MB that all sessions may hold; 0 for 20 % of memory-limit, or 256 without it" },
+  { "message-limit", SETTING_NUMBER, "30", 1, 86400,
+    "seconds in which a caller has to send each message whole" },
+  { "answer-limit", SETTING_NUMBER, "30", 1, 86400,
+    "seconds after which a caller that takes nothing of its answers is given up" },
   { "store", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the platform's store" },
   { "promoter", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the platform's promote call" },
   { "revoke-limit", SETTING_NUMBER, "0", 0, 86400000,
@@ -57,6 +65,8 @@
 
 /* Part of the platform's time limit for a shutdown that the drain must not use. */
 #define DRAIN_MARGIN_MS 400
+/* Buffers from this size on are not kept by the allocator. */
+#define LARGE_BUFFER_BYTES (64 * 1024)
 /* Port for messages about limits, after the one for heartbeats. */
 #define LIMIT_PORT_OFFSET 2
 /* Delay with which a host takes over handing out customers' operations: the first figure divided by
@@ -163,6 +173,10 @@
   counters_print (&daemon->counters, out);
   pool_metrics_print (&daemon->metrics, out);
   limit_exchange_print (daemon->limits, out);
+  g_string_append_printf (
+      out, "peridotstep_session_bytes %" PRIu64 "\nperidotstep_session_bytes_limit %" PRIu64 "\n",
+      pool_server_memory (daemon->server)->used_bytes,
+      pool_server_memory (daemon->server)->limit_bytes);
   g_string_append_printf (out, "peridotstep_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
                           log_dropped ());
 }
@@ -435,6 +449,16 @@
   return daemon->metrics_page != NULL;
 }
 
+static uint64_t
+buffer_limit_bytes (const Settings *settings)
+{
+  const uint64_t buffer_mb = (uint64_t) settings_number (settings, "buffer-limit");
+
+  if (buffer_mb > 0)
+    return buffer_mb * 1024 * 1024;
+  return memory_budget_for_host ((uint64_t) settings_number (settings, "memory-limit"));
+}
+
 /* Larger hosts take over first, as they can serve the others' questions best. */
 static int64_t
 claim_delay_ms (const Settings *settings)
@@ -478,6 +502,9 @@
     .session_limit
     = ((uint32_t) settings_number (settings, "descriptor-limit") - DESCRIPTOR_RESERVE)
       / DESCRIPTORS_PER_SESSION,
+    .memory_limit_bytes = buffer_limit_bytes (settings),
+    .message_limit_ms = settings_number (settings, "message-limit") * 1000,
+    .answer_limit_ms = settings_number (settings, "answer-limit") * 1000,
     .domain_region = domains,
     .codec = &platform_line_codec,
     .counters = &daemon->counters,
@@ -592,6 +619,9 @@
   };
   GError *error = NULL;
 
+  // Large buffers go back to the kernel as soon as they are freed.
+  mallopt (M_MMAP_THRESHOLD, LARGE_BUFFER_BYTES);
+  mallopt (M_TRIM_THRESHOLD, LARGE_BUFFER_BYTES);
   daemon->settings = (Settings *) settings;
   log_use_stdout ();
   apply_settings (daemon);
--- a/src/pool/codec.h
+++ b/src/pool/codec.h
@@ -68,11 +68,14 @@
 /**
  * struct Codec - The protocol. Readers parse the front of an input buffer and return the number of
  * bytes used; 0 if the message is not complete. Writers append to @out. @after is a position that
- * the instance must have received for the statement to run, or %NULL. @customer is the one that a
- * connection serves, or %NULL.
+ * the instance must have received for the statement to run, or %NULL. @message_end is the last byte
+ * of every message, and stands nowhere else; @message_limit_bytes is the longest one. @customer is
+ * the one that a connection serves, or %NULL.
  */
 typedef struct
 {
+  uint8_t message_end;
+  size_t message_limit_bytes;
   size_t (*read_caller) (const uint8_t *bytes, size_t length, CallerMessage *message);
   size_t (*read_reply) (const uint8_t *bytes, size_t length, Reply *reply);
   bool (*read_report) (const char *row, InstanceReport *report);
--- a/src/pool/pool-metrics.c
+++ b/src/pool/pool-metrics.c
@@ -15,6 +15,9 @@
   [POOL_COUNT_ANSWERS_CUT] = "peridotstep_answers_cut_total",
   [POOL_COUNT_PAUSES_LIFTED] = "peridotstep_pauses_lifted_total",
   [POOL_COUNT_KEYS_REFUSED] = "peridotstep_keys_refused_total",
+  [POOL_COUNT_ENDED_MEMORY] = "peridotstep_sessions_ended_memory_total",
+  [POOL_COUNT_ENDED_SLOW] = "peridotstep_sessions_ended_slow_total",
+  [POOL_COUNT_ENDED_ROOM] = "peridotstep_sessions_ended_room_total",
 };
 
 void
--- a/src/pool/pool-server.c
+++ b/src/pool/pool-server.c
@@ -19,11 +19,15 @@
 #define NOT_RUN_LINES_PER_S 30
 /* The same for sessions that end with an answer owed, or during a drain. */
 #define END_LINES_PER_S 50
+/* The same for sessions that end for want of memory. */
+#define RELIEF_LINES_PER_S 2
 /* No session is forwarded to an owner for this time after it was lost. */
 #define OWNER_AVOID_MS 2000
 /* Interval at which sessions are checked for keys that are gone, draining owners and changed
  * routes. */
 #define SESSION_CHECK_MS 250
+/* An idle session may lose its place to a new one after this time. */
+#define PLACE_MS 500
 
 struct PoolServer
 {
@@ -37,6 +41,8 @@
   int64_t sessions_checked_ms;
   bool outdated; /* callers with keys are refused, see pool_server_config_is_current() */
   GHashTable *sessions;
+  MemoryBudget memory;
+  Timer relief; /* ends sessions that hold too much memory */
   Catalog *catalog;
   GHashTable *services; /* name to HostedService */
   bool hosts_known;
@@ -45,6 +51,7 @@
   uint64_t next_id;
   LogRateLimit log_limits[VERDICT_COUNT];
   LogRateLimit end_log_limit;
+  LogRateLimit relief_log;
   Drain drain;
 };
 
@@ -55,6 +62,7 @@
   void *session;
 
   timer_clear (&server->tick);
+  timer_clear (&server->relief);
   TALLOC_FREE (server->listen_fde);
   TALLOC_FREE (server->link_fde);
   g_hash_table_iter_init (&iter, server->sessions);
@@ -74,17 +82,65 @@
   return 0;
 }
 
+static bool
+is_full (const PoolServer *server)
+{
+  return g_hash_table_size (server->sessions) >= server->options.session_limit;
+}
+
+/* The session that has been idle for longest; one that was never opened goes before all others. */
+static PoolSession *
+find_idle_session (const PoolServer *server)
+{
+  PoolSession *found = NULL;
+  int64_t found_ms = clock_now_ms () - PLACE_MS;
+  bool found_open = true;
+  GHashTableIter iter;
+  void *session;
+
+  g_hash_table_iter_init (&iter, server->sessions);
+  while (g_hash_table_iter_next (&iter, &session, NULL))
+    {
+      const int64_t since_ms = pool_session_idle_since_ms (session);
+      const bool open = pool_session_is_open (session);
+
+      if (since_ms > clock_now_ms () - PLACE_MS || (open && !found_open)
+          || (open == found_open && since_ms > found_ms))
+        continue;
+      found = session;
+      found_ms = since_ms;
+      found_open = open;
+    }
+  return found;
+}
+
+/* An idle session can be opened again, at this host or another one, but a caller that is not even
+ * accepted can do nothing. Returns whether there is a place now. */
+static bool
+make_room (PoolServer *server)
+{
+  PoolSession *idle;
+
+  if (!is_full (server))
+    return true;
+  idle = find_idle_session (server);
+  if (idle == NULL)
+    return false;
+  pool_metrics_count (server->options.metrics, POOL_COUNT_ENDED_ROOM);
+  pool_session_close (idle, SESSION_END_ROOM);
+  return !is_full (server);
+}
+
 static void
 on_accept (struct tevent_context *events, struct tevent_fd *fde, uint16_t flags, void *data)
 {
   PoolServer *server = data;
   int fd;
 
-  while (g_hash_table_size (server->sessions) < server->options.session_limit
-         && (fd = stream_accept (server->listen_fd)) >= 0)
+  while (make_room (server) && (fd = stream_accept (server->listen_fd)) >= 0)
     pool_session_new (server, fd, false);
-  // Further callers wait in the kernel's accept queue until a session ends.
-  if (g_hash_table_size (server->sessions) >= server->options.session_limit)
+  // Further callers wait in the kernel's accept queue until a session ends or is idle.
+  if (is_full (server))
     tevent_fd_set_flags (server->listen_fde, 0);
 }
 
@@ -97,7 +153,7 @@
   int fd;
 
   while ((fd = stream_accept (server->link_fd)) >= 0)
-    if (g_hash_table_size (server->sessions) < server->options.session_limit)
+    if (make_room (server))
       pool_session_new (server, fd, true);
     else
       close (fd);
@@ -121,14 +177,75 @@
   g_list_free (sessions);
 }
 
+static PoolSession *
+find_largest_session (const PoolServer *server)
+{
+  PoolSession *found = NULL;
+  gsize found_bytes = MEMORY_KEEP_BYTES;
+  GHashTableIter iter;
+  void *session;
+
+  g_hash_table_iter_init (&iter, server->sessions);
+  while (g_hash_table_iter_next (&iter, &session, NULL))
+    {
+      const gsize bytes = pool_session_memory (session);
+
+      if (bytes <= found_bytes)
+        continue;
+      found = session;
+      found_bytes = bytes;
+    }
+  return found;
+}
+
+/* Ends the sessions that hold the most memory. */
+static void
+on_relief (void *data)
+{
+  PoolServer *server = data;
+  const uint64_t before = server->memory.used_bytes;
+  PoolSession *largest;
+  uint32_t ended = 0;
+  uint32_t dropped;
+
+  if (!memory_budget_is_exceeded (&server->memory))
+    return;
+  while (!memory_budget_is_relieved (&server->memory)
+         && (largest = find_largest_session (server)) != NULL)
+    {
+      pool_session_close (largest, SESSION_END_MEMORY);
+      pool_metrics_count (server->options.metrics, POOL_COUNT_ENDED_MEMORY);
+      ended++;
+    }
+  if (log_rate_limit_allow (&server->relief_log, clock_now_ms (), &dropped))
+    log_event (LOG_LEVEL_WARNING, "memory_relieved",
+               "ended=%u held_bytes=%" PRIu64 " left_bytes=%" PRIu64 " limit_bytes=%" PRIu64
+               " sessions=%u suppressed=%u",
+               ended, before, server->memory.used_bytes, server->memory.limit_bytes,
+               g_hash_table_size (server->sessions), dropped);
+}
+
+void
+pool_server_charge (PoolServer *server, uint64_t before, uint64_t after)
+{
+  memory_budget_charge (&server->memory, before, after);
+  // Not at once: the session that is being charged may be among those that end.
+  if (memory_budget_is_exceeded (&server->memory))
+    timer_set (server->options.timers, &server->relief, 0);
+}
+
+const MemoryBudget *
+pool_server_memory (const PoolServer *server)
+{
+  return &server->memory;
+}
+
 static void
 check_sessions (PoolServer *server, int64_t now_ms)
 {
-  const bool has_keys = server->catalog != NULL && server->catalog->customers != NULL;
   GList *sessions;
 
-  if ((!has_keys && !pool_server_has_owners (server))
-      || now_ms - server->sessions_checked_ms < SESSION_CHECK_MS)
+  if (now_ms - server->sessions_checked_ms < SESSION_CHECK_MS)
     return;
   server->sessions_checked_ms = now_ms;
   sessions = g_hash_table_get_keys (server->sessions);
@@ -167,6 +284,9 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     hosted_service_tick (value, now_ms);
   check_sessions (server, now_ms);
+  // A session may have become idle, whose place a waiting caller can take.
+  if (is_full (server) && server->listen_fde != NULL)
+    tevent_fd_set_flags (server->listen_fde, TEVENT_FD_READ);
   check_configuration_age (server, now_ms);
   if (server->drain.phase != DRAIN_SERVING)
     advance_drain (server, now_ms);
@@ -204,6 +324,10 @@
   server->listen_fde = tevent_add_fd (events, server, fd, TEVENT_FD_READ, on_accept, server);
   server->link_fde
       = tevent_add_fd (events, server, link_fd, TEVENT_FD_READ, on_accept_forwarded, server);
+  server->memory.limit_bytes = options->memory_limit_bytes;
+  server->relief_log.lines_per_s = RELIEF_LINES_PER_S;
+  server->relief.fired = on_relief;
+  server->relief.data = server;
   server->tick.fired = on_tick;
   server->tick.data = server;
   timer_set (options->timers, &server->tick, TICK_MS);
--- a/src/pool/pool-server.h
+++ b/src/pool/pool-server.h
@@ -14,6 +14,7 @@
 #include "base/timer-queue.h"
 #include "policy/config-proof.h"
 #include "policy/drain.h"
+#include "policy/memory-budget.h"
 #include "policy/ownership.h"
 #include "pool/catalog.h"
 #include "pool/codec.h"
@@ -32,6 +33,10 @@
  * @address, @port: where callers connect.
  * @link_port: where other hosts forward sessions to.
  * @session_limit: sessions open at once, of callers and forwarded by other hosts.
+ * @memory_limit_bytes: memory that sessions may hold together, 0 for no limit.
+ * @message_limit_ms: a caller has to send each message whole, and to open its session, in this
+ * time.
+ * @answer_limit_ms: a caller that takes nothing of its answers for this time is given up.
  * @domain_region: failure domain to region, for the whole deployment.
  * @directory: platform calls, to change primaries.
  * @mesh: heartbeats with the other hosts.
@@ -49,6 +54,9 @@
   uint16_t port;
   uint16_t link_port;
   uint32_t session_limit;
+  uint64_t memory_limit_bytes;
+  int64_t message_limit_ms;
+  int64_t answer_limit_ms;
   GHashTable *domain_region;
   const Codec *codec;
   Counters *counters;
@@ -153,6 +161,12 @@
 /** pool_server_next_id() - Number for a new session. */
 uint64_t pool_server_next_id (PoolServer *server);
 
+/** pool_server_charge() - A session that held @before bytes of memory holds @after bytes now. */
+void pool_server_charge (PoolServer *server, uint64_t before, uint64_t after);
+
+/** pool_server_memory() - What the sessions hold, and may hold. */
+const MemoryBudget *pool_server_memory (const PoolServer *server);
+
 /** pool_server_add_session() - Registers a session. */
 void pool_server_add_session (PoolServer *server, void *session);
 
--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -32,6 +32,7 @@
   g_free (session->database_name);
   g_free (session->key);
   g_free (session->forwarded_service);
+  pool_server_charge (session->server, session->charged_bytes, 0);
   pool_server_remove_session (session->server, session);
   counter_add (session->options->counters, COUNTER_CALLERS_OPEN, -1);
   return 0;
@@ -454,20 +455,46 @@
   return stream_pending (session->stream) > OUTPUT_LIMIT_BYTES;
 }
 
+/* Whether the input may begin with a whole message. Searches each byte once, as a message may come
+ * in many pieces. */
+static bool
+may_hold_message (PoolSession *session)
+{
+  const Codec *codec = session->options->codec;
+  const GByteArray *input = stream_input (session->stream);
+  const gsize searched = session->searched_bytes;
+
+  if (input->len >= codec->message_limit_bytes)
+    return true;
+  if (input->len <= searched
+      || memchr (input->data + searched, codec->message_end, input->len - searched) == NULL)
+    {
+      session->searched_bytes = input->len;
+      return false;
+    }
+  return true;
+}
+
 static void
 process_input (PoolSession *session)
 {
   while (!session->closing && !session->finishing && !session->active && !is_backlogged (session))
     {
-      const GByteArray *input = stream_input (session->stream);
+      const GByteArray *input;
       CallerMessage message;
       size_t used;
 
       if (session->forwarded && session->forwarded_service == NULL && !read_preface (session))
         break;
+      if (!may_hold_message (session))
+        break;
+      input = stream_input (session->stream);
       used = session->options->codec->read_caller (input->data, input->len, &message);
       if (used == 0)
         break;
+      session->searched_bytes = 0;
+      session->partial_ms = 0;
+      session->statement_bytes = used;
       process_message (session, &message, input->data, used);
       stream_consume (session->stream, (guint) used);
     }
@@ -494,6 +521,8 @@
   session->processing = false;
   if (session->closing)
     talloc_free (session);
+  else
+    session_charge (session);
 }
 
 static void
@@ -502,6 +531,7 @@
   PoolSession *session = data;
   const bool outermost = session_enter (session);
 
+  session->used_ms = clock_now_ms ();
   if (is_backlogged (session)
       || (session->active && stream_input (session->stream)->len > INPUT_LIMIT_BYTES))
     stream_pause (session->stream, true);
@@ -538,8 +568,9 @@
 static void
 check_key (PoolSession *session)
 {
+  const Catalog *catalog = pool_server_catalog (session->server);
   const Database *database
-      = catalog_database (pool_server_catalog (session->server), session->database_name);
+      = catalog == NULL ? NULL : catalog_database (catalog, session->database_name);
 
   if (session_check_access (session, database) == SESSION_NO_KEY)
     session_notify_end (session, SESSION_END_KEY);
@@ -549,7 +580,7 @@
 is_between_operations (const PoolSession *session)
 {
   return session->database_name != NULL && !session->active && !session->notified
-         && !session->finishing && session->transaction == TRANSACTION_NONE;
+         && !session->finishing && !session->closing && session->transaction == TRANSACTION_NONE;
 }
 
 void
@@ -557,9 +588,10 @@
 {
   const bool outermost = session_enter (session);
 
+  session_check_progress (session);
   if (is_between_operations (session))
     check_key (session);
-  if (session->forward != NULL)
+  if (session->forward != NULL && !session->closing)
     session_forward_check (session);
   session_leave (session, outermost);
 }
@@ -574,6 +606,8 @@
   session->options = pool_server_options (server);
   session->id = pool_server_next_id (server);
   session->stream = stream_new (session, pool_server_events (server), fd, &session_events, session);
+  stream_bound_socket (session->stream);
+  session->used_ms = clock_now_ms ();
   session->late = pool_server_drain_phase (server) >= DRAIN_CLOSING;
   session_values_init (&session->values);
   session_init_route (session);
--- a/src/pool/pool-session.h
+++ b/src/pool/pool-session.h
@@ -24,6 +24,9 @@
   SESSION_END_OWNER,       /* its owner was lost or is draining */
   SESSION_END_ROUTE,       /* its route leads to another owner */
   SESSION_END_KEY,         /* its caller's key is no longer valid */
+  SESSION_END_MEMORY,      /* it held too much of this host's memory */
+  SESSION_END_SLOW,        /* its caller did not send a whole message, or take an answer, in time */
+  SESSION_END_ROOM,        /* another caller needs its place */
   SESSION_END_DRAIN,       /* this host is draining */
   SESSION_END_PROCESS,     /* the process ends */
   SESSION_END_COUNT
@@ -41,6 +44,18 @@
  */
 void pool_session_check (PoolSession *session);
 
+/** pool_session_memory() - Bytes that the session holds. */
+gsize pool_session_memory (const PoolSession *session);
+
+/**
+ * pool_session_idle_since_ms() - When the caller last sent anything, if the session can end without
+ * a loss: no operation is under way. Else INT64_MAX.
+ */
+int64_t pool_session_idle_since_ms (const PoolSession *session);
+
+/** pool_session_is_open() - Whether its caller has opened it on a database. */
+bool pool_session_is_open (const PoolSession *session);
+
 /**
  * pool_session_finish() - Ends the session as soon as the caller has what was written to it. Work
  * under way is abandoned; write its answer first.
--- a/src/pool/session-end.c
+++ b/src/pool/session-end.c
@@ -14,11 +14,12 @@
 /* Checks without progress until a caller that does not take its answers is given up. */
 #define FINISH_STALLS_MAX 5
 static const char *const end_names[SESSION_END_COUNT] = {
-  [SESSION_END_CALLER] = "caller_ended",  [SESSION_END_CALLER_LOST] = "caller_lost",
-  [SESSION_END_PROTOCOL] = "malformed",   [SESSION_END_REFUSED] = "refused",
-  [SESSION_END_OWNER] = "owner",          [SESSION_END_ROUTE] = "route",
-  [SESSION_END_KEY] = "key_revoked",      [SESSION_END_DRAIN] = "drain",
-  [SESSION_END_PROCESS] = "process_ends",
+  [SESSION_END_CALLER] = "caller_ended", [SESSION_END_CALLER_LOST] = "caller_lost",
+  [SESSION_END_PROTOCOL] = "malformed",  [SESSION_END_REFUSED] = "refused",
+  [SESSION_END_OWNER] = "owner",         [SESSION_END_ROUTE] = "route",
+  [SESSION_END_MEMORY] = "memory",       [SESSION_END_SLOW] = "slow",
+  [SESSION_END_ROOM] = "room",           [SESSION_END_KEY] = "key_revoked",
+  [SESSION_END_DRAIN] = "drain",         [SESSION_END_PROCESS] = "process_ends",
 };
 
 static const char *const step_names[] = {
--- a/src/pool/session-forward.c
+++ b/src/pool/session-forward.c
@@ -401,6 +401,12 @@
   stream_flush (forward->stream);
 }
 
+gsize
+session_forward_buffered (const SessionForward *forward)
+{
+  return forward->stream == NULL ? 0 : stream_buffered (forward->stream);
+}
+
 void
 session_forward_check (PoolSession *session)
 {
--- a/src/pool/session-forward.h
+++ b/src/pool/session-forward.h
@@ -17,6 +17,9 @@
 void session_forward_message (PoolSession *session, CallerMessage *message, const guint8 *bytes,
                               size_t length);
 
+/** session_forward_buffered() - Memory of the connection to the owner, in bytes. */
+gsize session_forward_buffered (const SessionForward *forward);
+
 /** session_forward_answer_unfinished() - See session_answer_unfinished(). */
 void session_forward_answer_unfinished (PoolSession *session, const char *reason);
 
--- a/src/pool/session-state.h
+++ b/src/pool/session-state.h
@@ -71,6 +71,13 @@
   char instance[CATALOG_NAME_BYTES]; /* last instance that it had a connection to, for logs */
 
   Statement statement;
+  gsize statement_bytes; /* of its message; 0 if there is none */
+  gsize searched_bytes;  /* of the input, which holds no end of a message */
+  gsize charged_bytes;   /* to the host's memory budget */
+  int64_t used_ms;       /* when its caller last sent anything */
+  int64_t partial_ms;    /* since when the input holds the part of a message; 0 for not */
+  int64_t stalled_ms;    /* since when its caller has taken no answer that it was sent; 0 for not */
+  guint stalled_unsent;  /* bytes of answers at that time */
   StatementStep step;
   bool active;
   uint32_t tried;
@@ -212,6 +219,14 @@
  */
 void session_start_operation (PoolSession *session);
 
+/**
+ * session_charge() - Counts the memory that the session holds towards the host's budget.
+ */
+void session_charge (PoolSession *session);
+
+/** session_check_progress() - Ends a session whose caller sends or reads too slowly. */
+void session_check_progress (PoolSession *session);
+
 /** session_init_access() - Sets up the callbacks of a new session. */
 void session_init_access (PoolSession *session);
 
--- a/src/pool/session-values.c
+++ b/src/pool/session-values.c
@@ -5,6 +5,15 @@
 
 #include <xxhash.h>
 
+/* Memory of an entry beside its text. */
+#define ENTRY_BYTES 64
+
+static size_t
+entry_bytes (const char *name, const char *text)
+{
+  return text == NULL ? 0 : strlen (name) + strlen (text) + ENTRY_BYTES;
+}
+
 static void
 prepared_free (void *data)
 {
@@ -31,6 +40,8 @@
 void
 session_values_set (SessionValues *state, const char *name, const char *value)
 {
+  state->bytes -= entry_bytes (name, g_hash_table_lookup (state->values, name));
+  state->bytes += entry_bytes (name, value);
   g_hash_table_replace (state->values, g_strdup (name), g_strdup (value));
 }
 
@@ -43,12 +54,18 @@
   prepared->text = g_strdup (text);
   prepared->read_only = read_only;
   g_snprintf (prepared->shared_name, sizeof prepared->shared_name, "p%016" PRIx64, hash);
-  g_hash_table_replace (state->prepared, g_strdup (name), prepared);
+  session_values_deallocate (state, name);
+  state->bytes += entry_bytes (name, text);
+  g_hash_table_insert (state->prepared, g_strdup (name), prepared);
 }
 
 bool
 session_values_deallocate (SessionValues *state, const char *name)
 {
+  const PreparedQuery *prepared = g_hash_table_lookup (state->prepared, name);
+
+  if (prepared != NULL)
+    state->bytes -= entry_bytes (name, prepared->text);
   return g_hash_table_remove (state->prepared, name);
 }
 
--- a/src/pool/session-values.h
+++ b/src/pool/session-values.h
@@ -27,11 +27,15 @@
   char shared_name[SHARED_NAME_BYTES];
 } PreparedQuery;
 
-/** struct SessionValues - Hash tables: name to value, and name to &struct PreparedQuery. */
+/**
+ * struct SessionValues - Hash tables: name to value, and name to &struct PreparedQuery.
+ * @bytes: memory of all of them, about.
+ */
 typedef struct
 {
   GHashTable *values;
   GHashTable *prepared;
+  size_t bytes;
 } SessionValues;
 
 /** session_values_init() - Empty. */
--- a/src/pool/status-http.c
+++ b/src/pool/status-http.c
@@ -9,8 +9,8 @@
 #include "base/verdict.h"
 
 /* Timeout of idle connections. */
-#define CONNECTION_TIMEOUT_S 10u
-#define CONNECTIONS_MAX 32u
+#define CONNECTION_TIMEOUT_S 5u
+#define CONNECTIONS_MAX 64u
 /* Longest interval at which the library checks its timeouts. */
 #define TICK_MS 1000
 
--- a/tests/processes/crowd.c
+++ b/tests/processes/crowd.c
@@ -1,5 +1,5 @@
-/* Pool daemons as processes, and a crowd of callers that don't behave: they send or read so much, or
- * so slowly, that a host runs out of memory or room. Prints whether each host lives and stayed
+/* Pool daemons as processes, and a crowd of callers that don't behave: they send or read so much,
+ * or so slowly, that a host runs out of memory or room. Prints whether each host lives and stayed
  * within its limits, and whether an ordinary caller is answered while the crowd is there.
  *
  *   WORLD_BINARY=build/peridotstep WORLD_DIRECTORY=DIRECTORY build/pool-crowd CASE RECORD */
@@ -60,22 +60,39 @@
 
 static const Case cases[] = {
   { .name = "whole", .opens = true, .message_size = MESSAGE_BYTES, .messages = 4, .reads = 4096 },
-  { .name = "pieces", .opens = true, .message_size = MESSAGE_BYTES, .messages = 2,
-    .piece = 16 * PIECE_BYTES, .reads = 4096 },
+  { .name = "pieces",
+    .opens = true,
+    .message_size = MESSAGE_BYTES,
+    .messages = 2,
+    .piece = 16 * PIECE_BYTES,
+    .reads = 4096 },
   { .name = "oversize", .opens = true, .message_size = 16 * MESSAGE_BYTES, .messages = 1 },
-  { .name = "half", .opens = true, .message_size = MESSAGE_BYTES, .messages = 1,
+  { .name = "half",
+    .opens = true,
+    .message_size = MESSAGE_BYTES,
+    .messages = 1,
     .sent_limit = MESSAGE_BYTES - 1000 },
-  { .name = "slow-send", .opens = true, .message_size = MESSAGE_BYTES, .messages = 1,
+  { .name = "slow-send",
+    .opens = true,
+    .message_size = MESSAGE_BYTES,
+    .messages = 1,
     .piece = PIECE_BYTES },
   { .name = "ahead", .opens = true, .messages = 300, .asks_for_rows = true },
   { .name = "slow-read", .opens = true, .messages = 300, .asks_for_rows = true, .reads = 100 },
   { .name = "idle", .opens = true },
   { .name = "silent" },
   { .name = "link", .door = DOOR_LINK },
-  { .name = "status", .door = DOOR_STATUS, .message_size = 2000, .messages = 1,
+  { .name = "status",
+    .door = DOOR_STATUS,
+    .message_size = 2000,
+    .messages = 1,
     .sent_limit = 1500 },
-  { .name = "owner-whole", .opens = true, .message_size = MESSAGE_BYTES, .messages = 4,
-    .reads = 4096, .hosts = 2 },
+  { .name = "owner-whole",
+    .opens = true,
+    .message_size = MESSAGE_BYTES,
+    .messages = 4,
+    .reads = 4096,
+    .hosts = 2 },
   { .name = "owner-ahead", .opens = true, .messages = 300, .asks_for_rows = true, .hosts = 2 },
 };
 
@@ -113,7 +130,8 @@
     caller->length += (size_t) sprintf (caller->bytes, "START shop consumer\r\n");
   for (int i = 0; i < chosen->messages; i++)
     if (chosen->asks_for_rows)
-      caller->length += (size_t) sprintf (caller->bytes + caller->length, "QUERY c%d READ big\r\n", i);
+      caller->length
+          += (size_t) sprintf (caller->bytes + caller->length, "QUERY c%d READ big\r\n", i);
     else if (chosen->door == DOOR_STATUS)
       {
         memset (caller->bytes + caller->length, 'x', chosen->message_size);
@@ -186,7 +204,8 @@
     }
   if (chosen->reads == 0)
     return;
-  size = recv (caller->fd, answer, chosen->reads < sizeof answer ? chosen->reads : sizeof answer, 0);
+  size
+      = recv (caller->fd, answer, chosen->reads < sizeof answer ? chosen->reads : sizeof answer, 0);
   if (size == 0 || (size < 0 && errno != EAGAIN && errno != ENOTCONN))
     hang_up (caller);
 }
--- a/tests/processes/world.c
+++ b/tests/processes/world.c
@@ -1214,8 +1214,8 @@
       execl (binary, binary, "pool", "--host", host->name, "--failure-domain", "z1", "--region",
              "r1", "--listen", listen_text, "--status-listen", status, "--peer-port", peer,
              "--store", store, "--promoter", promoter, "--drain-limit", drain_limit,
-             "--owners-from", owners_from, "--descriptor-limit", descriptor_limit,
-             "--memory-limit", memory_limit, "--metrics-listen", metrics, (char *) NULL);
+             "--owners-from", owners_from, "--descriptor-limit", descriptor_limit, "--memory-limit",
+             memory_limit, "--metrics-listen", metrics, (char *) NULL);
       _exit (127);
     }
   host->pid = pid;
--- a/tests/processes/world.h
+++ b/tests/processes/world.h
@@ -66,9 +66,9 @@
   int store_port, promoter_port, front_port, ready_port, peer_port;
   int64_t promote_ms;
   int promotions;
-  bool quiet;        /* reads and commits are not recorded one by one */
-  int owners_from;   /* setting of the hosts; 0 for the default */
-  int drain_limit_s; /* the same */
+  bool quiet;           /* reads and commits are not recorded one by one */
+  int owners_from;      /* setting of the hosts; 0 for the default */
+  int drain_limit_s;    /* the same */
   int memory_limit_mb;  /* the same */
   int descriptor_limit; /* the same */
 } World;
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -20,6 +20,8 @@
 #define HOSTS_MAX 4
 #define CALLERS_MAX 10
 #define SESSION_LIMIT 8
+/* Longer than any script takes. */
+#define CALLER_LIMIT_MS 60000
 /* Longest wait for an answer; after that the script prints that there was none. */
 #define ANSWER_LIMIT_MS 6000
 #define POLL_MS 10
@@ -381,6 +383,8 @@
     .port = free_caller_port (mesh.port),
     .link_port = (uint16_t) (mesh.port + 1),
     .session_limit = SESSION_LIMIT,
+    .message_limit_ms = CALLER_LIMIT_MS,
+    .answer_limit_ms = CALLER_LIMIT_MS,
     .domain_region = state->regions,
     .codec = &platform_line_codec,
     .counters = &host->counters,
@@ -533,8 +537,8 @@
   g_error ("no such fault: %s", script_word (words, 2));
 }
 
-/* configure all|keys|revoked|OTHER: a new configuration: complete, with customers, with customers and
- * another key for blue, or without sales */
+/* configure all|keys|revoked|OTHER: a new configuration: complete, with customers, with customers
+ * and another key for blue, or without sales */
 static void
 configure (State *state, const char *kind)
 {
--- a/tests/script-small.c
+++ b/tests/script-small.c
@@ -8,6 +8,7 @@
 #include "policy/conn-health.h"
 #include "policy/drain.h"
 #include "policy/ended-fence.h"
+#include "policy/memory-budget.h"
 #include "policy/pause-watch.h"
 #include "policy/request-failure.h"
 #include "policy/retry-budget.h"
@@ -25,6 +26,7 @@
   SessionToken token;
   ConfigProof proof;
   StoreClock store_clock;
+  MemoryBudget memory;
 } State;
 
 static void *
@@ -111,7 +113,19 @@
   State *state = data;
   const char *verb = words[0];
 
-  if (strcmp (verb, "proof") == 0)
+  if (strcmp (verb, "memory-host") == 0)
+    g_string_append_printf (out, "%" G_GUINT64_FORMAT " bytes\n",
+                            state->memory.limit_bytes
+                            = memory_budget_for_host ((guint64) script_number (words, 1)));
+  else if (strcmp (verb, "memory-charge") == 0)
+    {
+      memory_budget_charge (&state->memory, (guint64) script_number (words, 1),
+                            (guint64) script_number (words, 2));
+      g_string_append_printf (out, "%" G_GUINT64_FORMAT " held%s%s\n", state->memory.used_bytes,
+                              memory_budget_is_exceeded (&state->memory) ? ", exceeded" : "",
+                              memory_budget_is_relieved (&state->memory) ? ", relieved" : "");
+    }
+  else if (strcmp (verb, "proof") == 0)
     config_proof_record (&state->proof, (guint64) script_number (words, 1),
                          script_number (words, 2));
   else if (strcmp (verb, "own-version") == 0)
