Leave out instances that fail much of their work, and retry reads that fail there

Change: policy/outlier compares what instances of a group fail or lose. A read that failed at one that stands out is tried elsewhere, within the route's attempts.

--- a/src/policy/placement.c
+++ b/src/policy/placement.c
@@ -11,6 +11,8 @@
 #define REFUSED_PENALTY_MS 400
 /* A leaving instance is chosen only if no other can serve. */
 #define LEAVING_PENALTY_MS 100000
+/* One that fails much of its work, likewise, but before one that leaves. */
+#define EJECTED_PENALTY_MS 50000
 /* Replicas usually have replicated a commit after this time. */
 #define USUAL_LAG_MS 250
 
@@ -53,6 +55,8 @@
 
   if (view->leaving)
     cost += LEAVING_PENALTY_MS;
+  if (view->ejected)
+    cost += EJECTED_PENALTY_MS;
   if (view->primary)
     cost += PRIMARY_PENALTY_MS;
   if (is_probably_lagging (view, requirement))
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -17,6 +17,7 @@
  * @distance: distance from this host.
  * @seen: latest log position that it reported.
  * @latency_ms: moving average of its response times.
+ * @ejected: it fails much of its work; used only if no other can serve.
  * @wait_ms: expected wait for one of the connections of this host to it.
  * @behind_until_ms: it lacked a position that others had; not chosen before then.
  * @refused_until_ms: it refused for overload; others are preferred until then.
@@ -24,6 +25,7 @@
 typedef struct
 {
   bool usable;
+  bool ejected;
   bool leaving;
   bool primary;
   Distance distance;
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -1,5 +1,6 @@
 #include "pool/service-group.h"
 
+#include <inttypes.h>
 #include <string.h>
 
 #include "base/clock.h"
@@ -296,6 +297,7 @@
       views[i] = (PlacementView){
         .usable = accepts_work (member, now_ms),
         .primary = primary,
+        .ejected = !outlier_may_use (&member->outlier, now_ms),
         .leaving = info->leaving,
         .distance = member->distance,
         .seen = member->last_position,
@@ -330,6 +332,7 @@
   index = placement_read (views, group->count, &requirement, tried, now_ms);
   if (index < 0)
     return NULL;
+  outlier_chosen (&group->members[index]->outlier, now_ms);
   // The primary checks the position too, as it may have been replaced in the meantime.
   *after = requirement.after;
   return group->members[index]->pool;
@@ -353,6 +356,67 @@
   group->confirmed_ms = MAX (group->confirmed_ms, at_ms);
 }
 
+static uint32_t
+list_outliers (const ServiceGroup *group, const GroupMember *member, Outlier **outliers)
+{
+  uint32_t index = 0;
+
+  for (uint32_t i = 0; i < group->count; i++)
+    {
+      outliers[i] = &group->members[i]->outlier;
+      if (group->members[i] == member)
+        index = i;
+    }
+  return index;
+}
+
+static void
+record_health (ServiceGroup *group, GroupMember *member, bool failed)
+{
+  Outlier *outliers[GROUP_MEMBERS_MAX];
+  const uint32_t index = list_outliers (group, member, outliers);
+  const double failing = member->outlier.failing;
+  const int64_t now_ms = clock_now_ms ();
+
+  switch (outlier_record (outliers, group->count, index, failed, now_ms))
+    {
+    case OUTLIER_SAME:
+      return;
+    case OUTLIER_EJECTED:
+      log_event (LOG_LEVEL_NOTICE, "instance_ejected",
+                 "service=%s instance=%s failing=%.2f samples=%u for_ms=%" PRId64 " turns=%u",
+                 group->name, instance_pool_info (member->pool)->id, failing,
+                 member->outlier.samples, member->outlier.until_ms - now_ms, member->outlier.turns);
+      return;
+    case OUTLIER_RETURNED:
+      log_event (LOG_LEVEL_NOTICE, "instance_returned", "service=%s instance=%s turns=%u",
+                 group->name, instance_pool_info (member->pool)->id, member->outlier.turns);
+      return;
+    }
+}
+
+void
+service_group_record_lost (ServiceGroup *group, const InstancePool *pool)
+{
+  GroupMember *member = member_of (group, pool);
+
+  if (member != NULL)
+    record_health (group, member, true);
+}
+
+bool
+service_group_is_suspect (const ServiceGroup *group, const InstancePool *pool)
+{
+  const GroupMember *member = member_of (group, pool);
+  Outlier *outliers[GROUP_MEMBERS_MAX];
+  uint32_t index;
+
+  if (member == NULL)
+    return false;
+  index = list_outliers (group, member, outliers);
+  return outlier_is_suspect (outliers, group->count, index);
+}
+
 void
 service_group_record_answer (ServiceGroup *group, const InstancePool *pool,
                              const StatementResult *result, int64_t sent_ms, bool committed)
@@ -367,6 +431,7 @@
   switch (result->code)
     {
     case ANSWER_OK:
+      record_health (group, member, false);
       member->behind_streak = 0;
       member->latency_ms += ((double) (now_ms - sent_ms) - member->latency_ms) / LATENCY_WEIGHT;
       break;
@@ -376,6 +441,9 @@
             + MIN (BEHIND_BACKOFF_MS << MIN (member->behind_streak, 8), BEHIND_BACKOFF_MAX_MS);
       member->behind_streak++;
       break;
+    case ANSWER_FAILED:
+      record_health (group, member, true);
+      break;
     case ANSWER_OVERLOADED:
       member->refused_until_ms = now_ms + REFUSED_BACKOFF_MS;
       break;
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -11,6 +11,7 @@
 #include <tevent.h>
 
 #include "base/timer-queue.h"
+#include "policy/outlier.h"
 #include "policy/placement.h"
 #include "policy/position-history.h"
 #include "pool/catalog.h"
@@ -43,6 +44,7 @@
  * @behind_until_ms: not used for reads that need a newer position before then.
  * @behind_streak: consecutive times that it lacked a required position.
  * @refused_until_ms: it had no free slot; others are preferred until then.
+ * @outlier: how much of its work fails, compared with the others.
  * @displaced: another instance has taken over its address.
  * @unresponsive: it owes answers and did not respond to a status command.
  * @leaving_since_ms: when this host learned that it leaves; 0 if it stays.
@@ -63,6 +65,7 @@
   int64_t behind_until_ms;
   uint32_t behind_streak;
   int64_t refused_until_ms;
+  Outlier outlier;
   bool displaced;
   bool unresponsive;
   int64_t leaving_since_ms;
@@ -163,6 +166,15 @@
 /** service_group_distance() - Network distance of the instance of @pool. */
 Distance service_group_distance (const ServiceGroup *group, const InstancePool *pool);
 
+/** service_group_record_lost() - @pool did not answer a statement, or lost the connection. */
+void service_group_record_lost (ServiceGroup *group, const InstancePool *pool);
+
+/**
+ * service_group_is_suspect() - Whether the instance fails so much more than the others of the group
+ * that a read that failed there is worth a try elsewhere.
+ */
+bool service_group_is_suspect (const ServiceGroup *group, const InstancePool *pool);
+
 /** service_group_record_commit_sent() - A commit that writes was sent to the instance of @pool. */
 void service_group_record_commit_sent (ServiceGroup *group, const InstancePool *pool);
 
--- a/src/pool/session-run.c
+++ b/src/pool/session-run.c
@@ -38,6 +38,7 @@
       set_run_timer (session, session->deadline_ms);
       return;
     }
+  service_group_record_lost (session->group, session_current_pool (session));
   log_event (LOG_LEVEL_INFO, "answer_lost", "request=%s instance=%s waited_ms=%" PRId64,
              session->statement.id, instance_pool_info (session_current_pool (session))->id,
              clock_now_ms () - session->sent_ms);
@@ -84,6 +85,7 @@
       check_for_lost_answer (session);
       return;
     }
+  service_group_record_lost (session->group, session_current_pool (session));
   log_event (LOG_LEVEL_INFO, "statement_limit", "request=%s instance=%s limit_ms=%" PRId64,
              session->statement.id, instance_pool_info (session_current_pool (session))->id,
              session->database->statement_ms);
@@ -277,6 +279,15 @@
   session_end_statement (session);
 }
 
+/* A read that failed at an instance which fails much more than the others may succeed elsewhere. */
+static bool
+may_retry_failed_read (const PoolSession *session, const StatementResult *result)
+{
+  return result->code == ANSWER_FAILED && session->transaction == TRANSACTION_NONE
+         && !session->wrote && session->attempts + 1 < session->database->attempts
+         && service_group_is_suspect (session->group, session_current_pool (session));
+}
+
 static void
 finish_statement (PoolSession *session, const StatementResult *result)
 {
@@ -287,7 +298,8 @@
       session_retry_later (session, BUSY_RETRY_MS);
       return;
     }
-  if (session->transaction != TRANSACTION_NONE || !is_not_run (result->code))
+  if (session->transaction != TRANSACTION_NONE
+      || (!is_not_run (result->code) && !may_retry_failed_read (session, result)))
     {
       finish_at_instance (session, result);
       return;
--- a/tests/script.h
+++ b/tests/script.h
@@ -40,3 +40,4 @@
 extern const ScriptKind script_format;
 extern const ScriptKind script_acknowledged;
 extern const ScriptKind script_limit;
+extern const ScriptKind script_outlier;
