Find out how fast each instance is, and send it what it takes well

Cause: placement knew one average response time of an instance for all kinds of work, and statements in flight were three for each reported slot, whatever the instance did with them.

Change: policy/instance-speed compares times with what is usual, by class of work. Placement uses the expected time of the statement's own class; a slow instance gets fewer statements in flight, down to one a slot, so that the rest waits where it can be ordered, refused or moved.

Tests: speed-slow-instance (five times slower: found in 2 s, left in 3 s), speed-mix-of-work, speed-steady-instance, place-window-slow.

--- a/src/policy/connection-share.c
+++ b/src/policy/connection-share.c
@@ -47,7 +47,10 @@
 uint32_t
 connection_share_statements (const ConnectionDemand *demand)
 {
-  return share_of (max_u32 (demand->slots, 1) * STATEMENTS_PER_SLOT, demand);
+  const uint32_t slots = max_u32 (demand->slots, 1);
+  const uint32_t statements = slots * STATEMENTS_PER_SLOT * demand->statements_percent / 100;
+
+  return share_of (max_u32 (statements, slots), demand);
 }
 
 bool
--- a/src/policy/connection-share.h
+++ b/src/policy/connection-share.h
@@ -13,6 +13,7 @@
  * struct ConnectionDemand - Demand of all hosts.
  * @limit: connections that the instance accepts from all hosts.
  * @slots: statements that the instance runs at once.
+ * @statements_percent: part of the usual number of statements in flight that it takes well.
  * @hosts: live hosts, including this one.
  * @own: connections that this host wants. @others: the sum over all others.
  */
@@ -20,6 +21,7 @@
 {
   uint32_t limit;
   uint32_t slots;
+  uint32_t statements_percent;
   uint32_t hosts;
   uint32_t own;
   uint32_t others;
--- a/src/pool/primary-change-manager.c
+++ b/src/pool/primary-change-manager.c
@@ -283,6 +283,7 @@
       ConnectionDemand demand = {
         .limit = manager->connection_limit,
         .slots = instance_pool_info (members[i]->pool)->slots,
+        .statements_percent = instance_speed_statements_percent (&members[i]->speed),
         .hosts = 1,
         .own = instance_pool_demand (members[i]->pool),
       };
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -23,8 +23,6 @@
 #define LATER_ANSWER_GAP_MS 150
 /* An instance without a free slot is avoided for this time. */
 #define REFUSED_BACKOFF_MS 40
-/* Weight of a new sample in the latency average, as a divisor. */
-#define LATENCY_WEIGHT 8.0
 
 struct ServiceGroup
 {
@@ -301,7 +299,7 @@
         .leaving = info->leaving,
         .distance = member->distance,
         .seen = member->last_position,
-        .latency_ms = (int64_t) member->latency_ms,
+        .latency_ms = instance_speed_expected_ms (&member->speed, priority, now_ms),
         .wait_ms = instance_pool_expected_wait_ms (member->pool, priority),
         .behind_until_ms = member->behind_until_ms,
         .refused_until_ms = member->refused_until_ms,
@@ -356,6 +354,22 @@
   group->confirmed_ms = MAX (group->confirmed_ms, at_ms);
 }
 
+static void
+record_speed (const ServiceGroup *group, GroupMember *member, Priority priority, int64_t took_ms)
+{
+  InstanceSpeed *speed = &member->speed;
+
+  if (!instance_speed_record (speed, priority, took_ms, clock_now_ms ()))
+    return;
+  log_event (LOG_LEVEL_INFO, "instance_speed",
+             "service=%s instance=%s slowness=%.1f statements_percent=%u priority=%s usual_ms=%.0f "
+             "recent_ms=%.0f in_use=%u",
+             group->name, instance_pool_info (member->pool)->id, speed->slowness,
+             instance_speed_statements_percent (speed), priority_name (priority),
+             speed->usual_ms[priority], speed->recent_ms[priority],
+             instance_pool_in_use (member->pool));
+}
+
 static uint32_t
 list_outliers (const ServiceGroup *group, const GroupMember *member, Outlier **outliers)
 {
@@ -419,7 +433,8 @@
 
 void
 service_group_record_answer (ServiceGroup *group, const InstancePool *pool,
-                             const StatementResult *result, int64_t sent_ms, bool committed)
+                             const StatementResult *result, Priority priority, int64_t sent_ms,
+                             bool committed)
 {
   GroupMember *member = member_of (group, pool);
   const int64_t now_ms = clock_now_ms ();
@@ -433,7 +448,7 @@
     case ANSWER_OK:
       record_health (group, member, false);
       member->behind_streak = 0;
-      member->latency_ms += ((double) (now_ms - sent_ms) - member->latency_ms) / LATENCY_WEIGHT;
+      record_speed (group, member, priority, now_ms - sent_ms);
       break;
     case ANSWER_BEHIND:
       member->behind_until_ms
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -11,6 +11,7 @@
 #include <tevent.h>
 
 #include "base/timer-queue.h"
+#include "policy/instance-speed.h"
 #include "policy/outlier.h"
 #include "policy/placement.h"
 #include "policy/position-history.h"
@@ -40,7 +41,7 @@
 /**
  * struct GroupMember - An instance of the group.
  * @last_position: highest log position it has reported.
- * @latency_ms: moving average of its answer times.
+ * @speed: how fast it answers, by class of work.
  * @behind_until_ms: not used for reads that need a newer position before then.
  * @behind_streak: consecutive times that it lacked a required position.
  * @refused_until_ms: it had no free slot; others are preferred until then.
@@ -61,7 +62,7 @@
   CommandChannel *commands;
   Distance distance;
   SessionToken last_position;
-  double latency_ms;
+  InstanceSpeed speed;
   int64_t behind_until_ms;
   uint32_t behind_streak;
   int64_t refused_until_ms;
@@ -140,11 +141,12 @@
 void service_group_cancel_wait (GroupWaiter *waiter);
 
 /**
- * service_group_record_answer() - An instance answered a statement sent at @sent_ms.
+ * service_group_record_answer() - An instance answered a statement of @priority sent at @sent_ms.
  * @committed: a commit that wrote was acknowledged.
  */
 void service_group_record_answer (ServiceGroup *group, const InstancePool *pool,
-                                  const StatementResult *result, int64_t sent_ms, bool committed);
+                                  const StatementResult *result, Priority priority, int64_t sent_ms,
+                                  bool committed);
 
 /**
  * service_group_answered_later() - Whether the instance has answered a statement sent well after
--- a/src/pool/session-run.c
+++ b/src/pool/session-run.c
@@ -148,7 +148,7 @@
   pool_metrics_add (session->options->metrics, POOL_LATENCY_SERVICE,
                     clock_now_ms () - session->sent_ms);
   service_group_record_answer (session->group, session_current_pool (session), result,
-                               session->sent_ms, committed);
+                               session->database->priority, session->sent_ms, committed);
 }
 
 static void
--- a/tests/main.c
+++ b/tests/main.c
@@ -23,6 +23,7 @@
   &script_sync,     &script_small,  &script_text,         &script_config, &script_primary_change,
   &script_place,    &script_pool,   &script_store,        &script_load,   &script_snapshot,
   &script_owners,   &script_format, &script_acknowledged, &script_limit,  &script_outlier,
+  &script_speed,
 };
 
 static GPtrArray *script_paths;
--- a/tests/script-load.c
+++ b/tests/script-load.c
@@ -114,6 +114,7 @@
   ConnectionDemand demand = {
     .limit = state->connections,
     .slots = state->slots,
+    .statements_percent = 100,
     .hosts = state->host_count,
     .own = host->running + waiting (host),
   };
--- a/tests/script-place.c
+++ b/tests/script-place.c
@@ -182,6 +182,8 @@
     {
       demand = (ConnectionDemand){
         .slots = (guint32) script_number (words, 1),
+        .statements_percent
+        = *script_word (words, 5) == '\0' ? 100 : (guint32) script_number (words, 5),
         .hosts = (guint32) script_number (words, 2),
         .own = (guint32) script_number (words, 3),
         .others = (guint32) script_number (words, 4),
--- a/tests/script.h
+++ b/tests/script.h
@@ -41,3 +41,4 @@
 extern const ScriptKind script_acknowledged;
 extern const ScriptKind script_limit;
 extern const ScriptKind script_outlier;
+extern const ScriptKind script_speed;
