--- a/src/policy/limit-lease.h
+++ b/src/policy/limit-lease.h
@@ -36,12 +36,12 @@
 } LimitWriteResult;
 
 /**
- * struct LimitLease - Fields are private, except that @version and @holder may be read.
- * @idle_ms may be read too.
+ * struct LimitLease - Only @version, @holder and the times may be read from outside.
  * @self: number of this process: its host in the high half, the low half is different after each
  *   start.
  * @version: newest version of the row that is known; 0 for no row.
  * @holder: process that wrote it; 0 while unknown.
+ * @idle_ms: time without any holder before this host took over, as far as is known.
  */
 typedef struct
 {
@@ -57,7 +57,7 @@
   int64_t acknowledged_until_ms; /* ... and until when no other one */
   int64_t renewed_ms;            /* when the last successful write was sent */
   int64_t started_ms;            /* of this process */
-  int64_t idle_ms; /* time without any holder before this host took over, as far as is known */
+  int64_t idle_ms;
   bool writing;
   int64_t write_sent_ms;
   int64_t failing_since_ms; /* renewals fail since; 0 for not */
@@ -79,13 +79,11 @@
 
 /**
  * struct LimitLeaseView - What else is known.
- * @hosts: hosts of the fleet, including this one.
  * @delay_ms: hosts take over one after the other, this one after such a time.
  * @proof_ms: when any host last reached the store.
  */
 typedef struct
 {
-  uint32_t hosts;
   int64_t delay_ms;
   int64_t proof_ms;
 } LimitLeaseView;
@@ -133,7 +131,7 @@
                                int64_t proof_ms, int64_t announced_ms, uint32_t hosts,
                                int64_t now_ms);
 
-/** limit_lease_may_grant() - Whether this host hands out now. */
+/** limit_lease_may_grant() - Whether this host hands out now, in a fleet of @hosts hosts. */
 bool limit_lease_may_grant (const LimitLease *lease, uint32_t hosts, int64_t now_ms);
 
 /** limit_lease_leave() - This host shuts down: another one should take over at once. */
--- a/src/pool/limit-exchange.c
+++ b/src/pool/limit-exchange.c
@@ -280,7 +280,6 @@
 {
   const Directory *directory = exchange->options.directory;
   const LimitLeaseView view = {
-    .hosts = peer_mesh_host_count (exchange->options.mesh),
     .delay_ms = exchange->options.claim_delay_ms,
     .proof_ms = exchange->options.proof->at_ms,
   };
--- a/tests/limit-model.c
+++ b/tests/limit-model.c
@@ -433,8 +433,7 @@
 tick_host (World *world, int index)
 {
   TestHost *host = &world->hosts[index];
-  const LimitLeaseView view
-      = { .hosts = HOSTS, .delay_ms = 60 * index, .proof_ms = host->proof_ms };
+  const LimitLeaseView view = { .delay_ms = 60 * index, .proof_ms = host->proof_ms };
   LimitLeaseActions actions;
 
   if (host->write_ms != 0 && world->now_ms - host->write_ms >= WRITE_TIMEOUT_MS)
