--- a/src/policy/change-members.c
+++ b/src/policy/change-members.c
@@ -203,6 +203,16 @@
   return session_token_compare (*(const SessionToken *) b, *(const SessionToken *) a);
 }
 
+uint32_t
+change_members_paused_count (const ChangeMembers *members)
+{
+  uint32_t count = 0;
+
+  for (uint32_t i = 0; i < members->count; i++)
+    count += members->items[i].paused;
+  return count;
+}
+
 bool
 change_members_committed_bound (const ChangeMembers *members, uint32_t synchronous,
                                 SessionToken *bound)
--- a/src/policy/change-members.h
+++ b/src/policy/change-members.h
@@ -108,6 +108,9 @@
  */
 bool change_members_has_successor (const ChangeMembers *members);
 
+/** change_members_paused_count() - Number of instances paused by this change. */
+uint32_t change_members_paused_count (const ChangeMembers *members);
+
 /**
  * change_members_committed_bound() - Sets @bound so that no commit beyond it was acknowledged, as
  * far as the logs of the paused instances tell; false if they can't. An acknowledged commit is in
--- a/src/policy/primary-change.c
+++ b/src/policy/primary-change.c
@@ -61,6 +61,7 @@
   uint64_t old_term;             /* of @old_primary, as known when the change began */
   SessionToken stepped_down_log; /* end of the primary's log when it had stepped down */
   uint32_t candidate;
+  PrimaryChangeBasis basis;
   PrimaryChangeAction *actions;
   uint32_t action_count;
 };
@@ -133,6 +134,18 @@
   return change->members.count;
 }
 
+const ChangeMembers *
+primary_change_member_states (const PrimaryChange *change)
+{
+  return &change->members;
+}
+
+const PrimaryChangeBasis *
+primary_change_basis (const PrimaryChange *change)
+{
+  return &change->basis;
+}
+
 void
 primary_change_record_report (PrimaryChange *change, uint32_t key, const InstanceReport *report,
                               int64_t now_ms)
@@ -490,17 +503,22 @@
 /* Sets @bound so that no commit beyond it was acknowledged; false if that is not known. The hosts
  * know nothing of the commits of a term that they have not heard of. */
 static bool
-find_committed_bound (const PrimaryChange *change, const PrimaryChangeInput *input,
-                      SessionToken *bound)
+find_committed_bound (PrimaryChange *change, const PrimaryChangeInput *input, SessionToken *bound)
 {
-  const bool hosts_know
-      = input->all_acknowledged && input->committed_known && input->term == change->term;
-  const bool logs_know
-      = change_members_committed_bound (&change->members, input->synchronous, bound);
+  PrimaryChangeBasis *basis = &change->basis;
 
-  if (hosts_know && (!logs_know || session_token_compare (input->committed, *bound) < 0))
+  *basis = (PrimaryChangeBasis){
+    .group_size = change->members.size,
+    .paused = change_members_paused_count (&change->members),
+    .hosts_known = input->all_acknowledged && input->committed_known && input->term == change->term,
+  };
+  basis->logs_known
+      = change_members_committed_bound (&change->members, input->synchronous, &basis->logs_bound);
+  *bound = basis->logs_bound;
+  if (basis->hosts_known
+      && (!basis->logs_known || session_token_compare (input->committed, *bound) < 0))
     *bound = input->committed;
-  return hosts_know || logs_know;
+  return basis->hosts_known || basis->logs_known;
 }
 
 /* No replica can be promoted yet: queries the instances again, or gives up. */
--- a/src/policy/primary-change.h
+++ b/src/policy/primary-change.h
@@ -106,6 +106,22 @@
   PROMOTION_UNKNOWN  /* it may have been promoted */
 } PromotionResult;
 
+/**
+ * struct PrimaryChangeBasis - What the last conclusion on acknowledged commits rests on, for logs.
+ * @group_size: number of instances that the known logs are counted against.
+ * @paused: number of instances whose logs are known, as they are paused by this change.
+ * @logs_known: these logs tell that no commit beyond @logs_bound was acknowledged.
+ * @hosts_known: the hosts' word tells it too; it is the input's committed position.
+ */
+typedef struct
+{
+  uint32_t group_size;
+  uint32_t paused;
+  bool logs_known;
+  SessionToken logs_bound;
+  bool hosts_known;
+} PrimaryChangeBasis;
+
 typedef struct PrimaryChange PrimaryChange;
 
 /** primary_change_new() - Creates an idle change. */
@@ -120,6 +136,12 @@
 /** primary_change_members() - Keys of the listed instances; @keys holds CHANGE_MEMBERS_MAX. */
 uint32_t primary_change_members (const PrimaryChange *change, uint32_t *keys);
 
+/** primary_change_member_states() - The listed instances and what they reported, for logs. */
+const ChangeMembers *primary_change_member_states (const PrimaryChange *change);
+
+/** primary_change_basis() - Basis of the last conclusion. */
+const PrimaryChangeBasis *primary_change_basis (const PrimaryChange *change);
+
 /** primary_change_record_report() - @member answered a command. */
 void primary_change_record_report (PrimaryChange *change, uint32_t member,
                                    const InstanceReport *report, int64_t now_ms);
--- a/src/pool/primary-change-manager.c
+++ b/src/pool/primary-change-manager.c
@@ -75,6 +75,7 @@
   bool suspect;
   PrimaryChangePhase logged_phase;
   int64_t active_since_ms;
+  int64_t created_ms; /* this process has followed the service since then */
   int64_t started_ms;
   bool step_running;
 };
@@ -104,7 +105,7 @@
   };
 
   manager->options = *options;
-  manager->active_since_ms = clock_now_ms ();
+  manager->active_since_ms = manager->created_ms = clock_now_ms ();
   manager->change = primary_change_new (&change_options);
   manager->peers = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   manager->acknowledged = acknowledged_bound_new (manager->active_since_ms);
@@ -602,6 +603,53 @@
   return view.position.at_ms == 0 ? -1 : now_ms - view.position.at_ms;
 }
 
+static const char *
+member_state (const ChangeMember *member)
+{
+  if (member->down)
+    return "down";
+  if (member->unresponsive)
+    return "unresponsive";
+  if (member->pending)
+    return "asked";
+  return member->responded ? "answered" : "unknown";
+}
+
+/* What a promotion rests on: the logs of the instances, the group that they are counted against,
+ * and the hosts' word. */
+static void
+log_promotion_basis (const PrimaryChangeManager *manager, const PrimaryChangeInput *input)
+{
+  const char *service = service_group_name (manager->options.group);
+  const ChangeMembers *members = primary_change_member_states (manager->change);
+  const PrimaryChangeBasis *basis = primary_change_basis (manager->change);
+
+  log_event (LOG_LEVEL_NOTICE, "promotion_basis",
+             "service=%s fencing_token=%" G_GUINT64_FORMAT
+             " listed=%u group_size=%u paused=%u logs_known=%d logs_bound=%" G_GUINT64_FORMAT
+             ".%" G_GUINT64_FORMAT " hosts_known=%d committed=%" G_GUINT64_FORMAT
+             ".%" G_GUINT64_FORMAT " followed_ms=%" G_GINT64_FORMAT,
+             service, primary_change_fencing_token (manager->change), members->count,
+             basis->group_size, basis->paused, basis->logs_known, basis->logs_bound.term,
+             basis->logs_bound.position, basis->hosts_known, input->committed.term,
+             input->committed.position, input->now_ms - manager->created_ms);
+  for (uint32_t i = 0; i < members->count; i++)
+    {
+      const ChangeMember *member = &members->items[i];
+      const GroupMember *instance = find_member (manager, member->key);
+
+      log_event (LOG_LEVEL_NOTICE, "promotion_log",
+                 "service=%s fencing_token=%" G_GUINT64_FORMAT
+                 " instance=%s state=%s primary=%d leaving=%d paused=%d received=%" G_GUINT64_FORMAT
+                 ".%" G_GUINT64_FORMAT " report_age_ms=%" G_GINT64_FORMAT,
+                 service, primary_change_fencing_token (manager->change),
+                 instance == NULL ? "-" : instance_pool_info (instance->pool)->id,
+                 member_state (member), member->report.primary, member->leaving, member->paused,
+                 member->report.received.term, member->report.received.position,
+                 member->report_ms == 0 ? -1 : input->now_ms - member->report_ms);
+    }
+}
+
 static void
 log_phase (PrimaryChangeManager *manager, const PrimaryChangeInput *input)
 {
@@ -629,6 +677,8 @@
       input->peer_fencing_token, input->committed_known, input->committed.term,
       input->committed.position, position_age_ms (manager, input->now_ms),
       input->now_ms - acknowledged_bound_since_ms (manager->acknowledged), input->abandoned_pause);
+  if (phase == PRIMARY_CHANGE_PROMOTING)
+    log_promotion_basis (manager, input);
 }
 
 static void
