Lose commits that only a departed replica had confirmed, with real processes

A replica that leaves confirms commits alone, is gone, and a host starts that never knew it.

The stand-ins: a transaction of the store honours the versions that it names, a replica rolls back what the newest primary lacks once it hears from it, a replaced primary steps down by itself, and the ports of the hosts are never the same one (a run failed to start so).

--- a/Makefile
+++ b/Makefile
@@ -39,13 +39,13 @@
 run: all
 	$(BUILD)/peridotstep demo
 
-$(BUILD)/pool-%: tests/processes/%.c tests/processes/world.c tests/processes/world.h
+$(BUILD)/pool-%: tests/processes/%.c $(addprefix tests/processes/,world.c world.h load.c load.h)
 	@mkdir -p $(dir $@)
 	@echo "  LD $@"; $(CC) -std=gnu11 -O1 -g $(WARN) -pthread -o $@ $(filter %.c,$^)
 
 check: setup
 	@$(MAKE) --no-print-directory $(BUILD)/peridotstep $(BUILD)/run-tests $(BUILD)/pool-drain $(BUILD)/pool-failover \
-	  $(BUILD)/pool-crowd
+	  $(BUILD)/pool-crowd $(BUILD)/pool-departure
 	BUILD=$(BUILD) tests/run-all
 
 asan-check: setup
--- /dev/null
+++ b/tests/processes/load.h
@@ -0,0 +1,25 @@
+/* Consumers that write through the hosts all the time, and what they were told. Each write has an
+ * item of its own. */
+#pragma once
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define LOAD_SERVICES 2
+
+typedef struct
+{
+  const char *database;
+  const char *service;
+} LoadTarget;
+
+/* Starts @per_host consumers at every host for each of @targets. A consumer stays on its connection
+ * until that ends, and connects to the same host again. */
+void load_start (const LoadTarget *targets, int count, int per_host);
+
+/* Number of writes acknowledged at @target that were sent after @since_ms. */
+int load_served_since (int target, int64_t since_ms);
+
+/* An acknowledged write that is not in the log of the newest primary of its service, if a promotion
+ * made it one: the number of the write, and the instance; -1 for none. */
+int load_find_lost (int *instance);
--- a/tests/processes/world.c
+++ b/tests/processes/world.c
@@ -24,6 +24,9 @@
 #define PAGE_ROWS 500
 /* Writes of one transaction. */
 #define MAX_WRITES 16
+#define ROW_FORMAT "{\"table\":\"%s\",\"part\":\"\",\"key\":\"%s\",\"value\":\"%s\",\"ver\":%llu}"
+/* A replaced primary steps down by itself this long after it can reach the new one. */
+#define RETIRE_MS 1000
 
 typedef enum
 {
@@ -114,12 +117,14 @@
 {
   va_list list;
 
+  flockfile (record);
   fprintf (record, "%8.3f  ", (double) (world_now_ms () - started_ms) / 1000);
   va_start (list, format);
   vfprintf (record, format, list);
   va_end (list);
   fputc ('\n', record);
   fflush (record);
+  funlockfile (record);
 }
 
 /* ---- sockets ---- */
@@ -152,15 +157,16 @@
   return fd;
 }
 
-/* A port that is free at @address now. */
-static int
-free_port (const char *address)
+/* Ports that are free at @address now, all different. */
+static void
+free_ports (const char *address, int *const *ports, int count)
 {
-  int port = 0;
-  int fd = listen_at (address, &port);
+  int fds[8];
 
-  close (fd);
-  return port;
+  for (int i = 0; i < count; i++)
+    fds[i] = listen_at (address, ports[i]);
+  for (int i = 0; i < count; i++)
+    close (fds[i]);
 }
 
 static void
@@ -266,6 +272,8 @@
   char text[512];
   char *value;
 
+  if (!instance->listed)
+    return;
   snprintf (
       text, sizeof text,
       "{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":5,"
@@ -313,11 +321,8 @@
       more = count++ == PAGE_ROWS;
       if (more)
         break;
-      length += (size_t) sprintf (
-          body + length,
-          "%s{\"table\":\"%s\",\"part\":\"\",\"key\":\"%s\",\"value\":\"%s\",\"ver\":%llu}",
-          first ? "" : ",", table, rows[i].key, rows[i].value,
-          (unsigned long long) rows[i].version);
+      length += (size_t) sprintf (body + length, "%s" ROW_FORMAT, first ? "" : ",", table,
+                                  rows[i].key, rows[i].value, (unsigned long long) rows[i].version);
       first = false;
     }
   sprintf (body + length, "],\"more_pages\":%s,\"ver\":%llu,\"now_ms\":%lld}",
@@ -372,11 +377,88 @@
   return *at == '"' && copy_after (at, "\"", "\"", result, size);
 }
 
+/* Copies the next object of the list @name of a transaction to @object; @at is NULL at first. */
+static bool
+next_object (const char *body, const char *name, const char **at, char *object, size_t size)
+{
+  const char *start = *at == NULL ? strstr (body, name) : *at;
+  const char *end;
+
+  if (start == NULL)
+    return false;
+  start = strpbrk (*at == NULL ? start + strlen (name) : start, "{]");
+  end = start == NULL || *start == ']' ? NULL : strchr (start, '}');
+  if (end == NULL)
+    return false;
+  snprintf (object, size, "%.*s", (int) (end + 1 - start), start);
+  *at = end + 1;
+  return true;
+}
+
+/* Answers with 412 if a row has another version than the transaction expects. */
+static bool
+refuse_transaction (Connection *connection, const char *body)
+{
+  static char object[1 << 16], answer[1 << 17];
+  char table[WORLD_TEXT], key[WORLD_TEXT], number[WORLD_TEXT];
+  const char *at = NULL;
+  bool refused = false;
+  size_t length = (size_t) sprintf (answer, "{\"rows\":[");
+
+  while (next_object (body, "\"precondition\"", &at, object, sizeof object))
+    {
+      const Row *row;
+
+      copy_field (object, "table", table, sizeof table);
+      copy_field (object, "key", key, sizeof key);
+      copy_after (object, "\"ver\":", ",}", number, sizeof number);
+      row = find_row (table, key);
+      refused |= strtoull (number, NULL, 10) != (row == NULL ? 0 : row->version);
+      if (row != NULL && length + strlen (row->value) + 300 < sizeof answer)
+        length += (size_t) sprintf (answer + length, "%s" ROW_FORMAT,
+                                    answer[length - 1] == '[' ? "" : ",", table, key, row->value,
+                                    (unsigned long long) row->version);
+    }
+  if (!refused)
+    return false;
+  sprintf (answer + length, "],\"ver\":%llu,\"now_ms\":%lld}", (unsigned long long) store_version,
+           (long long) world_now_ms ());
+  send_http (connection, 412, answer);
+  return true;
+}
+
+static void
+run_transaction (Connection *connection, const char *body)
+{
+  static char object[1 << 16], value[1 << 16];
+  char table[WORLD_TEXT], key[WORLD_TEXT], answer[96];
+  const char *at = NULL;
+
+  if (refuse_transaction (connection, body))
+    return;
+  while (next_object (body, "\"puts\"", &at, object, sizeof object))
+    {
+      copy_field (object, "table", table, sizeof table);
+      copy_field (object, "key", key, sizeof key);
+      if (copy_field (object, "value", value, sizeof value))
+        put_row (table, key, value);
+    }
+  at = NULL;
+  while (next_object (body, "\"deletes\"", &at, object, sizeof object))
+    {
+      copy_field (object, "table", table, sizeof table);
+      copy_field (object, "key", key, sizeof key);
+      delete_row (table, key);
+    }
+  snprintf (answer, sizeof answer, "{\"ver\":%llu,\"now_ms\":%lld}",
+            (unsigned long long) store_version, (long long) world_now_ms ());
+  send_http (connection, 200, answer);
+}
+
 static void
 handle_store (Connection *connection, const char *path, const char *body)
 {
   char table[WORLD_TEXT], number[WORLD_TEXT], key[WORLD_TEXT];
-  static char value[1 << 16];
 
   copy_after (path, "table=", "& ", table, sizeof table);
   if (strncmp (path, "/-/rows-get", 11) == 0)
@@ -393,16 +475,7 @@
       snprintf (connection->feed_table, sizeof connection->feed_table, "%s", table);
     }
   else if (strncmp (path, "/-/rows-tx", 10) == 0)
-    {
-      /* The hosts write one row of their own in a call. */
-      copy_field (body, "table", table, sizeof table);
-      copy_field (body, "key", key, sizeof key);
-      if (copy_field (body, "value", value, sizeof value))
-        put_row (table, key, value);
-      else
-        delete_row (table, key);
-      send_http (connection, 200, "{\"ver\":1,\"now_ms\":1}");
-    }
+    run_transaction (connection, body);
   else
     send_http (connection, 404, "{}");
 }
@@ -659,6 +732,8 @@
   return false;
 }
 
+static void step_down (Instance *instance);
+
 static void
 run_command (Connection *connection, Instance *instance, const char *text)
 {
@@ -675,8 +750,7 @@
   else if (strncmp (text, "STEPDOWN ", 9) == 0 && instance->primary
            && instance->term < strtoull (text + 9, NULL, 10))
     {
-      instance->primary = false;
-      instance->applied = instance->received;
+      step_down (instance);
       world_record ("command  instance=%s STEPDOWN", instance->id);
     }
   send_report (connection, instance);
@@ -804,7 +878,51 @@
 {
   Instance *leader = &world.instances[instance->leader];
 
-  return leader->primary && leader->listen_fd >= 0 ? leader : NULL;
+  return leader->primary && leader->listen_fd >= 0 && !leader->dark ? leader : NULL;
+}
+
+static void
+step_down (Instance *instance)
+{
+  instance->primary = false;
+  instance->applied = instance->received;
+  instance->retire_ms = 0;
+  put_instance_row (instance);
+}
+
+/* A primary steps down by itself some time after it has reached the one that replaced it. */
+static void
+retire (Instance *instance, int64_t now_ms)
+{
+  Instance *leader = &world.instances[instance->leader];
+
+  if (!instance->primary || leader == instance || instance->listen_fd < 0 || instance->dark
+      || leader_of (instance) == NULL || leader->deaf)
+    {
+      instance->retire_ms = 0;
+      return;
+    }
+  if (instance->retire_ms == 0)
+    instance->retire_ms = now_ms + RETIRE_MS;
+  if (now_ms < instance->retire_ms)
+    return;
+  step_down (instance);
+  world_record ("retired  instance=%s", instance->id);
+}
+
+/* Removes what @leader, whose term is new to @instance, does not have. */
+static void
+roll_back (Instance *instance, const Instance *leader)
+{
+  int common = 0;
+
+  while (common < instance->received && common < leader->received
+         && instance->log[common].term == leader->log[common].term
+         && strcmp (instance->log[common].item, leader->log[common].item) == 0)
+    common++;
+  instance->received = common;
+  if (instance->applied > common)
+    instance->applied = common;
 }
 
 static void
@@ -816,6 +934,8 @@
     return;
   if (leader != NULL && instance->pause_token == 0 && !instance->deaf)
     {
+      if (instance->term != leader->term)
+        roll_back (instance, leader);
       instance->term = leader->term;
       while (instance->received < leader->received
              && leader->log[instance->received].at_ms + instance->link_ms <= now_ms)
@@ -841,6 +961,7 @@
       term = world.instances[i].term;
   instance->promote_at_ms = 0;
   instance->primary = true;
+  instance->leader = index;
   instance->pause_token = 0;
   instance->term = term + 1;
   instance->applied = instance->received;
@@ -854,11 +975,6 @@
       if (other == instance || strcmp (other->service, instance->service) != 0)
         continue;
       other->leader = index;
-      /* What the new primary lacks is rolled back. */
-      if (!other->primary && other->received > instance->received)
-        other->received = instance->received;
-      if (other->applied > other->received)
-        other->applied = other->received;
     }
   put_instance_row (instance);
 }
@@ -911,6 +1027,19 @@
       connection_close (&connections[i]);
 }
 
+void
+world_restore_instance (Instance *instance)
+{
+  world_lock ();
+  instance->listen_fd = listen_at (instance->address, &instance->port);
+  instance->pause_token = 0;
+  instance->promote_at_ms = 0;
+  if (instance->primary && instance->leader != (int) (instance - world.instances))
+    step_down (instance);
+  put_instance_row (instance);
+  world_unlock ();
+}
+
 int
 world_find_entry (const Instance *instance, const char *item)
 {
@@ -1033,11 +1162,15 @@
 
       if (instance->listen_fd >= 0 && !instance->dark)
         accept_all (instance->listen_fd, SOCKET_INSTANCE, i);
-      if (instance->promote_at_ms != 0 && now_ms >= instance->promote_at_ms)
+      if (instance->promote_at_ms != 0 && instance->listen_fd >= 0
+          && now_ms >= instance->promote_at_ms)
         finish_promotion (instance);
     }
   for (int i = 0; i < world.instance_count; i++)
-    replicate (&world.instances[i], now_ms);
+    {
+      retire (&world.instances[i], now_ms);
+      replicate (&world.instances[i], now_ms);
+    }
   finish_commits ();
   for (int i = 0; i < CONNECTIONS; i++)
     if (connections[i].fd >= 0)
@@ -1116,14 +1249,17 @@
     {
       Instance *instance = &world.instances[i];
 
+      instance->listen_fd = -1;
+      if (instance->absent)
+        continue;
       instance->listen_fd = listen_at (instance->address, &instance->port);
       if (instance->listen_fd < 0)
         exit (2);
+      instance->listed = true;
       put_instance_row (instance);
     }
-  world.front_port = free_port (world.hosts[0].address);
-  world.ready_port = free_port (world.hosts[0].address);
-  world.peer_port = free_port (world.hosts[0].address);
+  free_ports (world.hosts[0].address,
+              (int *const[]){ &world.front_port, &world.ready_port, &world.peer_port }, 3);
   pthread_create (&thread, NULL, run_world, NULL);
 }
 
@@ -1142,6 +1278,7 @@
 world_list_instance (Instance *instance, bool listed)
 {
   world_lock ();
+  instance->listed = listed;
   if (listed)
     put_instance_row (instance);
   else
--- a/tests/processes/world.h
+++ b/tests/processes/world.h
@@ -30,6 +30,7 @@
   int listen_fd; /* -1 while it does not listen */
   int64_t born_ms;
   bool primary;
+  bool absent; /* not running when the world starts */
   bool listed; /* has an entry in the store */
   bool leaving;
   bool dark; /* reads nothing and answers nothing */
@@ -43,6 +44,7 @@
   int applied;
   int leader;            /* index of the instance that it follows */
   int64_t promote_at_ms; /* 0 for none */
+  int64_t retire_ms;     /* a replaced primary steps down by itself then; 0 for none */
   int big_rows;          /* rows in the answer to READ big */
   int64_t work_ms;       /* from running a statement to its answer */
 } Instance;
@@ -101,6 +103,9 @@
 /* Ends an instance: closes what it has open, and no longer listens. */
 void world_crash_instance (Instance *instance);
 
+/* Starts an instance that crashed, with its log, or one that was absent. */
+void world_restore_instance (Instance *instance);
+
 /* Index of the entry with @item in the log of @instance, or -1. */
 int world_find_entry (const Instance *instance, const char *item);
 
