Count instances that are gone until the others have what they confirmed

Cause: a replica that is leaving confirms commits until it is gone, and its log is gone with it. When a change of primary asks whether the paused logs hold every acknowledged commit, it counted the most instances that this process had seen listed at once. A process that started after the replica was gone had seen three, took two logs for complete, and promoted one that lacked the commits, though the primary answered. A belief on which safety rests was held in the memory of processes alone.

Change: policy/log-holders says which logs count. An instance that is gone counts until `synchronous` staying logs have reached a position of the primary that was asked for after it was gone; one that may be alive, cut off from the store alone, counts for 30 s, unless it refused connections or another one listens at its address. A process that starts knows nothing until the staying logs cover everything from before its start, or until it has read the record that the host of the lowest rank keeps in the store (policy/holder-record, pool/log-holder-tracker); a store that came back from a backup voids what was known from the record only. A host that can't know gives way to the others, and a primary that answers is left alone if only it may have the commits: the replicas receive them from it. The group now shrinks again after a replacement, which it did not before.

Why it works: with all but `synchronous` of the logs that count known, one of them has each acknowledged commit; and the set that counts no longer depends on what one process happens to have seen.

--- a/src/cli/pool.c
+++ b/src/cli/pool.c
@@ -104,6 +104,7 @@
   StatusHttp *metrics_page;
   PoolMetrics metrics;
   ConfigProof proof;
+  uint64_t store_era; /* greatest one heard of; 0 for none */
   Settings *settings;
   struct timespec file_time;
   Timer file_timer;
@@ -145,6 +146,7 @@
 {
   PoolDaemon *daemon = data;
 
+  daemon->store_era = MAX (daemon->store_era, era);
   host_registry_record_era (daemon->registry, era);
   limit_exchange_store_restored (daemon->limits);
 }
@@ -283,6 +285,7 @@
   if (heartbeat->proof_age > 0 && sent_ms > 0)
     config_proof_record (&daemon->proof, heartbeat->proof_version,
                          sent_ms - (heartbeat->proof_age - 1));
+  daemon->store_era = MAX (daemon->store_era, heartbeat->store_era);
   host_registry_record_era (daemon->registry, heartbeat->store_era);
   if ((catalog == NULL || heartbeat->config_version >= catalog->version)
       && (heartbeat->instances_hash != 0
@@ -512,6 +515,7 @@
     .timers = daemon->timers,
     .directory = daemon->directory,
     .refresh_instances = on_refresh_instances,
+    .store_era = &daemon->store_era,
     .proof = &daemon->proof,
     .revoke_limit_ms = settings_number (settings, "revoke-limit"),
     .data = daemon,
--- a/src/policy/change-members.c
+++ b/src/policy/change-members.c
@@ -5,14 +5,10 @@
 
 #include <glib.h>
 
-/* Minimum size of a group, listed or not: a list may lack an instance that holds commits. */
-#define MIN_GROUP_SIZE 3
-
 void
 change_members_init (ChangeMembers *members)
 {
   memset (members, 0, sizeof *members);
-  members->size = MIN_GROUP_SIZE;
 }
 
 ChangeMember *
@@ -44,7 +40,6 @@
       member->key = key;
     }
   member->leaving = leaving;
-  members->size = MAX (members->size, members->count);
 }
 
 void
@@ -214,8 +209,8 @@
 }
 
 bool
-change_members_committed_bound (const ChangeMembers *members, uint32_t synchronous,
-                                SessionToken *bound)
+change_members_committed_bound (const ChangeMembers *members, uint32_t group_size,
+                                uint32_t synchronous, SessionToken *bound)
 {
   SessionToken logs[CHANGE_MEMBERS_MAX];
   uint32_t paused = 0;
@@ -224,7 +219,7 @@
   for (uint32_t i = 0; i < members->count; i++)
     if (members->items[i].paused)
       logs[paused++] = members->items[i].report.received;
-  missing = members->size - paused;
+  missing = group_size - paused;
   if (paused == 0 || missing > synchronous)
     return false;
   // Of the holders of a commit at most the missing ones are not paused.
--- a/src/policy/change-members.h
+++ b/src/policy/change-members.h
@@ -34,15 +34,11 @@
   bool paused;
 } ChangeMember;
 
-/**
- * struct ChangeMembers - The instances. @size: most ever listed, and at least the minimum size
- * of a group.
- */
+/** struct ChangeMembers - The listed instances. */
 typedef struct
 {
   ChangeMember items[CHANGE_MEMBERS_MAX];
   uint32_t count;
-  uint32_t size;
 } ChangeMembers;
 
 /** change_members_init() - Starts without instances. */
@@ -114,11 +110,12 @@
 /**
  * change_members_committed_bound() - Sets @bound so that no commit beyond it was acknowledged, as
  * far as the logs of the paused instances tell; false if they can't. An acknowledged commit is in
- * the logs of @synchronous replicas and the primary. What an instance reported while it was paused
- * holds as long as the pause does, also if it does not answer any more.
+ * the logs of the primary and @synchronous replicas, of @group_size instances that may hold one.
+ * What an instance reported while it was paused holds as long as the pause does, also if it does
+ * not answer any more.
  */
-bool change_members_committed_bound (const ChangeMembers *members, uint32_t synchronous,
-                                     SessionToken *bound);
+bool change_members_committed_bound (const ChangeMembers *members, uint32_t group_size,
+                                     uint32_t synchronous, SessionToken *bound);
 
 /**
  * change_members_latest_report_ms() - When a paused instance whose log reaches @position answered
--- a/src/policy/primary-change.c
+++ b/src/policy/primary-change.c
@@ -4,6 +4,8 @@
 
 #include "policy/change-members.h"
 
+/* Minimum size of a group, listed or not: a list may lack an instance that holds commits. */
+#define MIN_GROUP_SIZE 3
 /* Delay per rank, that is per host that would make the change before this one. */
 #define RANK_DELAY_MS 350
 /* Delay before a host that knows no primary starts a change. */
@@ -337,15 +339,24 @@
     }
 }
 
+static uint32_t
+group_size (const PrimaryChange *change, const PrimaryChangeInput *input)
+{
+  return MAX (MAX (input->log_holders, change->members.count), MIN_GROUP_SIZE);
+}
+
 /* The replicas that answered must include one with every acknowledged commit. Failing that, the
- * other hosts may report what was acknowledged, and one replica that answered is enough. */
+ * other hosts may report what was acknowledged, and one replica that answered is enough; so it is
+ * while this host may still learn which logs count. */
 static bool
 has_enough_replicas (const PrimaryChange *change, const PrimaryChangeInput *input)
 {
   const uint32_t replicas = change_members_replica_count (&change->members);
 
-  return replicas + input->synchronous >= change->members.size
-         || (replicas > 0 && input->hosts > 1 && !change->commits_stalled);
+  if (input->log_holders_known && replicas + input->synchronous >= group_size (change, input))
+    return true;
+  return replicas > 0 && (input->hosts > 1 || !input->log_holders_known)
+         && !change->commits_stalled;
 }
 
 /* This host can't complete a change now; others may try. */
@@ -508,12 +519,13 @@
   PrimaryChangeBasis *basis = &change->basis;
 
   *basis = (PrimaryChangeBasis){
-    .group_size = change->members.size,
+    .group_size = group_size (change, input),
     .paused = change_members_paused_count (&change->members),
     .hosts_known = input->all_acknowledged && input->committed_known && input->term == change->term,
   };
-  basis->logs_known
-      = change_members_committed_bound (&change->members, input->synchronous, &basis->logs_bound);
+  basis->logs_known = change_members_committed_bound (&change->members, basis->group_size,
+                                                      input->synchronous, &basis->logs_bound)
+                      && input->log_holders_known;
   *bound = basis->logs_bound;
   if (basis->hosts_known
       && (!basis->logs_known || session_token_compare (input->committed, *bound) < 0))
@@ -546,6 +558,21 @@
     query_all (change, now_ms);
 }
 
+/* Whether it is better not to wait for a replica that has all commits up to @bound, %NULL if that
+ * is unknown: because the primary answers, from which the replicas then receive what only it may
+ * have, or because another host may know more. */
+static bool
+is_hopeless (const PrimaryChange *change, const PrimaryChangeInput *input,
+             const SessionToken *bound, bool primary_answers)
+{
+  if (bound != NULL && change_members_latest_report_ms (&change->members, *bound) != 0)
+    return false;
+  if (primary_answers)
+    return input->now_ms - change->paused_ms >= QUERY_INTERVAL_MS;
+  return !input->log_holders_known && input->hosts > 1
+         && input->now_ms - change->started_ms >= SUCCESSOR_LIMIT_MS;
+}
+
 static void
 step_waiting (PrimaryChange *change, const PrimaryChangeInput *input)
 {
@@ -575,6 +602,11 @@
   is_known = find_committed_bound (change, input, &bound);
   if (best == NULL || !is_known || session_token_compare (best->report.received, bound) < 0)
     {
+      if (is_hopeless (change, input, is_known ? &bound : NULL, reported_primary != NULL))
+        {
+          abandon_change (change, now_ms);
+          return;
+        }
       wait_for_successor (change, input, is_known ? &bound : NULL);
       return;
     }
--- a/src/policy/primary-change.h
+++ b/src/policy/primary-change.h
@@ -57,6 +57,8 @@
  * @committed_known: @committed also covers the commits that ended hosts have acknowledged.
  * @all_follow: all of them that this host hears from rely on @primary.
  * @committed: none of them has acknowledged, or will acknowledge, a commit beyond it.
+ * @log_holders: number of instances, listed or not, whose logs may be needed to find every
+ *   acknowledged commit. @log_holders_known: there are no others.
  * @synchronous: number of replicas that hold a commit before it is acknowledged.
  * @abandoned_pause: greatest fencing token of the pauses that no host will end; 0 for none.
  */
@@ -77,6 +79,8 @@
   bool committed_known;
   bool all_follow;
   SessionToken committed;
+  uint32_t log_holders;
+  bool log_holders_known;
   uint32_t synchronous;
   uint64_t abandoned_pause;
 } PrimaryChangeInput;
--- a/src/pool/directory.h
+++ b/src/pool/directory.h
@@ -74,6 +74,14 @@
 typedef void (*LimitHolderCallback) (void *data, const StoreAnswer *answer, uint64_t version,
                                      uint64_t holder);
 
+/**
+ * LogHoldersCallback - Reading or writing the record of a service's log holders ended with @answer.
+ * @version is the record's after a read, a success or a conflict; 0 for no record. @entries
+ * holds those of the record, uint64_t, after a read or a conflict; %NULL if it is unreadable.
+ */
+typedef void (*LogHoldersCallback) (void *data, const StoreAnswer *answer, uint64_t version,
+                                    const GArray *entries);
+
 /** DirectoryCallback - The call ended with @result. */
 typedef void (*DirectoryCallback) (void *data, DirectoryResult result);
 
@@ -105,5 +113,10 @@
                     StoreCallback done, void *data);
   void (*write_limit_holder) (void *self, uint64_t version, uint64_t holder, int64_t timeout_ms,
                               LimitHolderCallback done, void *data);
+  void (*read_log_holders) (void *self, const char *service, int64_t timeout_ms,
+                            LogHoldersCallback done, void *data);
+  void (*write_log_holders) (void *self, const char *service, uint64_t version,
+                             const GArray *entries, int64_t timeout_ms, LogHoldersCallback done,
+                             void *data);
   void (*promote) (void *self, const PromoteRequest *request, DirectoryCallback done, void *data);
 } Directory;
--- a/src/pool/pool-server.c
+++ b/src/pool/pool-server.c
@@ -384,6 +384,7 @@
       .counters = options->counters,
       .metrics = options->metrics,
       .host = options->host,
+      .store_era = options->store_era,
     },
   };
   HostedService *service = hosted_service_new (server, &service_options, name);
--- a/src/pool/pool-server.h
+++ b/src/pool/pool-server.h
@@ -42,6 +42,7 @@
  * @mesh: heartbeats with the other hosts.
  * @limits: limits of customers; %NULL if none are kept.
  * @refresh_instances: the instance list may be out of date.
+ * @store_era: era of the store as this host knows it; %NULL if it is not followed.
  * @proof: what is known of the configuration's age. @revoke_limit_ms: a key that was taken away
  * must not be served after this time, 0 for no limit.
  */
@@ -66,6 +67,7 @@
   PeerMesh *mesh;
   LimitExchange *limits;
   void (*refresh_instances) (void *data);
+  const uint64_t *store_era;
   const ConfigProof *proof;
   int64_t revoke_limit_ms;
   void *data;
--- a/src/pool/primary-change-manager.c
+++ b/src/pool/primary-change-manager.c
@@ -11,6 +11,7 @@
 #include "policy/ended-fence.h"
 #include "policy/pause-watch.h"
 #include "policy/primary-change.h"
+#include "pool/log-holder-tracker.h"
 
 /* A peer's view is valid for two heartbeat rounds plus this time. */
 #define PEER_VIEW_FRESH_MS 300
@@ -64,6 +65,7 @@
   PrimaryChange *change;
   GHashTable *peers; /* peer id to PeerView */
   AcknowledgedBound *acknowledged;
+  LogHolderTracker *log_holders; /* %NULL until this host acts for the service */
   PauseWatch pauses;
   int64_t pauses_checked_ms;
   bool pauses_checked_here; /* this host is the one that looks for pauses left behind */
@@ -73,6 +75,7 @@
   uint64_t highest_fencing_token;
   uint64_t acknowledged_token;
   bool suspect;
+  bool needs_log_holders; /* the primary is suspect, or being changed by this host */
   PrimaryChangePhase logged_phase;
   int64_t active_since_ms;
   int64_t created_ms; /* this process has followed the service since then */
@@ -407,6 +410,17 @@
     pause_watch_restart (&manager->pauses, now_ms);
 }
 
+static const LogHolders *
+update_log_holders (PrimaryChangeManager *manager, int64_t now_ms)
+{
+  const PrimaryChangeManagerOptions *options = &manager->options;
+
+  if (manager->log_holders == NULL)
+    manager->log_holders = log_holder_tracker_new (manager, options->group, options->directory);
+  log_holder_tracker_update (manager->log_holders, manager->synchronous, now_ms);
+  return log_holder_tracker_holders (manager->log_holders);
+}
+
 static void
 fill_input (PrimaryChangeManager *manager, PrimaryChangeInput *input)
 {
@@ -414,6 +428,7 @@
   PeerCount count = { manager, input, now_ms, 0, false };
   const GroupMember *member;
   uint64_t ended_token;
+  const LogHolders *holders = update_log_holders (manager, now_ms);
   GroupView view;
 
   service_group_view (manager->options.group, &view);
@@ -430,6 +445,8 @@
     .all_follow = true,
     .committed_known = acknowledged_bound_is_covered (manager->acknowledged, view.position.at_ms),
     .committed = view.committed,
+    .log_holders = holders->count,
+    .log_holders_known = holders->complete,
     .synchronous = manager->synchronous,
   };
   input->suspect
@@ -626,13 +643,14 @@
 
   log_event (LOG_LEVEL_NOTICE, "promotion_basis",
              "service=%s fencing_token=%" G_GUINT64_FORMAT
-             " listed=%u group_size=%u paused=%u logs_known=%d logs_bound=%" G_GUINT64_FORMAT
-             ".%" G_GUINT64_FORMAT " hosts_known=%d committed=%" G_GUINT64_FORMAT
-             ".%" G_GUINT64_FORMAT " followed_ms=%" G_GINT64_FORMAT,
+             " listed=%u group_size=%u group_known=%d paused=%u logs_known=%d "
+             "logs_bound=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT
+             " hosts_known=%d committed=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT
+             " followed_ms=%" G_GINT64_FORMAT,
              service, primary_change_fencing_token (manager->change), members->count,
-             basis->group_size, basis->paused, basis->logs_known, basis->logs_bound.term,
-             basis->logs_bound.position, basis->hosts_known, input->committed.term,
-             input->committed.position, input->now_ms - manager->created_ms);
+             basis->group_size, input->log_holders_known, basis->paused, basis->logs_known,
+             basis->logs_bound.term, basis->logs_bound.position, basis->hosts_known,
+             input->committed.term, input->committed.position, input->now_ms - manager->created_ms);
   for (uint32_t i = 0; i < members->count; i++)
     {
       const ChangeMember *member = &members->items[i];
@@ -670,13 +688,15 @@
       " leaving=%d suspect=%d commits_stalled=%d votes=%u hosts=%u rank=%u all_acknowledged=%d "
       "peer_fencing_token=%" G_GUINT64_FORMAT " committed_known=%d committed=%" G_GUINT64_FORMAT
       ".%" G_GUINT64_FORMAT " position_age_ms=%" G_GINT64_FORMAT
-      " hosts_changed_age_ms=%" G_GINT64_FORMAT " abandoned_pause=%" G_GUINT64_FORMAT,
+      " hosts_changed_age_ms=%" G_GINT64_FORMAT " abandoned_pause=%" G_GUINT64_FORMAT
+      " log_holders=%u log_holders_known=%d",
       service_group_name (manager->options.group), primary_change_phase_name (phase),
       primary_change_fencing_token (manager->change), input->term, input->leaving, input->suspect,
       input->commits_stalled, input->votes, input->hosts, input->rank, input->all_acknowledged,
       input->peer_fencing_token, input->committed_known, input->committed.term,
       input->committed.position, position_age_ms (manager, input->now_ms),
-      input->now_ms - acknowledged_bound_since_ms (manager->acknowledged), input->abandoned_pause);
+      input->now_ms - acknowledged_bound_since_ms (manager->acknowledged), input->abandoned_pause,
+      input->log_holders, input->log_holders_known);
   if (phase == PRIMARY_CHANGE_PROMOTING)
     log_promotion_basis (manager, input);
 }
@@ -697,6 +717,8 @@
   set_members (manager);
   fill_input (manager, &input);
   count = primary_change_step (manager->change, &input, actions);
+  manager->needs_log_holders
+      = input.suspect || primary_change_phase (manager->change) != PRIMARY_CHANGE_IDLE;
   update_fence (manager, &input);
   log_phase (manager, &input);
   if (primary_change_fencing_token (manager->change) != token_before)
@@ -783,6 +805,8 @@
 {
   g_hash_table_remove_all (manager->peers);
   manager->active_since_ms = clock_now_ms ();
+  if (manager->log_holders != NULL)
+    log_holder_tracker_restart (manager->log_holders);
 }
 
 /* Drops the views of hosts that have not been heard from for long, which were owners once. */
@@ -813,6 +837,20 @@
   service_group_query_replicas (manager->options.group);
 }
 
+static void
+sync_log_holders (PrimaryChangeManager *manager, int64_t now_ms)
+{
+  const HolderRecordUse use = {
+    .needed = manager->needs_log_holders,
+    // In a fleet with owners, hosts begin and cease to act for a service all the time.
+    .reads_early = !peer_mesh_has_owners (manager->options.mesh),
+    .writes = manager->pauses_checked_here,
+    .era = manager->options.store_era == NULL ? 0 : *manager->options.store_era,
+  };
+
+  log_holder_tracker_sync (manager->log_holders, &use, now_ms);
+}
+
 void
 primary_change_manager_tick (PrimaryChangeManager *manager, int64_t now_ms)
 {
@@ -822,4 +860,5 @@
   check_primary (manager);
   run_step (manager);
   check_pauses (manager, now_ms);
+  sync_log_holders (manager, now_ms);
 }
--- a/src/pool/primary-change-manager.h
+++ b/src/pool/primary-change-manager.h
@@ -17,6 +17,7 @@
 /**
  * struct PrimaryChangeManagerOptions - Parts of the daemon that the manager uses.
  * @host: name of this host, also the lease holder in promote calls.
+ * @store_era: era of the store as this host knows it; %NULL if it is not followed.
  */
 typedef struct
 {
@@ -26,6 +27,7 @@
   Counters *counters;
   PoolMetrics *metrics;
   const char *host;
+  const uint64_t *store_era;
 } PrimaryChangeManagerOptions;
 
 /** primary_change_manager_new() - Starts monitoring. */
--- a/tests/primary-change-model.h
+++ b/tests/primary-change-model.h
@@ -12,3 +12,7 @@
 /** primary_change_restart_case() - The same with hosts that are killed, or leave, and start again.
  */
 TCase *primary_change_restart_case (void);
+
+/** primary_change_replacement_case() - The same, and replicas are replaced: each joins, leaves and
+ * is gone with its log. */
+TCase *primary_change_replacement_case (void);
--- a/tests/script-primary-change.c
+++ b/tests/script-primary-change.c
@@ -97,6 +97,7 @@
                                       .all_acknowledged = true,
                                       .committed_known = true,
                                       .all_follow = true,
+                                      .log_holders_known = true,
                                       .synchronous = 1 };
 }
 
@@ -141,6 +142,10 @@
     input->all_acknowledged = value != 0;
   else if (strcmp (key, "committed-known") == 0)
     input->committed_known = value != 0;
+  else if (strcmp (key, "log-holders") == 0)
+    input->log_holders = (guint32) value;
+  else if (strcmp (key, "log-holders-known") == 0)
+    input->log_holders_known = value != 0;
   else if (strcmp (key, "following") == 0)
     input->all_follow = value != 0;
   else if (strcmp (key, "abandoned") == 0)
--- a/tests/script-store.c
+++ b/tests/script-store.c
@@ -276,6 +276,32 @@
   g_free (rows);
 }
 
+static void
+on_log_holders (void *data, const StoreAnswer *answer, guint64 version, const GArray *keys)
+{
+  State *state = data;
+
+  g_string_append_printf (state->result_text, "%s\nversion %" G_GUINT64_FORMAT "%s",
+                          directory_result_name (answer->result), version,
+                          keys == NULL ? ", no keys" : ", keys");
+  for (guint i = 0; keys != NULL && i < keys->len; i++)
+    g_string_append_printf (state->result_text, " %" G_GINT64_MODIFIER "x",
+                            g_array_index (keys, guint64, i));
+  g_string_append (state->result_text, "\n");
+}
+
+static void
+write_log_holders (State *state)
+{
+  const guint64 values[] = { 0x1f, G_MAXUINT64 };
+  GArray *keys = g_array_new (false, false, sizeof (guint64));
+
+  g_array_append_vals (keys, values, G_N_ELEMENTS (values));
+  state->directory->write_log_holders (state->directory->self, "ledger", 412, keys, CALL_MS,
+                                       on_log_holders, state);
+  g_array_free (keys, true);
+}
+
 static void
 call (State *state, char **words, GString *out)
 {
@@ -302,6 +328,10 @@
   else if (strcmp (name, "register") == 0 || strcmp (name, "unregister") == 0)
     directory->put_host (directory->self, &host, strcmp (name, "unregister") == 0, CALL_MS,
                          on_written, state);
+  else if (strcmp (name, "read-log-holders") == 0)
+    directory->read_log_holders (directory->self, "ledger", CALL_MS, on_log_holders, state);
+  else if (strcmp (name, "write-log-holders") == 0)
+    write_log_holders (state);
   else if (strcmp (name, "promote") == 0)
     directory->promote (directory->self, &request, on_promoted, state);
   else
