Do not promote a log that lacks a commit known to be acknowledged

Cause: of the bound that the paused logs give and the hosts' word the smaller one was taken. The hosts' word is an upper bound, and may name what the lost primary had and nobody acknowledged; but a commit that was acknowledged for certain, beyond the logs' bound, shows that a log is missing.

Change: heartbeats carry a position at or beyond which a commit was acknowledged. A commit lies beyond every position that was known before it was sent (policy/commit-floor). If such a commit is beyond the logs, they prove nothing; if the primary answers, the replicas are not even paused.

Evidence: primary-change-acknowledged-beyond-logs and the first part of primary-change-primary-alone-has-commits fail without it.

--- a/src/policy/primary-change.c
+++ b/src/policy/primary-change.c
@@ -359,6 +359,24 @@
          && !change->commits_stalled;
 }
 
+/* Whether a commit in the current term was acknowledged that is beyond @position. */
+static bool
+is_beyond (const PrimaryChange *change, const PrimaryChangeInput *input, SessionToken position)
+{
+  return input->acknowledged.term == change->term
+         && session_token_compare (input->acknowledged, position) > 0;
+}
+
+/* Whether the primary, which answers, has acknowledged commits that no replica has which answers:
+ * it has to stay until one has received them. */
+static bool
+is_primary_needed (const PrimaryChange *change, const PrimaryChangeInput *input)
+{
+  const ChangeMember *best = change_members_most_advanced (&change->members, false);
+
+  return best == NULL || is_beyond (change, input, best->report.received);
+}
+
 /* This host can't complete a change now; others may try. */
 static void
 abandon_change (PrimaryChange *change, int64_t now_ms)
@@ -417,7 +435,8 @@
       end_change (change, true, now_ms);
       return;
     }
-  if (!has_enough_replicas (change, input))
+  if (!has_enough_replicas (change, input)
+      || (reported_primary != NULL && is_primary_needed (change, input)))
     {
       abandon_change (change, now_ms);
       return;
@@ -523,9 +542,10 @@
     .paused = change_members_paused_count (&change->members),
     .hosts_known = input->all_acknowledged && input->committed_known && input->term == change->term,
   };
+  // A commit beyond the logs' bound shows that a log is missing which this host does not know of.
   basis->logs_known = change_members_committed_bound (&change->members, basis->group_size,
                                                       input->synchronous, &basis->logs_bound)
-                      && input->log_holders_known;
+                      && input->log_holders_known && !is_beyond (change, input, basis->logs_bound);
   *bound = basis->logs_bound;
   if (basis->hosts_known
       && (!basis->logs_known || session_token_compare (input->committed, *bound) < 0))
--- a/src/policy/primary-change.h
+++ b/src/policy/primary-change.h
@@ -57,6 +57,7 @@
  * @committed_known: @committed also covers the commits that ended hosts have acknowledged.
  * @all_follow: all of them that this host hears from rely on @primary.
  * @committed: none of them has acknowledged, or will acknowledge, a commit beyond it.
+ * @acknowledged: a commit at this position or later is known to be acknowledged.
  * @log_holders: number of instances, listed or not, whose logs may be needed to find every
  *   acknowledged commit. @log_holders_known: there are no others.
  * @synchronous: number of replicas that hold a commit before it is acknowledged.
@@ -79,6 +80,7 @@
   bool committed_known;
   bool all_follow;
   SessionToken committed;
+  SessionToken acknowledged;
   uint32_t log_holders;
   bool log_holders_known;
   uint32_t synchronous;
--- a/src/pool/beat.pb-c.c
+++ b/src/pool/beat.pb-c.c
@@ -97,7 +97,7 @@
   assert(message->base.descriptor == &pool__beat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor pool__service_beat__field_descriptors[17] =
+static const ProtobufCFieldDescriptor pool__service_beat__field_descriptors[19] =
 {
   {
     "service",
@@ -303,8 +303,34 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "acknowledged_term",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pool__ServiceBeat, acknowledged_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "acknowledged",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pool__ServiceBeat, acknowledged),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool__service_beat__field_indices_by_name[] = {
+  18,   /* field[18] = acknowledged */
+  17,   /* field[17] = acknowledged_term */
   11,   /* field[11] = committed */
   10,   /* field[10] = committed_term */
   8,   /* field[8] = fence */
@@ -326,7 +352,7 @@
 static const ProtobufCIntRange pool__service_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor pool__service_beat__descriptor =
 {
@@ -336,7 +362,7 @@
   "Pool__ServiceBeat",
   "pool",
   sizeof(Pool__ServiceBeat),
-  17,
+  19,
   pool__service_beat__field_descriptors,
   pool__service_beat__field_indices_by_name,
   1,  pool__service_beat__number_ranges,
--- a/src/pool/beat.pb-c.h
+++ b/src/pool/beat.pb-c.h
@@ -59,7 +59,7 @@
    */
   uint64_t fence_obeyed;
   /*
-   * highest position acknowledged to the sender's callers
+   * no commit beyond it was acknowledged to the sender's callers
    */
   uint64_t committed_term;
   uint64_t committed;
@@ -86,10 +86,15 @@
    * the sender acknowledges no more commits of the service
    */
   protobuf_c_boolean released;
+  /*
+   * last commit that the sender knows to be acknowledged
+   */
+  uint64_t acknowledged_term;
+  uint64_t acknowledged;
 };
 #define POOL__SERVICE_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool__service_beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 struct  Pool__Beat
--- a/src/pool/primary-change-manager.c
+++ b/src/pool/primary-change-manager.c
@@ -65,7 +65,8 @@
   PrimaryChange *change;
   GHashTable *peers; /* peer id to PeerView */
   AcknowledgedBound *acknowledged;
-  LogHolderTracker *log_holders; /* %NULL until this host acts for the service */
+  SessionToken last_acknowledged; /* the most advanced one that a host has reported */
+  LogHolderTracker *log_holders;  /* %NULL until this host acts for the service */
   PauseWatch pauses;
   int64_t pauses_checked_ms;
   bool pauses_checked_here; /* this host is the one that looks for pauses left behind */
@@ -202,6 +203,8 @@
   heartbeat->fence_obeyed = manager->acknowledged_token;
   heartbeat->committed_term = view.committed.term;
   heartbeat->committed = view.committed.position;
+  heartbeat->acknowledged_term = view.acknowledged.term;
+  heartbeat->acknowledged = view.acknowledged.position;
   fill_demands (manager, heartbeat);
 }
 
@@ -432,6 +435,7 @@
   GroupView view;
 
   service_group_view (manager->options.group, &view);
+  session_token_advance (&manager->last_acknowledged, view.acknowledged);
   member = find_member (manager, primary_key (&view));
   *input = (PrimaryChangeInput){
     .now_ms = now_ms,
@@ -445,6 +449,7 @@
     .all_follow = true,
     .committed_known = acknowledged_bound_is_covered (manager->acknowledged, view.position.at_ms),
     .committed = view.committed,
+    .acknowledged = manager->last_acknowledged,
     .log_holders = holders->count,
     .log_holders_known = holders->complete,
     .synchronous = manager->synchronous,
@@ -646,11 +651,13 @@
              " listed=%u group_size=%u group_known=%d paused=%u logs_known=%d "
              "logs_bound=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT
              " hosts_known=%d committed=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT
+             " acknowledged=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT
              " followed_ms=%" G_GINT64_FORMAT,
              service, primary_change_fencing_token (manager->change), members->count,
              basis->group_size, input->log_holders_known, basis->paused, basis->logs_known,
              basis->logs_bound.term, basis->logs_bound.position, basis->hosts_known,
-             input->committed.term, input->committed.position, input->now_ms - manager->created_ms);
+             input->committed.term, input->committed.position, input->acknowledged.term,
+             input->acknowledged.position, input->now_ms - manager->created_ms);
   for (uint32_t i = 0; i < members->count; i++)
     {
       const ChangeMember *member = &members->items[i];
@@ -689,14 +696,15 @@
       "peer_fencing_token=%" G_GUINT64_FORMAT " committed_known=%d committed=%" G_GUINT64_FORMAT
       ".%" G_GUINT64_FORMAT " position_age_ms=%" G_GINT64_FORMAT
       " hosts_changed_age_ms=%" G_GINT64_FORMAT " abandoned_pause=%" G_GUINT64_FORMAT
-      " log_holders=%u log_holders_known=%d",
+      " log_holders=%u log_holders_known=%d acknowledged=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT,
       service_group_name (manager->options.group), primary_change_phase_name (phase),
       primary_change_fencing_token (manager->change), input->term, input->leaving, input->suspect,
       input->commits_stalled, input->votes, input->hosts, input->rank, input->all_acknowledged,
       input->peer_fencing_token, input->committed_known, input->committed.term,
       input->committed.position, position_age_ms (manager, input->now_ms),
       input->now_ms - acknowledged_bound_since_ms (manager->acknowledged), input->abandoned_pause,
-      input->log_holders, input->log_holders_known);
+      input->log_holders, input->log_holders_known, input->acknowledged.term,
+      input->acknowledged.position);
   if (phase == PRIMARY_CHANGE_PROMOTING)
     log_promotion_basis (manager, input);
 }
@@ -754,6 +762,8 @@
   view->committed = (SessionToken){ heartbeat->committed_term, heartbeat->committed };
   view->final = heartbeat->released;
   record_demands (view, heartbeat);
+  session_token_advance (&manager->last_acknowledged,
+                         (SessionToken){ heartbeat->acknowledged_term, heartbeat->acknowledged });
   manager->highest_fencing_token = MAX (manager->highest_fencing_token, heartbeat->fence);
   apply_peer_view (manager, heartbeat, sent_ms);
   if (changed)
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -36,6 +36,8 @@
   int64_t confirmed_ms; /* last time at which the primary is known to have led its group */
   bool fenced;
   SessionToken committed;
+  CommitFloor commit_floor;
+  SessionToken acknowledged;
   int64_t commit_sent_ms;
   int64_t commit_pending_since_ms;
   PositionHistory history;
@@ -137,6 +139,7 @@
   if (strcmp (group->primary, id) != 0)
     {
       memset (&group->history, 0, sizeof group->history);
+      memset (&group->commit_floor, 0, sizeof group->commit_floor);
       group->confirmed_ms = 0;
       group->commit_pending_since_ms = 0;
     }
@@ -343,8 +346,10 @@
     return;
   if (session_token_compare (position, member->last_position) > 0)
     member->last_position = position;
-  if (strcmp (instance_pool_info (member->pool)->id, group->primary) == 0
-      && lease_is_valid (group, sent_ms))
+  if (strcmp (instance_pool_info (member->pool)->id, group->primary) != 0)
+    return;
+  commit_floor_record (&group->commit_floor, position, clock_now_ms ());
+  if (lease_is_valid (group, sent_ms))
     position_history_add (&group->history, sent_ms, position);
 }
 
@@ -468,6 +473,9 @@
   if (result->code == ANSWER_OK && committed)
     {
       session_token_advance (&group->committed, result->position);
+      if (is_primary)
+        session_token_advance (&group->acknowledged,
+                               commit_floor_of (&group->commit_floor, sent_ms));
       group->commit_pending_since_ms = 0;
     }
   if (result->code == ANSWER_OK && committed && is_primary)
@@ -617,6 +625,7 @@
     .term = group->term,
     .confirmed_ms = group->confirmed_ms,
     .committed = group->committed,
+    .acknowledged = group->acknowledged,
     .commit_sent_ms = group->commit_sent_ms,
     .commit_pending_since_ms = group->commit_pending_since_ms,
   };
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -11,6 +11,7 @@
 #include <tevent.h>
 
 #include "base/timer-queue.h"
+#include "policy/commit-floor.h"
 #include "policy/instance-speed.h"
 #include "policy/outlier.h"
 #include "policy/placement.h"
@@ -188,10 +189,11 @@
 {
   const char *primary; /* "" if none is known */
   uint64_t term;
-  int64_t confirmed_ms;    /* last confirmation that it led its group; 0 for never */
-  PositionSample position; /* its last known position; time 0 for none */
-  SessionToken committed;  /* no commit beyond it was acknowledged, as far as this host knows */
-  int64_t commit_sent_ms;  /* when a commit was last sent; 0 for never */
+  int64_t confirmed_ms;      /* last confirmation that it led its group; 0 for never */
+  PositionSample position;   /* its last known position; time 0 for none */
+  SessionToken committed;    /* no commit beyond it was acknowledged, as far as this host knows */
+  SessionToken acknowledged; /* a commit at this position or later was acknowledged to this host */
+  int64_t commit_sent_ms;    /* when a commit was last sent; 0 for never */
   int64_t commit_pending_since_ms; /* send time of the first commit since the last one that ended; 0
                                       for none */
 } GroupView;
--- a/tests/primary-change-model.c
+++ b/tests/primary-change-model.c
@@ -119,6 +119,7 @@
   int holders_primary;
   uint64_t holders_term;
   int64_t holders_queried_ms;
+  SessionToken last_acknowledged;
   int primary; /* -1 for none */
   uint64_t term;
   int64_t confirmed_ms;
@@ -520,6 +521,7 @@
     .committed_known = acknowledged_bound_is_covered (host->acknowledged, host->position_ms),
     .all_follow = true,
     .committed = host->committed,
+    .acknowledged = host->last_acknowledged,
     .log_holders = host->holders.count,
     .log_holders_known = host->holders.complete,
     .synchronous = SYNCHRONOUS,
@@ -683,6 +685,7 @@
   uint32_t count;
 
   update_holders (model, index);
+  session_token_advance (&host->last_acknowledged, host->committed);
   input = make_input (model, host);
   if (primary_change_phase (host->change) != PRIMARY_CHANGE_IDLE || is_peer_changing (model, host))
     pause_watch_restart (&host->pauses, model->now_ms);
@@ -728,6 +731,7 @@
   host->peer.heard_ms = model->now_ms;
   host->peer.sent_ms = event->sent_ms;
   host->highest_token = MAX (host->highest_token, event->view.fencing_token);
+  session_token_advance (&host->last_acknowledged, event->view.committed);
   if (event->view.primary >= 0 && event->view_term > host->term
       && host->listed[event->view.primary])
     adopt_primary (host, event->view.primary, event->view_term);
--- a/tests/script-primary-change.c
+++ b/tests/script-primary-change.c
@@ -142,6 +142,8 @@
     input->all_acknowledged = value != 0;
   else if (strcmp (key, "committed-known") == 0)
     input->committed_known = value != 0;
+  else if (strcmp (key, "acknowledged-commit") == 0)
+    input->acknowledged = (SessionToken){ input->term, (guint64) value };
   else if (strcmp (key, "log-holders") == 0)
     input->log_holders = (guint32) value;
   else if (strcmp (key, "log-holders-known") == 0)
--- a/tests/script-small.c
+++ b/tests/script-small.c
@@ -4,6 +4,7 @@
  */
 #include <string.h>
 
+#include "policy/commit-floor.h"
 #include "policy/config-proof.h"
 #include "policy/conn-health.h"
 #include "policy/drain.h"
@@ -27,6 +28,7 @@
   ConfigProof proof;
   StoreClock store_clock;
   MemoryBudget memory;
+  CommitFloor commit_floor;
 } State;
 
 static void *
@@ -113,7 +115,15 @@
   State *state = data;
   const char *verb = words[0];
 
-  if (strcmp (verb, "memory-host") == 0)
+  if (strcmp (verb, "position-known") == 0)
+    commit_floor_record (&state->commit_floor,
+                         (SessionToken){ 1, (guint64) script_number (words, 2) },
+                         script_number (words, 1));
+  else if (strcmp (verb, "commit-floor") == 0)
+    g_string_append_printf (
+        out, "%" G_GUINT64_FORMAT "\n",
+        commit_floor_of (&state->commit_floor, script_number (words, 1)).position);
+  else if (strcmp (verb, "memory-host") == 0)
     g_string_append_printf (out, "%" G_GUINT64_FORMAT " bytes\n",
                             state->memory.limit_bytes
                             = memory_budget_for_host ((guint64) script_number (words, 1)));
