Show two faults of the same class that stay open

A number that one process knows and the next one does not:

- serve counts a majority of the instances that the configuration lists now.
A patch that replaces a replica makes a new group, whose majority may lack what a majority of the old one acknowledged (failover-replaced-replica).
- A fencing token is greater than those of changes in progress and those in pauses.
A host that starts after a change has ended knows neither (primary-change-token-of-earlier-process); the model's tokens that do not rise are of this kind.

--- a/tests/script-failover.c
+++ b/tests/script-failover.c
@@ -9,6 +9,7 @@
 #include "standin/group-log.h"
 
 #define INSTANCES 3
+#define LOGS 4
 #define MONITORS_MAX 3
 #define STEP_MS 50
 
@@ -17,6 +18,7 @@
   GroupLog *log;
   Failover *monitors[MONITORS_MAX];
   guint count;
+  uint32_t member[INSTANCES]; /* the log behind each instance of the configuration */
   bool down[INSTANCES];
   bool isolated[MONITORS_MAX]; /* the monitor reaches no instance */
   bool lose_answers;           /* commands take effect, but their answers are lost */
@@ -42,7 +44,10 @@
 {
   State *state = g_new0 (State, 1);
 
-  state->log = group_log_new (INSTANCES, &events, state);
+  state->log = group_log_new (LOGS, &events, state);
+  for (uint32_t i = 0; i < INSTANCES; i++)
+    state->member[i] = i;
+  group_log_set_partitioned (state->log, INSTANCES, true);
   state->now_ms = 1000;
   return state;
 }
@@ -97,14 +102,14 @@
   switch (failover_command->kind)
     {
     case FAILOVER_ADVANCE_TERM:
-      return group_log_advance_term (state->log, failover_command->instance,
+      return group_log_advance_term (state->log, state->member[failover_command->instance],
                                      failover_command->term);
     case FAILOVER_PROMOTE:
-      return group_log_promote (state->log, failover_command->instance, failover_command->term,
-                                state->now_ms);
+      return group_log_promote (state->log, state->member[failover_command->instance],
+                                failover_command->term, state->now_ms);
     case FAILOVER_FOLLOW:
-      return group_log_follow (state->log, failover_command->instance, failover_command->term,
-                               failover_command->primary);
+      return group_log_follow (state->log, state->member[failover_command->instance],
+                               failover_command->term, state->member[failover_command->primary]);
     }
   return false;
 }
@@ -131,12 +136,41 @@
   return true;
 }
 
+static InstanceStatus
+member_status (const State *state, uint32_t instance)
+{
+  InstanceStatus status = group_log_status (state->log, state->member[instance], state->now_ms);
+  const int32_t followed = status.following;
+
+  status.following = -1;
+  for (uint32_t i = 0; i < INSTANCES; i++)
+    if (followed == (int32_t) state->member[i])
+      status.following = (int32_t) i;
+  return status;
+}
+
+/* The configuration names a new instance, whose log is empty, in place of @instance; as hosts do
+ * then, the monitors start anew. */
+static void
+replace (State *state, uint32_t instance)
+{
+  const guint count = state->count;
+
+  group_log_set_partitioned (state->log, state->member[instance], true);
+  state->member[instance] = INSTANCES;
+  group_log_set_partitioned (state->log, INSTANCES, false);
+  for (guint i = 0; i < count; i++)
+    failover_free (state->monitors[i]);
+  state->count = 0;
+  add_monitors (state, count);
+}
+
 static void
 poll_instances (State *state, guint monitor)
 {
   for (uint32_t i = 0; i < INSTANCES; i++)
     {
-      const InstanceStatus status = group_log_status (state->log, i, state->now_ms);
+      const InstanceStatus status = member_status (state, i);
 
       if (!state->down[i] && !state->isolated[monitor])
         failover_record_status (state->monitors[monitor], i, &status);
@@ -173,7 +207,7 @@
 
   for (uint32_t i = 0; i < INSTANCES; i++)
     {
-      const InstanceStatus status = group_log_status (state->log, i, state->now_ms);
+      const InstanceStatus status = member_status (state, i);
 
       g_string_append_printf (
           out, "%c %s term=%" G_GUINT64_FORMAT " log=%" G_GUINT64_FORMAT "/%" G_GUINT64_FORMAT "\n",
@@ -204,8 +238,10 @@
   else if (strcmp (verb, "down") == 0)
     {
       state->down[instance_of (words)] = on;
-      group_log_set_partitioned (state->log, instance_of (words), on);
+      group_log_set_partitioned (state->log, state->member[instance_of (words)], on);
     }
+  else if (strcmp (verb, "replace") == 0)
+    replace (state, instance_of (words));
   else if (strcmp (verb, "same-rank") == 0)
     for (guint i = 0; i < state->count; i++)
       failover_set_rank (state->monitors[i], 0);
