Take a missing record of log holders for what it is, not for an unreadable one

A host that had to change a primary before that waited.

Cause: an empty array of entries has no data pointer, and no pointer meant "unreadable". The record now says whether it could be read.

Evidence: log-holders-record-absent, log-holders-store-restored pass an empty record without a pointer now, and fail on the code before.

--- a/src/policy/holder-record.c
+++ b/src/policy/holder-record.c
@@ -51,7 +51,7 @@
   record->pending = false;
   record->era = state->era;
   record->version = state->version;
-  record->readable = state->entries != NULL;
+  record->readable = state->readable;
   record->count = record->readable ? MIN (state->count, LOG_HOLDERS_MAX) : 0;
   if (record->count > 0)
     memcpy (record->entries, state->entries, record->count * sizeof *state->entries);
--- a/src/policy/holder-record.h
+++ b/src/policy/holder-record.h
@@ -55,12 +55,16 @@
 HolderRecordCall holder_record_next (HolderRecord *record, LogHolders *holders,
                                      const HolderRecordUse *use, int64_t now_ms);
 
-/** struct HolderRecordState - The record in an answer of the store; see &struct HolderRecord. */
+/**
+ * struct HolderRecordState - The record in an answer of the store; see &struct HolderRecord.
+ * @entries: may be %NULL if there are none.
+ */
 typedef struct
 {
+  bool readable;
   uint64_t era;
   uint64_t version;
-  const uint64_t *entries; /* %NULL if it is unreadable */
+  const uint64_t *entries;
   uint32_t count;
 } HolderRecordState;
 
--- a/src/pool/log-holder-tracker.c
+++ b/src/pool/log-holder-tracker.c
@@ -121,6 +121,7 @@
 {
   LogHolderTracker *tracker = data;
   const HolderRecordState state = {
+    .readable = entries != NULL,
     .era = answer->era,
     .version = version,
     .entries = entries == NULL ? NULL : (const uint64_t *) entries->data,
@@ -149,6 +150,7 @@
   RecordWrite *write = data;
   LogHolderTracker *tracker = write->tracker;
   const HolderRecordState state = {
+    .readable = true,
     .era = answer->era,
     .version = version,
     .entries = (const uint64_t *) write->entries->data,
--- a/tests/primary-change-model.c
+++ b/tests/primary-change-model.c
@@ -957,6 +957,7 @@
 {
   Host *host = &model->hosts[event->host];
   const HolderRecordState state = {
+    .readable = true,
     .version = event->store.version,
     .entries = event->store.entries,
     .count = event->store.count,
--- a/tests/script-log-holders.c
+++ b/tests/script-log-holders.c
@@ -107,8 +107,13 @@
 
       keys[count++] = instance->key | instance->leaving;
     }
-  return (
-      HolderRecordState){ .era = state->era, .version = count, .entries = keys, .count = count };
+  return (HolderRecordState){
+    .readable = true,
+    .era = state->era,
+    .version = count,
+    .entries = count == 0 ? NULL : keys,
+    .count = count,
+  };
 }
 
 /* call TIME [needed] [early] [writer]: the call to the store that begins */
