--- a/tests/processes/departure.c
+++ b/tests/processes/departure.c
@@ -15,6 +15,7 @@
 #define HOSTS 3
 #define STAYING 2
 #define SETTLE_MS 2500
+#define PAUSE_MS 40
 #define JOIN_MS 3000
 #define ALONE_MS 1500
 #define ALONE_LIMIT_MS 20000
@@ -59,7 +60,7 @@
   for (int i = 0; i < first_hosts; i++)
     world_start_host (i);
   world_wait_ready ();
-  load_start (&target, 1, 2);
+  load_start (&target, 1, 2, PAUSE_MS);
   world_sleep_ms (SETTLE_MS);
 }
 
--- a/tests/processes/load.c
+++ b/tests/processes/load.c
@@ -8,7 +8,8 @@
 
 #define MAX_ITEMS 65536
 #define ANSWER_LIMIT_MS 60000
-#define PAUSE_MS 40
+/* What an instance does this long after a fault that held it up is not held against the hosts. */
+#define DISTURBED_MS 10000
 
 typedef struct
 {
@@ -19,12 +20,14 @@
 typedef struct
 {
   bool acknowledged;
+  bool late; /* accepted by a primary that had been replaced */
   int8_t target;
+  int8_t host;
   int64_t sent_ms;
 } Item;
 
 static LoadTarget targets[LOAD_SERVICES];
-static int target_count;
+static int target_count, pause_ms;
 /* Guarded by the lock of the world. */
 static Item items[MAX_ITEMS];
 static int item_count;
@@ -38,7 +41,7 @@
 } searched[LOAD_SERVICES];
 
 static int
-add_item (int target)
+add_item (const Consumer *consumer)
 {
   int number = -1;
 
@@ -46,7 +49,8 @@
   if (item_count < MAX_ITEMS)
     {
       number = item_count++;
-      items[number].target = (int8_t) target;
+      items[number].target = (int8_t) consumer->target;
+      items[number].host = (int8_t) consumer->host;
       items[number].sent_ms = world_now_ms ();
     }
   world_unlock ();
@@ -56,7 +60,7 @@
 static void
 write_once (Client *client, const Consumer *consumer)
 {
-  const int number = add_item (consumer->target);
+  const int number = add_item (consumer);
   char text[WORLD_TEXT];
   Answer answer;
 
@@ -93,14 +97,37 @@
           || (world.hosts[consumer->host].pid != 0
               && client_open (client, consumer->host, targets[consumer->target].database)))
         write_once (client, consumer);
-      world_sleep_ms (PAUSE_MS);
+      world_sleep_ms (pause_ms);
     }
   return NULL;
 }
 
+static int
+item_number (const char *item)
+{
+  const int number = *item == 'w' ? atoi (item + 1) : -1;
+
+  return number < item_count ? number : -1;
+}
+
+static void
+on_commit (const Instance *instance, const Entry *entry)
+{
+  const int number = item_number (entry->item);
+
+  if (number < 0 || world_now_ms () - instance->disturbed_ms < DISTURBED_MS)
+    return;
+  for (int i = 0; i < world.instance_count; i++)
+    if (strcmp (world.instances[i].service, instance->service) == 0
+        && world.instances[i].promoted_term > instance->term)
+      items[number].late = true;
+}
+
 void
-load_start (const LoadTarget *list, int count, int per_host)
+load_start (const LoadTarget *list, int count, int per_host, int64_t wait_ms)
 {
+  world.on_commit = on_commit;
+  pause_ms = (int) wait_ms;
   memcpy (targets, list, (size_t) count * sizeof *list);
   target_count = count;
   for (int i = 0; i < world.host_count * count * per_host; i++)
@@ -125,7 +152,7 @@
   return count;
 }
 
-/* The instance of @target with the greatest term, if that came with a promotion; -1 for none. */
+/* The instance of @target that was promoted last; -1 for none. */
 static int
 find_promoted (int target)
 {
@@ -133,8 +160,8 @@
 
   for (int i = 0; i < world.instance_count; i++)
     if (strcmp (world.instances[i].service, targets[target].service) == 0
-        && world.instances[i].primary && world.instances[i].term > 1
-        && (best < 0 || world.instances[i].term > world.instances[best].term))
+        && world.instances[i].promoted_term > 0
+        && (best < 0 || world.instances[i].promoted_term > world.instances[best].promoted_term))
       best = i;
   return best;
 }
@@ -144,18 +171,17 @@
 {
   const Instance *instance = &world.instances[index];
 
-  if (searched[target].instance != index || searched[target].term != instance->term)
+  if (searched[target].instance != index || searched[target].term != instance->promoted_term)
     {
       memset (&searched[target], 0, sizeof searched[target]);
       searched[target].instance = index;
-      searched[target].term = instance->term;
+      searched[target].term = instance->promoted_term;
     }
   for (; searched[target].received < instance->received; searched[target].received++)
     {
-      const char *item = instance->log[searched[target].received].item;
-      const int number = *item == 'w' ? atoi (item + 1) : -1;
+      const int number = item_number (instance->log[searched[target].received].item);
 
-      if (number >= 0 && number < MAX_ITEMS)
+      if (number >= 0)
         searched[target].present[number] = true;
     }
 }
@@ -170,7 +196,7 @@
     {
       const int index = find_promoted (target);
 
-      if (index < 0)
+      if (index < 0 || world.instances[index].commits_alone)
         continue;
       search_log (target, index);
       *instance = index;
@@ -181,3 +207,17 @@
   world_unlock ();
   return lost;
 }
+
+int
+load_find_late (const int64_t *disturbed_ms, int64_t margin_ms)
+{
+  int late = -1;
+
+  world_lock ();
+  for (int i = 0; i < item_count && late < 0; i++)
+    if (items[i].acknowledged && items[i].late
+        && items[i].sent_ms > disturbed_ms[items[i].host] + margin_ms)
+      late = i;
+  world_unlock ();
+  return late;
+}
--- a/tests/processes/load.h
+++ b/tests/processes/load.h
@@ -14,8 +14,8 @@
 } LoadTarget;
 
 /* Starts @per_host consumers at every host for each of @targets. A consumer stays on its connection
- * until that ends, and connects to the same host again. */
-void load_start (const LoadTarget *targets, int count, int per_host);
+ * until that ends, and connects to the same host again. It waits @wait_ms after a write. */
+void load_start (const LoadTarget *targets, int count, int per_host, int64_t wait_ms);
 
 /* Number of writes acknowledged at @target that were sent after @since_ms. */
 int load_served_since (int target, int64_t since_ms);
@@ -23,3 +23,7 @@
 /* An acknowledged write that is not in the log of the newest primary of its service, if a promotion
  * made it one: the number of the write, and the instance; -1 for none. */
 int load_find_lost (int *instance);
+
+/* An acknowledged write that a primary accepted after another one had replaced it; -1 for none. Not
+ * counted are those sent less than @margin_ms after @disturbed_ms of their host. */
+int load_find_late (const int64_t *disturbed_ms, int64_t margin_ms);
--- a/tests/processes/world.c
+++ b/tests/processes/world.c
@@ -18,7 +18,7 @@
 #include <time.h>
 #include <unistd.h>
 
-#define CONNECTIONS 512
+#define CONNECTIONS 4096
 #define FEED_WAIT_NONE 0
 /* Rows in one answer of the store. */
 #define PAGE_ROWS 500
@@ -38,6 +38,7 @@
 typedef struct
 {
   int fd; /* -1 for unused */
+  bool readable;
   SocketKind kind;
   int instance;
   char *input;
@@ -74,6 +75,8 @@
 
 World world;
 static Connection connections[CONNECTIONS];
+/* Those from this index on have never been used. */
+static int connections_used;
 static Row rows[2048];
 static int row_count;
 static uint64_t store_version = 10;
@@ -489,6 +492,30 @@
   return -1;
 }
 
+/* Two holders must not promote with the same token. */
+static void
+note_token (const Instance *instance, const char *holder, const char *token)
+{
+  static struct
+  {
+    const char *service;
+    char holder[WORLD_TEXT], token[WORLD_TEXT];
+  } seen[256];
+  static int count;
+
+  for (int i = 0; i < count; i++)
+    if (strcmp (seen[i].service, instance->service) == 0 && strcmp (seen[i].token, token) == 0)
+      {
+        world.shared_tokens += strcmp (seen[i].holder, holder) != 0;
+        return;
+      }
+  if (count == 256)
+    return;
+  seen[count].service = instance->service;
+  snprintf (seen[count].holder, WORLD_TEXT, "%s", holder);
+  snprintf (seen[count++].token, WORLD_TEXT, "%s", token);
+}
+
 static void
 handle_promoter (Connection *connection, const char *head, const char *body)
 {
@@ -500,6 +527,8 @@
   copy_after (head, "X-Lease-Holder: ", "\r", holder, sizeof holder);
   index = find_instance (id);
   world_record ("promote  instance=%s holder=%s generation=%s", id, holder, token);
+  if (index >= 0)
+    note_token (&world.instances[index], holder, token);
   if (index < 0 || world.instances[index].listen_fd < 0)
     {
       send_http (connection, 409, "{}");
@@ -538,7 +567,9 @@
   {
     char *body = strndup (connection->input + head_length, body_length);
 
-    if (connection->kind == SOCKET_STORE)
+    if (connection->kind == SOCKET_STORE && world.store == STORE_REFUSES)
+      send_http (connection, 503, "{}");
+    else if (connection->kind == SOCKET_STORE)
       handle_store (connection, path, body);
     else
       handle_promoter (connection, head, body);
@@ -622,6 +653,8 @@
       entry.number = last_entry (instance, instance->received).number + 1;
       entry.at_ms = now_ms;
       instance->log[instance->received++] = entry;
+      if (world.on_commit != NULL)
+        world.on_commit (instance, &entry);
     }
   connection->writes = 0;
   connection->state = 'I';
@@ -963,7 +996,7 @@
   instance->primary = true;
   instance->leader = index;
   instance->pause_token = 0;
-  instance->term = term + 1;
+  instance->term = instance->promoted_term = term + 1;
   instance->applied = instance->received;
   world.promotions++;
   world_record ("promoted instance=%s term=%llu with a log of %d entries", instance->id,
@@ -979,38 +1012,46 @@
   put_instance_row (instance);
 }
 
-/* Answers commits that a replica has received. */
+/* The replica that has the commit that @connection waits for, or NULL. */
+static const Instance *
+find_receiver (const Connection *connection)
+{
+  const Instance *instance = &world.instances[connection->instance];
+
+  for (int k = 0; k < world.instance_count; k++)
+    {
+      const Instance *replica = &world.instances[k];
+
+      if (replica != instance && !replica->primary && replica->leader == connection->instance
+          && strcmp (replica->service, instance->service) == 0 && replica->listen_fd >= 0
+          && !replica->dark && replica->received >= connection->commit_index)
+        return replica;
+    }
+  return NULL;
+}
+
+/* Answers commits that a replica has received, or that need none. */
 static void
 finish_commits (void)
 {
-  for (int i = 0; i < CONNECTIONS; i++)
+  for (int i = 0; i < connections_used; i++)
     {
       Connection *connection = &connections[i];
-      Instance *instance;
+      const Instance *instance, *replica;
+      const Entry *entry;
 
       if (connection->fd < 0 || connection->commit_index == 0)
         continue;
       instance = &world.instances[connection->instance];
-      if (instance->dark)
+      replica = find_receiver (connection);
+      if (instance->dark || (replica == NULL && !instance->commits_alone))
         continue;
-      for (int k = 0; k < world.instance_count; k++)
-        {
-          const Instance *replica = &world.instances[k];
-
-          if (replica == instance || replica->primary || replica->leader != connection->instance
-              || strcmp (replica->service, instance->service) != 0 || replica->listen_fd < 0
-              || replica->dark || replica->received < connection->commit_index)
-            continue;
-          world_record ("commit   %s %s at %s as %llu.%llu, received by %s",
-                        instance->log[connection->commit_index - 1].item,
-                        instance->log[connection->commit_index - 1].value, instance->id,
-                        (unsigned long long) instance->log[connection->commit_index - 1].term,
-                        (unsigned long long) instance->log[connection->commit_index - 1].number,
-                        replica->id);
-          connection->commit_index = 0;
-          send_receipt (connection, instance);
-          break;
-        }
+      entry = &instance->log[connection->commit_index - 1];
+      world_record ("commit   %s %s at %s as %llu.%llu, received by %s", entry->item, entry->value,
+                    instance->id, (unsigned long long) entry->term,
+                    (unsigned long long) entry->number, replica == NULL ? "none" : replica->id);
+      connection->commit_index = 0;
+      send_receipt (connection, instance);
     }
 }
 
@@ -1021,7 +1062,7 @@
 
   close (instance->listen_fd);
   instance->listen_fd = -1;
-  for (int i = 0; i < CONNECTIONS; i++)
+  for (int i = 0; i < connections_used; i++)
     if (connections[i].fd >= 0 && connections[i].kind == SOCKET_INSTANCE
         && connections[i].instance == index)
       connection_close (&connections[i]);
@@ -1034,6 +1075,7 @@
   instance->listen_fd = listen_at (instance->address, &instance->port);
   instance->pause_token = 0;
   instance->promote_at_ms = 0;
+  instance->dark = false;
   if (instance->primary && instance->leader != (int) (instance - world.instances))
     step_down (instance);
   put_instance_row (instance);
@@ -1064,6 +1106,7 @@
       for (int i = 0; i < CONNECTIONS; i++)
         if (connections[i].fd < 0)
           {
+            connections_used = i < connections_used ? connections_used : i + 1;
             connections[i].fd = fd;
             connections[i].kind = kind;
             connections[i].instance = instance;
@@ -1082,6 +1125,8 @@
 {
   ssize_t got;
 
+  if (!connection->readable)
+    return true;
   if (connection->input_size < connection->input_length + 65537)
     {
       connection->input_size = connection->input_length + 131072;
@@ -1135,6 +1180,8 @@
           connection_close (connection);
           return;
         }
+      if (connection->kind == SOCKET_STORE && world.store == STORE_SILENT)
+        return;
       if (connection->feed_until_ms != FEED_WAIT_NONE
           && (has_newer_row (connection->feed_table, connection->feed_after)
               || now_ms >= connection->feed_until_ms))
@@ -1149,6 +1196,18 @@
     connection_close (connection);
 }
 
+static void
+find_readable (void)
+{
+  static struct pollfd polled[CONNECTIONS];
+
+  for (int i = 0; i < connections_used; i++)
+    polled[i] = (struct pollfd){ connections[i].fd, POLLIN, 0 };
+  poll (polled, (nfds_t) connections_used, 0);
+  for (int i = 0; i < connections_used; i++)
+    connections[i].readable = polled[i].revents != 0;
+}
+
 static void
 run_once (void)
 {
@@ -1172,7 +1231,8 @@
       replicate (&world.instances[i], now_ms);
     }
   finish_commits ();
-  for (int i = 0; i < CONNECTIONS; i++)
+  find_readable ();
+  for (int i = 0; i < connections_used; i++)
     if (connections[i].fd >= 0)
       serve_connection (&connections[i], now_ms);
 }
--- a/tests/processes/world.h
+++ b/tests/processes/world.h
@@ -7,8 +7,8 @@
 #include <stdint.h>
 #include <sys/types.h>
 
-#define WORLD_INSTANCES 8
-#define WORLD_HOSTS 8
+#define WORLD_INSTANCES 24
+#define WORLD_HOSTS 24
 #define WORLD_LOG 65536
 #define WORLD_TEXT 64
 
@@ -36,6 +36,7 @@
   bool dark; /* reads nothing and answers nothing */
   bool deaf; /* receives nothing from the primary */
   uint64_t term;
+  uint64_t promoted_term; /* of its last promotion; 0 for none */
   uint64_t pause_token;
   int64_t link_ms; /* from the primary */
   int64_t lag_ms;  /* until a received commit is applied */
@@ -46,6 +47,8 @@
   int64_t promote_at_ms; /* 0 for none */
   int64_t retire_ms;     /* a replaced primary steps down by itself then; 0 for none */
   int big_rows;          /* rows in the answer to READ big */
+  bool commits_alone;    /* no replica has to receive a commit */
+  int64_t disturbed_ms;  /* it was last held up until then */
   int64_t work_ms;       /* from running a statement to its answer */
 } Instance;
 
@@ -57,6 +60,13 @@
   int starts;
 } HostProcess;
 
+typedef enum
+{
+  STORE_SERVES,
+  STORE_REFUSES, /* 503 */
+  STORE_SILENT
+} StoreState;
+
 typedef struct
 {
   Instance instances[WORLD_INSTANCES];
@@ -68,6 +78,10 @@
   int store_port, promoter_port, front_port, ready_port, peer_port;
   int64_t promote_ms;
   int promotions;
+  int shared_tokens; /* promote calls with a token that another holder has used */
+  StoreState store;
+  /* A primary has accepted a write; called with the lock held. */
+  void (*on_commit) (const Instance *instance, const Entry *entry);
   bool quiet;           /* reads and commits are not recorded one by one */
   int owners_from;      /* setting of the hosts; 0 for the default */
   int drain_limit_s;    /* the same */
