Log on whose word a host relies on a primary, and greater terms that it can't follow

The logs did not say who confirmed a lease, why it ended, which host saw the position that a read was checked against, or that a heartbeat named a greater term whose primary the list lacks. "lease" and "unlisted_primary" say it, "statement" has position_host. No logic changed.

--- a/src/pool/primary-change-manager.c
+++ b/src/pool/primary-change-manager.c
@@ -75,6 +75,7 @@
   uint32_t connection_limit;
   uint64_t highest_fencing_token;
   uint64_t acknowledged_token;
+  uint64_t unlisted_term; /* greatest term whose primary was not listed when it was heard of */
   bool suspect;
   bool needs_log_holders; /* the primary is suspect, or being changed by this host */
   PrimaryChangePhase logged_phase;
@@ -321,8 +322,23 @@
   return view;
 }
 
+/* The heartbeat names a greater term, and its primary is not in this host's list. */
 static void
-apply_peer_view (PrimaryChangeManager *manager, const Pool__ServiceBeat *heartbeat, int64_t sent_ms)
+log_unlisted_primary (PrimaryChangeManager *manager, uint64_t peer, uint64_t term,
+                      const GroupView *view)
+{
+  if (term <= manager->unlisted_term)
+    return;
+  manager->unlisted_term = term;
+  log_event (LOG_LEVEL_NOTICE, "unlisted_primary",
+             "service=%s term=%" G_GUINT64_FORMAT " host=%016" G_GINT64_MODIFIER
+             "x primary=%s own_term=%" G_GUINT64_FORMAT,
+             service_group_name (manager->options.group), term, peer, view->primary, view->term);
+}
+
+static void
+apply_peer_view (PrimaryChangeManager *manager, uint64_t peer, const Pool__ServiceBeat *heartbeat,
+                 int64_t sent_ms)
 {
   ServiceGroup *group = manager->options.group;
   GroupMember *member = find_member (manager, heartbeat->primary);
@@ -330,6 +346,8 @@
   GroupView view;
 
   service_group_view (group, &view);
+  if (member == NULL && heartbeat->term > view.term)
+    log_unlisted_primary (manager, peer, heartbeat->term, &view);
   if (member != NULL && heartbeat->term > view.term)
     {
       service_group_adopt_primary (group, member, heartbeat->term);
@@ -338,9 +356,9 @@
   if (sent_ms == 0 || heartbeat->term != view.term || heartbeat->primary != primary_key (&view))
     return;
   if (heartbeat->proof_age != AGE_UNKNOWN)
-    service_group_confirm_primary (group, sent_ms - heartbeat->proof_age);
+    service_group_confirm_primary (group, sent_ms - heartbeat->proof_age, peer);
   if (heartbeat->position_age != AGE_UNKNOWN)
-    service_group_record_position (group, sent_ms - heartbeat->position_age, position);
+    service_group_record_position (group, sent_ms - heartbeat->position_age, position, peer);
 }
 
 /* How long an announced fencing token is respected after the last message of its host. */
@@ -514,7 +532,7 @@
   if (confirming && primary_change_phase (manager->change) != PRIMARY_CHANGE_CONFIRMING
       && report != NULL && result == COMMAND_ANSWERED && report->primary)
     {
-      service_group_confirm_primary (manager->options.group, sent_ms);
+      service_group_confirm_primary (manager->options.group, sent_ms, 0);
       pool_metrics_add (manager->options.metrics, POOL_LATENCY_CHANGE,
                         clock_now_ms () - manager->started_ms);
     }
@@ -765,7 +783,7 @@
   session_token_advance (&manager->last_acknowledged,
                          (SessionToken){ heartbeat->acknowledged_term, heartbeat->acknowledged });
   manager->highest_fencing_token = MAX (manager->highest_fencing_token, heartbeat->fence);
-  apply_peer_view (manager, heartbeat, sent_ms);
+  apply_peer_view (manager, peer, heartbeat, sent_ms);
   if (changed)
     run_step (manager);
 }
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -33,7 +33,9 @@
   GPtrArray *retired; /* removed InstancePool with connections in use */
   char primary[CATALOG_NAME_BYTES];
   uint64_t term;
-  int64_t confirmed_ms; /* last time at which the primary is known to have led its group */
+  int64_t confirmed_ms;   /* last time at which the primary is known to have led its group */
+  bool lease_logged;      /* whether the lease was valid in the last line about it */
+  uint64_t position_host; /* that reported the last known position; 0 for this one */
   bool fenced;
   SessionToken committed;
   CommitFloor commit_floor;
@@ -128,6 +130,31 @@
   waiter->group = NULL;
 }
 
+static bool
+lease_is_valid (const ServiceGroup *group, int64_t at_ms)
+{
+  return group->confirmed_ms > 0 && at_ms - group->confirmed_ms < PRIMARY_LEASE_MS;
+}
+
+/* Logs that the lease began or has ended. @reason: the event, or the instance that confirmed it.
+ * @host: on whose word; 0 for this one. */
+static void
+log_lease (ServiceGroup *group, const char *reason, uint64_t host)
+{
+  const int64_t now_ms = clock_now_ms ();
+  const bool valid = lease_is_valid (group, now_ms);
+
+  if (group->lease_logged == valid)
+    return;
+  group->lease_logged = valid;
+  log_event (LOG_LEVEL_INFO, "lease",
+             "service=%s primary=%s term=%" G_GUINT64_FORMAT
+             " value=%d reason=%s host=%016" G_GINT64_MODIFIER "x confirmed_age_ms=%" PRId64
+             " fenced=%d",
+             group->name, group->primary, group->term, valid, reason, host,
+             group->confirmed_ms == 0 ? -1 : now_ms - group->confirmed_ms, group->fenced);
+}
+
 static void
 set_primary (ServiceGroup *group, const char *id, uint64_t term, const char *source)
 {
@@ -142,6 +169,7 @@
       memset (&group->commit_floor, 0, sizeof group->commit_floor);
       group->confirmed_ms = 0;
       group->commit_pending_since_ms = 0;
+      log_lease (group, "new_primary", 0);
     }
   g_strlcpy (group->primary, id, sizeof group->primary);
   group->term = term;
@@ -259,12 +287,6 @@
   wake_waiters (group);
 }
 
-static bool
-lease_is_valid (const ServiceGroup *group, int64_t at_ms)
-{
-  return group->confirmed_ms > 0 && at_ms - group->confirmed_ms < PRIMARY_LEASE_MS;
-}
-
 /* Whether new work may be sent to it. */
 static bool
 accepts_work (const GroupMember *member, int64_t now_ms)
@@ -339,6 +361,13 @@
   return group->members[index]->pool;
 }
 
+static void
+add_position (ServiceGroup *group, int64_t at_ms, SessionToken position, uint64_t host)
+{
+  position_history_add (&group->history, at_ms, position);
+  group->position_host = host;
+}
+
 static void
 record_position (ServiceGroup *group, GroupMember *member, SessionToken position, int64_t sent_ms)
 {
@@ -350,13 +379,14 @@
     return;
   commit_floor_record (&group->commit_floor, position, clock_now_ms ());
   if (lease_is_valid (group, sent_ms))
-    position_history_add (&group->history, sent_ms, position);
+    add_position (group, sent_ms, position, 0);
 }
 
 static void
-record_confirmation (ServiceGroup *group, int64_t at_ms)
+record_confirmation (ServiceGroup *group, int64_t at_ms, const char *reason, uint64_t host)
 {
   group->confirmed_ms = MAX (group->confirmed_ms, at_ms);
+  log_lease (group, reason, host);
 }
 
 static void
@@ -479,9 +509,12 @@
       group->commit_pending_since_ms = 0;
     }
   if (result->code == ANSWER_OK && committed && is_primary)
-    record_confirmation (group, sent_ms);
+    record_confirmation (group, sent_ms, "commit", 0);
   if (result->code == ANSWER_READ_ONLY && is_primary)
-    group->confirmed_ms = group->commit_pending_since_ms = 0;
+    {
+      group->confirmed_ms = group->commit_pending_since_ms = 0;
+      log_lease (group, "read_only", 0);
+    }
   record_position (group, member, result->position, sent_ms);
 }
 
@@ -534,7 +567,7 @@
   if (report->primary && report->term >= group->term)
     set_primary (group, id, report->term, "report");
   else if (confirms_primary (group, report))
-    record_confirmation (group, sent_ms);
+    record_confirmation (group, sent_ms, id, 0);
   record_position (group, member, report->received, sent_ms);
 }
 
@@ -630,6 +663,7 @@
     .commit_pending_since_ms = group->commit_pending_since_ms,
   };
   position_history_last (&group->history, &view->position);
+  view->position_host = group->position_host;
   // Commits acknowledged by a host that is gone precede any position seen after it was gone.
   session_token_advance (&view->committed, view->position.position);
 }
@@ -644,19 +678,20 @@
 }
 
 void
-service_group_confirm_primary (ServiceGroup *group, int64_t at_ms)
+service_group_confirm_primary (ServiceGroup *group, int64_t at_ms, uint64_t host)
 {
   const bool had_lease = lease_is_valid (group, clock_now_ms ());
 
-  record_confirmation (group, at_ms);
+  record_confirmation (group, at_ms, host == 0 ? "change" : "peer", host);
   if (!had_lease && lease_is_valid (group, clock_now_ms ()))
     wake_waiters (group);
 }
 
 void
-service_group_record_position (ServiceGroup *group, int64_t at_ms, SessionToken position)
+service_group_record_position (ServiceGroup *group, int64_t at_ms, SessionToken position,
+                               uint64_t host)
 {
-  position_history_add (&group->history, at_ms, position);
+  add_position (group, at_ms, position, host);
 }
 
 void
@@ -734,6 +769,7 @@
       check_member (group->members[i], now_ms);
     }
   free_retired (group);
+  log_lease (group, "expired", 0);
   if (group->waiters.length > 0 && needs_reports (group, now_ms))
     probe (group, now_ms);
 }
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -191,6 +191,7 @@
   uint64_t term;
   int64_t confirmed_ms;      /* last confirmation that it led its group; 0 for never */
   PositionSample position;   /* its last known position; time 0 for none */
+  uint64_t position_host;    /* the host that saw it there; 0 for this one */
   SessionToken committed;    /* no commit beyond it was acknowledged, as far as this host knows */
   SessionToken acknowledged; /* a commit at this position or later was acknowledged to this host */
   int64_t commit_sent_ms;    /* when a commit was last sent; 0 for never */
@@ -211,11 +212,15 @@
 /** service_group_adopt_primary() - A peer reports @member as the primary of a higher @term. */
 void service_group_adopt_primary (ServiceGroup *group, const GroupMember *member, uint64_t term);
 
-/** service_group_confirm_primary() - The primary is known to have led its group at @at_ms. */
-void service_group_confirm_primary (ServiceGroup *group, int64_t at_ms);
+/**
+ * service_group_confirm_primary() - The primary is known to have led its group at @at_ms. @host: on
+ * whose word, for logs; 0 for this host.
+ */
+void service_group_confirm_primary (ServiceGroup *group, int64_t at_ms, uint64_t host);
 
-/** service_group_record_position() - A peer saw the primary at @position at @at_ms. */
-void service_group_record_position (ServiceGroup *group, int64_t at_ms, SessionToken position);
+/** service_group_record_position() - Host @host saw the primary at @position at @at_ms. */
+void service_group_record_position (ServiceGroup *group, int64_t at_ms, SessionToken position,
+                                    uint64_t host);
 
 /** service_group_set_fenced() - Whether the primary is being replaced and must not be relied on. */
 void service_group_set_fenced (ServiceGroup *group, bool fenced);
--- a/src/pool/session-answer.c
+++ b/src/pool/session-answer.c
@@ -120,7 +120,7 @@
              " database=%s customer=%s service=%s priority=%s kind=%s code=%s "
              "verdict=\"%s\" instance=%s primary=%s term=%" PRIu64 " confirmed_age_ms=%" PRId64
              " required_position=%" PRIu64 ".%" PRIu64 " position_age_ms=%" PRId64
-             " config=%" PRIu64 " attempts=%u took_ms=%" PRId64
+             " position_host=%016" PRIx64 " config=%" PRIu64 " attempts=%u took_ms=%" PRId64
              " reason=\"%s\" text=\"%s\" suppressed=%u",
              session->statement.id, session->id,
              session->database_name == NULL ? "-" : session->database_name,
@@ -131,9 +131,10 @@
              verdict_name (answer_code_verdict (code)),
              *session->instance == '\0' ? "-" : session->instance, view.primary, view.term,
              age_ms (view.confirmed_ms), session->after.term, session->after.position,
-             age_ms (view.position.at_ms), session->catalog == NULL ? 0 : session->catalog->version,
-             session->attempts, clock_now_ms () - session->started_ms,
-             session->reason == NULL ? "-" : session->reason, text, dropped);
+             age_ms (view.position.at_ms), view.position_host,
+             session->catalog == NULL ? 0 : session->catalog->version, session->attempts,
+             clock_now_ms () - session->started_ms, session->reason == NULL ? "-" : session->reason,
+             text, dropped);
 }
 
 void
