--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -654,7 +654,7 @@
 
   while (clock_now_ms () < until_ms)
     {
-      service_group_confirm_primary (group, clock_now_ms ());
+      service_group_confirm_primary (group, clock_now_ms (), 0);
       run_once (state);
     }
 }
