--- a/tests/processes/world.c
+++ b/tests/processes/world.c
@@ -41,6 +41,7 @@
   bool readable;
   SocketKind kind;
   int instance;
+  bool store_copy;
   char *input;
   size_t input_length, input_size;
   char *output;
@@ -80,7 +81,11 @@
 static Row rows[2048];
 static int row_count;
 static uint64_t store_version = 10;
-static int store_fd, promoter_fd;
+/* The copy that hosts with store_behind read, while it is held back. */
+static Row copied_rows[2048];
+static int copied_count;
+static uint64_t copied_version; /* 0 while it is as new as the store */
+static int store_fd, store_copy_fd, promoter_fd;
 static pthread_mutex_t mutex = PTHREAD_MUTEX_INITIALIZER;
 static FILE *record;
 static int64_t started_ms;
@@ -305,41 +310,60 @@
   return strcmp (((const Row *) a)->key, ((const Row *) b)->key);
 }
 
+/* The rows that the store shows to the host of @connection. */
+static Row *
+visible_rows (const Connection *connection, int *count, uint64_t *version)
+{
+  const bool is_behind = connection->store_copy && copied_version != 0;
+
+  *count = is_behind ? copied_count : row_count;
+  *version = is_behind ? copied_version : store_version;
+  return is_behind ? copied_rows : rows;
+}
+
 /* Answers with the rows of @table that are newer than @after, from the key @from on. */
 static void
 send_rows (Connection *connection, const char *table, uint64_t after, const char *from)
 {
+  int visible_count;
+  uint64_t version;
+  Row *visible = visible_rows (connection, &visible_count, &version);
   char *body = malloc (4 << 20);
   size_t length = (size_t) sprintf (body, "{\"rows\":[");
   int count = 0;
   bool first = true;
   bool more = false;
 
-  qsort (rows, (size_t) row_count, sizeof *rows, compare_rows);
-  for (int i = 0; i < row_count && !more; i++)
+  qsort (visible, (size_t) visible_count, sizeof *visible, compare_rows);
+  for (int i = 0; i < visible_count && !more; i++)
     {
-      if (strcmp (rows[i].table, table) != 0 || rows[i].version <= after
-          || strcmp (rows[i].key, from) < 0)
+      if (strcmp (visible[i].table, table) != 0 || visible[i].version <= after
+          || strcmp (visible[i].key, from) < 0)
         continue;
       more = count++ == PAGE_ROWS;
       if (more)
         break;
       length += (size_t) sprintf (body + length, "%s" ROW_FORMAT, first ? "" : ",", table,
-                                  rows[i].key, rows[i].value, (unsigned long long) rows[i].version);
+                                  visible[i].key, visible[i].value,
+                                  (unsigned long long) visible[i].version);
       first = false;
     }
   sprintf (body + length, "],\"more_pages\":%s,\"ver\":%llu,\"now_ms\":%lld}",
-           more ? "true" : "false", (unsigned long long) store_version,
-           (long long) world_now_ms ());
+           more ? "true" : "false", (unsigned long long) version, (long long) world_now_ms ());
   send_http (connection, 200, body);
   free (body);
 }
 
 static bool
-has_newer_row (const char *table, uint64_t after)
+has_newer_row (const Connection *connection)
 {
-  for (int i = 0; i < row_count; i++)
-    if (strcmp (rows[i].table, table) == 0 && rows[i].version > after)
+  int visible_count;
+  uint64_t version;
+  const Row *visible = visible_rows (connection, &visible_count, &version);
+
+  for (int i = 0; i < visible_count; i++)
+    if (strcmp (visible[i].table, connection->feed_table) == 0
+        && visible[i].version > connection->feed_after)
       return true;
   return false;
 }
@@ -777,6 +801,8 @@
     }
   else if (strcmp (text, "RESUME") == 0)
     {
+      if (instance->pause_token != 0)
+        instance->learn_at_ms = world_now_ms () + instance->learn_ms;
       instance->pause_token = 0;
       world_record ("command  instance=%s RESUME", instance->id);
     }
@@ -965,7 +991,8 @@
 
   if (instance->primary || instance->listen_fd < 0 || instance->dark)
     return;
-  if (leader != NULL && instance->pause_token == 0 && !instance->deaf)
+  if (leader != NULL && instance->pause_token == 0 && !instance->deaf
+      && now_ms >= instance->learn_at_ms)
     {
       if (instance->term != leader->term)
         roll_back (instance, leader);
@@ -1008,6 +1035,7 @@
       if (other == instance || strcmp (other->service, instance->service) != 0)
         continue;
       other->leader = index;
+      other->learn_at_ms = world_now_ms () + other->learn_ms;
     }
   put_instance_row (instance);
 }
@@ -1110,6 +1138,7 @@
             connections[i].fd = fd;
             connections[i].kind = kind;
             connections[i].instance = instance;
+            connections[i].store_copy = listen_fd == store_copy_fd;
             connections[i].state = 'I';
             fd = -1;
             break;
@@ -1183,8 +1212,7 @@
       if (connection->kind == SOCKET_STORE && world.store == STORE_SILENT)
         return;
       if (connection->feed_until_ms != FEED_WAIT_NONE
-          && (has_newer_row (connection->feed_table, connection->feed_after)
-              || now_ms >= connection->feed_until_ms))
+          && (has_newer_row (connection) || now_ms >= connection->feed_until_ms))
         {
           connection->feed_until_ms = FEED_WAIT_NONE;
           send_rows (connection, connection->feed_table, connection->feed_after, "");
@@ -1214,6 +1242,7 @@
   const int64_t now_ms = world_now_ms ();
 
   accept_all (store_fd, SOCKET_STORE, 0);
+  accept_all (store_copy_fd, SOCKET_STORE, 0);
   accept_all (promoter_fd, SOCKET_PROMOTER, 0);
   for (int i = 0; i < world.instance_count; i++)
     {
@@ -1302,8 +1331,9 @@
     connections[i].fd = -1;
   choose_addresses ();
   store_fd = listen_at (world.store_address, &world.store_port);
+  store_copy_fd = listen_at (world.store_address, &world.store_copy_port);
   promoter_fd = listen_at (world.promoter_address, &world.promoter_port);
-  if (store_fd < 0 || promoter_fd < 0)
+  if (store_fd < 0 || store_copy_fd < 0 || promoter_fd < 0)
     exit (2);
   for (int i = 0; i < world.instance_count; i++)
     {
@@ -1334,6 +1364,21 @@
   free (value);
 }
 
+void
+world_hold_store_copy (bool held)
+{
+  world_lock ();
+  for (int i = 0; i < copied_count; i++)
+    free (copied_rows[i].value);
+  copied_count = held ? row_count : 0;
+  copied_version = held ? store_version : 0;
+  memcpy (copied_rows, rows, (size_t) copied_count * sizeof *rows);
+  for (int i = 0; i < copied_count; i++)
+    copied_rows[i].value = strdup (rows[i].value);
+  world_unlock ();
+  world_record ("trouble  the copy of the store %s", held ? "is held back" : "is new again");
+}
+
 void
 world_list_instance (Instance *instance, bool listed)
 {
@@ -1395,7 +1440,8 @@
   snprintf (memory_limit, sizeof memory_limit, "%d", world.memory_limit_mb);
   snprintf (descriptor_limit, sizeof descriptor_limit, "%d",
             world.descriptor_limit == 0 ? 4300 : world.descriptor_limit);
-  snprintf (store, sizeof store, "%s:%d", world.store_address, world.store_port);
+  snprintf (store, sizeof store, "%s:%d", world.store_address,
+            host->store_behind ? world.store_copy_port : world.store_port);
   snprintf (promoter, sizeof promoter, "%s:%d", world.promoter_address, world.promoter_port);
   snprintf (metrics, sizeof metrics, "%s:9464", host->address);
   snprintf (path, sizeof path, "%s/%s.log", directory == NULL ? "/tmp" : directory, host->name);
--- a/tests/processes/world.h
+++ b/tests/processes/world.h
@@ -50,6 +50,8 @@
   bool commits_alone;    /* no replica has to receive a commit */
   int64_t disturbed_ms;  /* it was last held up until then */
   int64_t work_ms;       /* from running a statement to its answer */
+  int64_t learn_ms;      /* until it hears of a new primary, from the promotion or its resumption */
+  int64_t learn_at_ms;   /* it hears of its primary then */
 } Instance;
 
 typedef struct
@@ -58,6 +60,7 @@
   char address[WORLD_TEXT];
   pid_t pid; /* 0 while it is not running */
   int starts;
+  bool store_behind; /* it reads a copy of the store, which world_hold_store_copy() keeps back */
 } HostProcess;
 
 typedef enum
@@ -75,7 +78,7 @@
   int host_count;
   char store_address[WORLD_TEXT];
   char promoter_address[WORLD_TEXT];
-  int store_port, promoter_port, front_port, ready_port, peer_port;
+  int store_port, store_copy_port, promoter_port, front_port, ready_port, peer_port;
   int64_t promote_ms;
   int promotions;
   int shared_tokens; /* promote calls with a token that another holder has used */
@@ -111,6 +114,9 @@
 /* Another writer leaves a row. */
 void world_put_row (const char *table, const char *key, const char *document);
 
+/* Whether the copy of the store stays as it is, while the store itself changes. */
+void world_hold_store_copy (bool held);
+
 /* Writes or deletes the entry of an instance. */
 void world_list_instance (Instance *instance, bool listed);
 
