Show reads at a replaced primary by hosts whose list lacks the new one

Real processes: two of four hosts list neither that the primary leaves nor the instance that takes over.

--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,8 @@
 
 check: setup
 	@$(MAKE) --no-print-directory $(BUILD)/peridotstep $(BUILD)/run-tests $(BUILD)/pool-drain $(BUILD)/pool-failover \
-	  $(BUILD)/pool-crowd $(BUILD)/pool-departure $(BUILD)/pool-replacement
+	  $(BUILD)/pool-crowd $(BUILD)/pool-departure $(BUILD)/pool-replacement \
+	  $(BUILD)/pool-stale-reads
 	BUILD=$(BUILD) tests/run-all
 
 asan-check: setup
