Keep the greatest term heard of, and rely on no primary of a lesser one

What a host knows of terms, and whether it may rely on a primary, was decided in five places. Heartbeats and reports of any instance tell it of terms; heartbeats pass on the greatest one (newest_term). While a greater one is known, the lease is not valid, no commit is acknowledged, and positions of other hosts are not taken.

--- a/src/pool/beat.pb-c.c
+++ b/src/pool/beat.pb-c.c
@@ -97,7 +97,7 @@
   assert(message->base.descriptor == &pool__beat__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor pool__service_beat__field_descriptors[19] =
+static const ProtobufCFieldDescriptor pool__service_beat__field_descriptors[20] =
 {
   {
     "service",
@@ -327,6 +327,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "newest_term",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Pool__ServiceBeat, newest_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool__service_beat__field_indices_by_name[] = {
   18,   /* field[18] = acknowledged */
@@ -336,6 +348,7 @@
   8,   /* field[8] = fence */
   9,   /* field[9] = fence_obeyed */
   12,   /* field[12] = instances */
+  19,   /* field[19] = newest_term */
   15,   /* field[15] = owners */
   5,   /* field[5] = position */
   6,   /* field[6] = position_age */
@@ -352,7 +365,7 @@
 static const ProtobufCIntRange pool__service_beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor pool__service_beat__descriptor =
 {
@@ -362,7 +375,7 @@
   "Pool__ServiceBeat",
   "pool",
   sizeof(Pool__ServiceBeat),
-  19,
+  20,
   pool__service_beat__field_descriptors,
   pool__service_beat__field_indices_by_name,
   1,  pool__service_beat__number_ranges,
--- a/src/pool/beat.pb-c.h
+++ b/src/pool/beat.pb-c.h
@@ -87,14 +87,18 @@
    */
   protobuf_c_boolean released;
   /*
-   * last commit that the sender knows to be acknowledged
+   * a commit at this position or later was acknowledged
    */
   uint64_t acknowledged_term;
   uint64_t acknowledged;
+  /*
+   * greatest term that the sender has heard of
+   */
+  uint64_t newest_term;
 };
 #define POOL__SERVICE_BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool__service_beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0 }
 
 
 struct  Pool__Beat
--- a/src/pool/primary-change-manager.c
+++ b/src/pool/primary-change-manager.c
@@ -194,6 +194,7 @@
   heartbeat->service = peer_mesh_name_hash (service_group_name (manager->options.group));
   heartbeat->primary = primary_key (&view);
   heartbeat->term = view.term;
+  heartbeat->newest_term = view.newest_term;
   heartbeat->proof_age = encode_age (view.confirmed_ms, now_ms);
   heartbeat->position_term = view.position.position.term;
   heartbeat->position = view.position.position.position;
@@ -345,6 +346,7 @@
   const SessionToken position = { heartbeat->position_term, heartbeat->position };
   GroupView view;
 
+  service_group_hear_term (group, MAX (heartbeat->term, heartbeat->newest_term), peer);
   service_group_view (group, &view);
   if (member == NULL && heartbeat->term > view.term)
     log_unlisted_primary (manager, peer, heartbeat->term, &view);
--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -5,6 +5,8 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "policy/primary-lease.h"
+#include "pool/peer-mesh.h"
 
 /* Connections that a host may hold to an instance before it knows of the other hosts. */
 #define INITIAL_CONNECTION_LIMIT 3
@@ -32,11 +34,9 @@
   uint32_t count;
   GPtrArray *retired; /* removed InstancePool with connections in use */
   char primary[CATALOG_NAME_BYTES];
-  uint64_t term;
-  int64_t confirmed_ms;   /* last time at which the primary is known to have led its group */
+  PrimaryLease lease;
   bool lease_logged;      /* whether the lease was valid in the last line about it */
   uint64_t position_host; /* that reported the last known position; 0 for this one */
-  bool fenced;
   SessionToken committed;
   CommitFloor commit_floor;
   SessionToken acknowledged;
@@ -67,6 +67,7 @@
   group->retired = g_ptr_array_new ();
   g_strlcpy (group->name, name, sizeof group->name);
   g_queue_init (&group->waiters);
+  primary_lease_init (&group->lease, PRIMARY_LEASE_MS);
   talloc_set_destructor (group, group_destroy);
   return group;
 }
@@ -130,49 +131,49 @@
   waiter->group = NULL;
 }
 
-static bool
-lease_is_valid (const ServiceGroup *group, int64_t at_ms)
-{
-  return group->confirmed_ms > 0 && at_ms - group->confirmed_ms < PRIMARY_LEASE_MS;
-}
-
 /* Logs that the lease began or has ended. @reason: the event, or the instance that confirmed it.
  * @host: on whose word; 0 for this one. */
 static void
 log_lease (ServiceGroup *group, const char *reason, uint64_t host)
 {
   const int64_t now_ms = clock_now_ms ();
-  const bool valid = lease_is_valid (group, now_ms);
+  const PrimaryLease *lease = &group->lease;
+  const bool valid = primary_lease_is_valid (lease, now_ms);
 
   if (group->lease_logged == valid)
     return;
   group->lease_logged = valid;
   log_event (LOG_LEVEL_INFO, "lease",
-             "service=%s primary=%s term=%" G_GUINT64_FORMAT
+             "service=%s primary=%s term=%" G_GUINT64_FORMAT " newest_term=%" G_GUINT64_FORMAT
              " value=%d reason=%s host=%016" G_GINT64_MODIFIER "x confirmed_age_ms=%" PRId64
              " fenced=%d",
-             group->name, group->primary, group->term, valid, reason, host,
-             group->confirmed_ms == 0 ? -1 : now_ms - group->confirmed_ms, group->fenced);
+             group->name, group->primary, lease->term, lease->newest_term, valid, reason, host,
+             lease->confirmed_ms == 0 ? -1 : now_ms - lease->confirmed_ms, lease->fenced);
+}
+
+static uint32_t
+key_of (const char *id)
+{
+  return *id == '\0' ? 0 : peer_mesh_name_hash (id);
 }
 
 static void
 set_primary (ServiceGroup *group, const char *id, uint64_t term, const char *source)
 {
-  if (strcmp (group->primary, id) != 0 || group->term != term)
+  if (strcmp (group->primary, id) != 0 || group->lease.term != term)
     log_event (LOG_LEVEL_NOTICE, "primary",
                "service=%s instance=%s term=%" G_GUINT64_FORMAT
                " previous=%s previous_term=%" G_GUINT64_FORMAT " source=%s",
-               group->name, id, term, group->primary, group->term, source);
+               group->name, id, term, group->primary, group->lease.term, source);
   if (strcmp (group->primary, id) != 0)
     {
       memset (&group->history, 0, sizeof group->history);
       memset (&group->commit_floor, 0, sizeof group->commit_floor);
-      group->confirmed_ms = 0;
       group->commit_pending_since_ms = 0;
-      log_lease (group, "new_primary", 0);
     }
   g_strlcpy (group->primary, id, sizeof group->primary);
-  group->term = term;
+  primary_lease_set_primary (&group->lease, key_of (id), term);
+  log_lease (group, "new_primary", 0);
 }
 
 static Distance
@@ -226,6 +227,7 @@
                                           group->options.codec, info);
   member->distance = distance_to (group, info);
   group->members[group->count++] = member;
+  primary_lease_add_member (&group->lease, key_of (info->id));
   log_event (LOG_LEVEL_NOTICE, "instance_added",
              "service=%s instance=%s address=%s:%u failure_domain=%s leaving=%d primary=%d",
              group->name, info->id, info->address, info->port, info->failure_domain, info->leaving,
@@ -241,6 +243,7 @@
   log_event (LOG_LEVEL_NOTICE, "instance_removed", "service=%s instance=%s", group->name,
              instance_pool_info (member->pool)->id);
   group->members[index] = group->members[--group->count];
+  primary_lease_remove_member (&group->lease, key_of (instance_pool_info (member->pool)->id));
   instance_pool_close (member->pool);
   g_ptr_array_add (group->retired, member->pool);
   command_channel_cancel (member->commands);
@@ -302,9 +305,9 @@
   const GroupMember *member = find_member (group, group->primary);
   const int64_t now_ms = clock_now_ms ();
 
-  if (member == NULL || group->fenced || !accepts_work (member, now_ms))
+  if (member == NULL || !accepts_work (member, now_ms))
     return NULL;
-  return lease_is_valid (group, now_ms) ? member->pool : NULL;
+  return primary_lease_is_valid (&group->lease, now_ms) ? member->pool : NULL;
 }
 
 static void
@@ -378,17 +381,10 @@
   if (strcmp (instance_pool_info (member->pool)->id, group->primary) != 0)
     return;
   commit_floor_record (&group->commit_floor, position, clock_now_ms ());
-  if (lease_is_valid (group, sent_ms))
+  if (primary_lease_is_valid (&group->lease, sent_ms))
     add_position (group, sent_ms, position, 0);
 }
 
-static void
-record_confirmation (ServiceGroup *group, int64_t at_ms, const char *reason, uint64_t host)
-{
-  group->confirmed_ms = MAX (group->confirmed_ms, at_ms);
-  log_lease (group, reason, host);
-}
-
 static void
 record_speed (const ServiceGroup *group, GroupMember *member, Priority priority, int64_t took_ms)
 {
@@ -509,10 +505,11 @@
       group->commit_pending_since_ms = 0;
     }
   if (result->code == ANSWER_OK && committed && is_primary)
-    record_confirmation (group, sent_ms, "commit", 0);
+    primary_lease_record_commit (&group->lease, sent_ms, now_ms);
   if (result->code == ANSWER_READ_ONLY && is_primary)
     {
-      group->confirmed_ms = group->commit_pending_since_ms = 0;
+      group->commit_pending_since_ms = 0;
+      primary_lease_record_read_only (&group->lease, now_ms);
       log_lease (group, "read_only", 0);
     }
   record_position (group, member, result->position, sent_ms);
@@ -529,7 +526,8 @@
 bool
 service_group_may_acknowledge (const ServiceGroup *group, const InstancePool *pool)
 {
-  return !group->fenced && service_group_is_primary (group, pool);
+  return !group->lease.fenced && !primary_lease_is_superseded (&group->lease)
+         && service_group_is_primary (group, pool);
 }
 
 bool
@@ -546,13 +544,6 @@
   return member == NULL ? DISTANCE_REMOTE : member->distance;
 }
 
-/* A replica that follows the term and is not paused confirms that its primary leads. */
-static bool
-confirms_primary (const ServiceGroup *group, const InstanceReport *report)
-{
-  return !report->primary && report->term == group->term && report->pause_token <= group->term;
-}
-
 void
 service_group_record_report (ServiceGroup *group, GroupMember *member, const InstanceReport *report,
                              int64_t sent_ms)
@@ -564,13 +555,28 @@
       member->report_sent_ms = sent_ms;
       member->pause_token = report->pause_token;
     }
-  if (report->primary && report->term >= group->term)
+  if (report->primary && report->term >= group->lease.term)
     set_primary (group, id, report->term, "report");
-  else if (confirms_primary (group, report))
-    record_confirmation (group, sent_ms, id, 0);
+  primary_lease_record_report (&group->lease, key_of (id), report, sent_ms, clock_now_ms ());
+  log_lease (group, id, 0);
   record_position (group, member, report->received, sent_ms);
 }
 
+static void
+record_result (GroupMember *member, CommandResult result, const InstanceReport *report,
+               int64_t sent_ms)
+{
+  ServiceGroup *group = member->group;
+  const char *id = instance_pool_info (member->pool)->id;
+
+  if (result == COMMAND_ANSWERED)
+    service_group_record_report (group, member, report, sent_ms);
+  if (result != COMMAND_UNREACHABLE)
+    return;
+  primary_lease_record_down (&group->lease, key_of (id), sent_ms, clock_now_ms ());
+  log_lease (group, id, 0);
+}
+
 static void
 on_report (void *data, CommandResult result, const InstanceReport *report, int64_t sent_ms)
 {
@@ -581,8 +587,7 @@
   if (log_enabled (LOG_LEVEL_DEBUG))
     log_event (LOG_LEVEL_DEBUG, "report", "service=%s instance=%s result=%s", group->name,
                instance_pool_info (member->pool)->id, command_result_name (result));
-  if (result == COMMAND_ANSWERED)
-    service_group_record_report (group, member, report, sent_ms);
+  record_result (member, result, report, sent_ms);
   wake_waiters (group);
 }
 
@@ -593,7 +598,7 @@
   PositionSample last;
 
   position_history_last (&group->history, &last);
-  return !lease_is_valid (group, now_ms) || now_ms - last.at_ms > PRIMARY_LEASE_MS;
+  return !primary_lease_is_valid (&group->lease, now_ms) || now_ms - last.at_ms > PRIMARY_LEASE_MS;
 }
 
 static void
@@ -655,8 +660,9 @@
 {
   *view = (GroupView){
     .primary = group->primary,
-    .term = group->term,
-    .confirmed_ms = group->confirmed_ms,
+    .term = group->lease.term,
+    .newest_term = group->lease.newest_term,
+    .confirmed_ms = group->lease.confirmed_ms,
     .committed = group->committed,
     .acknowledged = group->acknowledged,
     .commit_sent_ms = group->commit_sent_ms,
@@ -671,19 +677,27 @@
 void
 service_group_adopt_primary (ServiceGroup *group, const GroupMember *member, uint64_t term)
 {
-  if (term <= group->term)
+  if (term <= group->lease.term)
     return;
   set_primary (group, instance_pool_info (member->pool)->id, term, "peer");
   wake_waiters (group);
 }
 
+void
+service_group_hear_term (ServiceGroup *group, uint64_t term, uint64_t host)
+{
+  primary_lease_hear_term (&group->lease, term);
+  log_lease (group, "newer_term", host);
+}
+
 void
 service_group_confirm_primary (ServiceGroup *group, int64_t at_ms, uint64_t host)
 {
-  const bool had_lease = lease_is_valid (group, clock_now_ms ());
+  const bool had_lease = primary_lease_is_valid (&group->lease, clock_now_ms ());
 
-  record_confirmation (group, at_ms, host == 0 ? "change" : "peer", host);
-  if (!had_lease && lease_is_valid (group, clock_now_ms ()))
+  primary_lease_record_proof (&group->lease, group->lease.term, at_ms);
+  log_lease (group, host == 0 ? "change" : "peer", host);
+  if (!had_lease && primary_lease_is_valid (&group->lease, clock_now_ms ()))
     wake_waiters (group);
 }
 
@@ -691,18 +705,20 @@
 service_group_record_position (ServiceGroup *group, int64_t at_ms, SessionToken position,
                                uint64_t host)
 {
-  add_position (group, at_ms, position, host);
+  if (!primary_lease_is_superseded (&group->lease))
+    add_position (group, at_ms, position, host);
 }
 
 void
 service_group_set_fenced (ServiceGroup *group, bool fenced)
 {
-  if (group->fenced == fenced)
+  if (group->lease.fenced == fenced)
     return;
-  group->fenced = fenced;
+  primary_lease_set_fenced (&group->lease, fenced, clock_now_ms ());
+  log_lease (group, "fenced", 0);
   log_event (LOG_LEVEL_NOTICE, "fenced",
              "service=%s primary=%s term=%" G_GUINT64_FORMAT " value=%d", group->name,
-             group->primary, group->term, fenced);
+             group->primary, group->lease.term, fenced);
   if (!fenced)
     wake_waiters (group);
 }
@@ -741,8 +757,7 @@
   GroupMember *member = data;
 
   member->check_pending = false;
-  if (result == COMMAND_ANSWERED)
-    service_group_record_report (member->group, member, report, sent_ms);
+  record_result (member, result, report, sent_ms);
   set_unresponsive (member, result == COMMAND_UNANSWERED || result == COMMAND_UNREACHABLE,
                     command_result_name (result));
 }
@@ -777,7 +792,7 @@
 bool
 service_group_is_used (const ServiceGroup *group)
 {
-  if (group->fenced || group->waiters.length > 0 || group->retired->len > 0)
+  if (group->lease.fenced || group->waiters.length > 0 || group->retired->len > 0)
     return true;
   for (uint32_t i = 0; i < group->count; i++)
     if (instance_pool_demand (group->members[i]->pool) > 0)
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -189,6 +189,7 @@
 {
   const char *primary; /* "" if none is known */
   uint64_t term;
+  uint64_t newest_term;      /* greatest one heard of */
   int64_t confirmed_ms;      /* last confirmation that it led its group; 0 for never */
   PositionSample position;   /* its last known position; time 0 for none */
   uint64_t position_host;    /* the host that saw it there; 0 for this one */
@@ -212,6 +213,9 @@
 /** service_group_adopt_primary() - A peer reports @member as the primary of a higher @term. */
 void service_group_adopt_primary (ServiceGroup *group, const GroupMember *member, uint64_t term);
 
+/** service_group_hear_term() - Host @host knows that an instance leads, or has led, in @term. */
+void service_group_hear_term (ServiceGroup *group, uint64_t term, uint64_t host);
+
 /**
  * service_group_confirm_primary() - The primary is known to have led its group at @at_ms. @host: on
  * whose word, for logs; 0 for this host.
--- a/tests/main.c
+++ b/tests/main.c
@@ -26,7 +26,7 @@
   &script_config,   &script_primary_change, &script_place,      &script_pool,
   &script_store,    &script_load,           &script_snapshot,   &script_owners,
   &script_format,   &script_acknowledged,   &script_limit,      &script_outlier,
-  &script_speed,    &script_log_holders,
+  &script_speed,    &script_log_holders,    &script_lease,
 };
 
 static GPtrArray *script_paths;
--- a/tests/script.h
+++ b/tests/script.h
@@ -43,3 +43,4 @@
 extern const ScriptKind script_outlier;
 extern const ScriptKind script_speed;
 extern const ScriptKind script_log_holders;
+extern const ScriptKind script_lease;
