--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -12,6 +12,8 @@
 #define INITIAL_CONNECTION_LIMIT 3
 /* Minimum interval between queries of the group while a confirmation is needed. */
 #define PROBE_INTERVAL_MS 100
+/* A lease of this age is prolonged if work has relied on it as lately. */
+#define PROLONG_AGE_MS (PRIMARY_LEASE_MS / 2)
 /* An instance that lacked a required position is not asked for a newer one for this time. The time
  * doubles with each consecutive failure, up to the maximum. */
 #define BEHIND_BACKOFF_MS 60
@@ -35,6 +37,7 @@
   GPtrArray *retired; /* removed InstancePool with connections in use */
   char primary[CATALOG_NAME_BYTES];
   PrimaryLease lease;
+  int64_t relied_ms;      /* when work last needed the primary */
   bool lease_logged;      /* whether the lease was valid in the last line about it */
   uint64_t position_host; /* that reported the last known position; 0 for this one */
   SessionToken committed;
@@ -305,6 +308,7 @@
   const GroupMember *member = find_member (group, group->primary);
   const int64_t now_ms = clock_now_ms ();
 
+  group->relied_ms = now_ms;
   if (member == NULL || !accepts_work (member, now_ms))
     return NULL;
   return primary_lease_is_valid (&group->lease, now_ms) ? member->pool : NULL;
@@ -775,6 +779,18 @@
   command_channel_send (member->commands, INSTANCE_COMMAND_STATUS, 0, on_checked, member);
 }
 
+/* Work that relies on the primary does not wait for the instances each time a lease ends. */
+static void
+prolong_lease (ServiceGroup *group, int64_t now_ms)
+{
+  if (now_ms - group->relied_ms > PROLONG_AGE_MS || !primary_lease_is_valid (&group->lease, now_ms)
+      || now_ms - group->lease.confirmed_ms < PROLONG_AGE_MS
+      || now_ms - group->probed_ms < PROBE_INTERVAL_MS)
+    return;
+  group->probed_ms = now_ms;
+  service_group_query_replicas (group);
+}
+
 void
 service_group_tick (ServiceGroup *group, int64_t now_ms)
 {
@@ -785,6 +801,7 @@
     }
   free_retired (group);
   log_lease (group, "expired", 0);
+  prolong_lease (group, now_ms);
   if (group->waiters.length > 0 && needs_reports (group, now_ms))
     probe (group, now_ms);
 }
