Give up the lease of before when a change of primary is acknowledged

A host that has acknowledged a fencing token need not be waited for.

A fence now ends the lease, and evidence from before its end counts for nothing unless it is of another term.

--- a/src/policy/primary-lease.c
+++ b/src/policy/primary-lease.c
@@ -76,6 +76,17 @@
   if (lease->fenced == fenced)
     return;
   lease->fenced = fenced;
+  // The host that makes the change need not wait for the lease of a host that is fenced.
+  if (fenced)
+    {
+      forget_answers (lease);
+      lease->fenced_term = lease->term;
+    }
+  else if (lease->fenced_term == lease->term)
+    {
+      forget_answers (lease);
+      lease->void_ms = now_ms;
+    }
 }
 
 bool
