Replace a primary whose successor was heard of and is not to be found

Once a greater term is known, nobody relies on the primary of the lesser one. If the instance that led in it is gone, as after a promotion that was followed by nothing, no host had a reason for a change, and the service stayed without a primary; a change that began for another reason drew its token from the lesser term. After 4 s without a listed primary of that term, the known one counts as lost, and the tokens and the terms that are looked for begin at the greatest term heard of.

Script primary-change-greater-term-heard: without the new input the query ends with "idle", since the primary of term 1 answers.

--- a/src/policy/primary-change.c
+++ b/src/policy/primary-change.c
@@ -394,7 +394,8 @@
 
   if (!change_members_all_done (&change->members))
     return;
-  change->term = change_members_highest_term (&change->members, input->term);
+  change->term
+      = change_members_highest_term (&change->members, MAX (input->term, input->newest_term));
   reported_primary = change_members_find_primary (&change->members, change->term);
   if (reported_primary != NULL
       && (reported_primary->key != change->old_primary || change->term > input->term))
--- a/src/policy/primary-change.h
+++ b/src/policy/primary-change.h
@@ -46,6 +46,7 @@
 /**
  * struct PrimaryChangeInput - This host's knowledge at the time of a step.
  * @primary: key of the primary; 0 if none is known. @term: its term.
+ * @newest_term: greatest term that this host has heard of; 0 if that is @term.
  * @leaving: the primary is leaving. @suspect: it does not serve this host.
  * @commits_stalled: it answers, but its commits do not complete, for this host or for most hosts.
  * @votes: hosts that it does not serve, including this one. @hosts: live hosts.
@@ -68,6 +69,7 @@
   int64_t now_ms;
   uint32_t primary;
   uint64_t term;
+  uint64_t newest_term;
   bool leaving;
   bool suspect;
   bool commits_stalled;
--- a/src/pool/primary-change-manager.c
+++ b/src/pool/primary-change-manager.c
@@ -23,6 +23,9 @@
 /* Stalled commits only count while commits are sent: without new ones it is unknown whether they
  * would end. */
 #define COMMIT_RECENT_MS 1500
+/* A primary of a lesser term than the greatest one heard of counts as lost if the list does not
+ * name the newer one within this time. */
+#define SUPERSEDED_LIMIT_MS 4000
 /* A host that has just started knows too little of the other hosts to judge a primary. */
 #define STARTUP_GRACE_MS 800
 /* Timeout of the promote call; a call that has not been sent by then is not sent later. */
@@ -75,7 +78,8 @@
   uint32_t connection_limit;
   uint64_t highest_fencing_token;
   uint64_t acknowledged_token;
-  uint64_t unlisted_term; /* greatest term whose primary was not listed when it was heard of */
+  uint64_t unlisted_term;      /* greatest term whose primary was not listed when it was heard of */
+  int64_t superseded_since_ms; /* a greater term than that of the primary is known; 0 if none is */
   bool suspect;
   bool needs_log_holders; /* the primary is suspect, or being changed by this host */
   PrimaryChangePhase logged_phase;
@@ -461,6 +465,7 @@
     .now_ms = now_ms,
     .primary = primary_key (&view),
     .term = view.term,
+    .newest_term = view.newest_term,
     .leaving = member != NULL && instance_pool_info (member->pool)->leaving,
     .commits_stalled = commits_are_stalled (&view, now_ms),
     .hosts = 1,
@@ -474,8 +479,14 @@
     .log_holders_known = holders->complete,
     .synchronous = manager->synchronous,
   };
-  input->suspect
-      = manager->suspect || input->commits_stalled || (input->primary != 0 && member == NULL);
+  if (view.newest_term <= view.term)
+    manager->superseded_since_ms = 0;
+  else if (manager->superseded_since_ms == 0)
+    manager->superseded_since_ms = now_ms;
+  input->suspect = manager->suspect || input->commits_stalled
+                   || (input->primary != 0 && member == NULL)
+                   || (manager->superseded_since_ms != 0
+                       && now_ms - manager->superseded_since_ms >= SUPERSEDED_LIMIT_MS);
   ended_token = ended_fence_token (&manager->ended_fence, now_ms);
   if (primary_change_fencing_token_term (ended_token) > input->term)
     input->peer_fencing_token = ended_token;
--- a/tests/script-primary-change.c
+++ b/tests/script-primary-change.c
@@ -126,6 +126,8 @@
     input->primary = find_instance (state, script_word (words, 3));
   else if (strcmp (key, "term") == 0)
     input->term = (guint64) value;
+  else if (strcmp (key, "newest-term") == 0)
+    input->newest_term = (guint64) value;
   else if (strcmp (key, "leaving") == 0)
     input->leaving = value != 0;
   else if (strcmp (key, "suspect") == 0)
