Acknowledge no commit that ends after the lease on its primary

A commit is confirmed by a replica that may have been resumed after a change of primary, and until it has learned of the new one it still follows the old one. So a commit that ends after the lease has run out may be missing from the log of the primary that leads. It is in doubt now. While a commit is pending the lease is prolonged, as it is for reads. Found by review, argued from the code; no run of the daemons has shown it.

--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -530,8 +530,8 @@
 bool
 service_group_may_acknowledge (const ServiceGroup *group, const InstancePool *pool)
 {
-  return !group->lease.fenced && !primary_lease_is_superseded (&group->lease)
-         && service_group_is_primary (group, pool);
+  return service_group_is_primary (group, pool)
+         && primary_lease_is_valid (&group->lease, clock_now_ms ());
 }
 
 bool
@@ -772,7 +772,10 @@
 static void
 prolong_lease (ServiceGroup *group, int64_t now_ms)
 {
-  if (now_ms - group->relied_ms <= PROLONG_AGE_MS && primary_lease_is_valid (&group->lease, now_ms)
+  const bool relies
+      = now_ms - group->relied_ms <= PROLONG_AGE_MS || group->commit_pending_since_ms > 0;
+
+  if (relies && primary_lease_is_valid (&group->lease, now_ms)
       && now_ms - group->lease.confirmed_ms >= PROLONG_AGE_MS)
     probe (group, now_ms);
 }
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -159,7 +159,8 @@
 /**
  * service_group_may_acknowledge() - Whether a commit at the instance of @pool may be acknowledged
  * to its caller: not after this host has reported to its peers that it does not rely on that
- * primary.
+ * primary, nor after its lease has ended, when a replica may have confirmed the commit that was
+ * resumed after a change of primary.
  */
 bool service_group_may_acknowledge (const ServiceGroup *group, const InstancePool *pool);
 
