Hear of terms also for services that this host does not serve at the moment

A host that owns a service now and then dropped its heartbeats while it did not, and came back with the primary and the term of before, on an old list perhaps. Found by review, argued from the code.

--- a/src/pool/hosted-service.c
+++ b/src/pool/hosted-service.c
@@ -235,6 +235,8 @@
     primary_change_manager_forget_peer (service->change_manager, peer, PEER_LEFT);
   else if (service->active || !peer_mesh_has_owners (service->mesh))
     primary_change_manager_receive_heartbeat (service->change_manager, peer, heartbeat, sent_ms);
+  else
+    service_group_hear_term (service->group, MAX (heartbeat->term, heartbeat->newest_term), peer);
 }
 
 void
