Take the log of a primary that stepped down for complete, and count an unlisted one

Such a primary has every commit that was acknowledged in its log, as long as no instance is silent that it may have stepped down for.

A primary of the newest term that can be none of those that are listed counts as one more, for 30 s, as other unlisted instances do.

After its own change a host confirms the instance that it takes for the primary, and not whichever answered last. promotion_basis says old_primary_known.

--- a/src/policy/primary-change.c
+++ b/src/policy/primary-change.c
@@ -36,6 +36,9 @@
 #define REPORT_VALID_MS 250
 /* A paused replica that holds every commit is waited for as long before other hosts may try. */
 #define SUCCESSOR_LIMIT_MS 1500
+/* A primary of the newest term that no list has named may live for this time, as other instances
+ * may whose entries have expired. */
+#define UNLISTED_PRIMARY_MS 30000
 /* A pause of another host prevents a change for this time. */
 #define OTHER_PAUSE_TIMEOUT_MS 2000
 
@@ -59,6 +62,7 @@
   bool may_have_promoted; /* a promotion was requested and not refused, and is not confirmed */
   uint64_t fencing_token;
   uint64_t term;
+  int64_t unlisted_primary_ms; /* since when no listed instance can lead in @term; 0 if one can */
   uint32_t old_primary;
   uint64_t old_term;             /* of @old_primary, as known when the change began */
   SessionToken stepped_down_log; /* end of the primary's log when it had stepped down */
@@ -339,20 +343,67 @@
     }
 }
 
+static bool
+is_known (const ChangeMember *member)
+{
+  return member->responded || member->paused;
+}
+
+/* Whether the newest term is led by an instance that this host does not list: none that it lists
+ * can, as all have answered but the primary of a lesser term. */
+static bool
+is_primary_unlisted (const PrimaryChange *change, const PrimaryChangeInput *input)
+{
+  if (input->primary == 0 || change->term <= input->term)
+    return false;
+  for (uint32_t i = 0; i < change->members.count; i++)
+    {
+      const ChangeMember *member = &change->members.items[i];
+
+      if (member->key != input->primary
+          && (!is_known (member)
+              || (member->report.primary && member->report.term == change->term)))
+        return false;
+    }
+  return true;
+}
+
 static uint32_t
 group_size (const PrimaryChange *change, const PrimaryChangeInput *input)
 {
-  return MAX (MAX (input->log_holders, change->members.count), MIN_GROUP_SIZE);
+  const bool unlisted = change->unlisted_primary_ms != 0
+                        && input->now_ms - change->unlisted_primary_ms < UNLISTED_PRIMARY_MS;
+
+  return MAX (MAX (input->log_holders, change->members.count + unlisted), MIN_GROUP_SIZE);
+}
+
+/* The primary of the newest term if it is a replica of that term now, and no instance is silent
+ * that could lead in a greater one. It has stepped down, and its log has each acknowledged commit.
+ */
+static const ChangeMember *
+find_stepped_down_primary (PrimaryChange *change, const PrimaryChangeInput *input)
+{
+  const ChangeMember *primary = change_members_find (&change->members, input->primary);
+
+  if (primary == NULL || input->term != change->term || primary->report.primary
+      || primary->report.term != change->term)
+    return NULL;
+  for (uint32_t i = 0; i < change->members.count; i++)
+    if (!is_known (&change->members.items[i]))
+      return NULL;
+  return primary;
 }
 
 /* The replicas that answered must include one with every acknowledged commit. Failing that, the
  * other hosts may report what was acknowledged, and one replica that answered is enough; so it is
  * while this host may still learn which logs count. */
 static bool
-has_enough_replicas (const PrimaryChange *change, const PrimaryChangeInput *input)
+has_enough_replicas (PrimaryChange *change, const PrimaryChangeInput *input)
 {
   const uint32_t replicas = change_members_replica_count (&change->members);
 
+  if (find_stepped_down_primary (change, input) != NULL)
+    return true;
   if (input->log_holders_known && replicas + input->synchronous >= group_size (change, input))
     return true;
   return replicas > 0 && (input->hosts > 1 || !input->log_holders_known)
@@ -396,6 +447,10 @@
     return;
   change->term
       = change_members_highest_term (&change->members, MAX (input->term, input->newest_term));
+  if (!is_primary_unlisted (change, input))
+    change->unlisted_primary_ms = 0;
+  else if (change->unlisted_primary_ms == 0)
+    change->unlisted_primary_ms = now_ms;
   reported_primary = change_members_find_primary (&change->members, change->term);
   if (reported_primary != NULL
       && (reported_primary->key != change->old_primary || change->term > input->term))
@@ -531,12 +586,22 @@
   enter_phase (change, PRIMARY_CHANGE_WAITING, input->now_ms);
 }
 
+static void
+lower_bound (SessionToken *bound, bool *known, SessionToken other)
+{
+  if (!*known || session_token_compare (other, *bound) < 0)
+    *bound = other;
+  *known = true;
+}
+
 /* Sets @bound so that no commit beyond it was acknowledged; false if that is not known. The hosts
  * know nothing of the commits of a term that they have not heard of. */
 static bool
 find_committed_bound (PrimaryChange *change, const PrimaryChangeInput *input, SessionToken *bound)
 {
   PrimaryChangeBasis *basis = &change->basis;
+  const ChangeMember *old_primary = find_stepped_down_primary (change, input);
+  bool known;
 
   *basis = (PrimaryChangeBasis){
     .group_size = group_size (change, input),
@@ -548,10 +613,13 @@
                                                       input->synchronous, &basis->logs_bound)
                       && input->log_holders_known && !is_beyond (change, input, basis->logs_bound);
   *bound = basis->logs_bound;
-  if (basis->hosts_known
-      && (!basis->logs_known || session_token_compare (input->committed, *bound) < 0))
-    *bound = input->committed;
-  return basis->hosts_known || basis->logs_known;
+  known = basis->logs_known;
+  if (basis->hosts_known)
+    lower_bound (bound, &known, input->committed);
+  basis->old_primary_known = old_primary != NULL && old_primary->paused;
+  if (basis->old_primary_known)
+    lower_bound (bound, &known, old_primary->report.received);
+  return known;
 }
 
 /* No replica can be promoted yet: queries the instances again, or gives up. */
--- a/src/policy/primary-change.h
+++ b/src/policy/primary-change.h
@@ -120,6 +120,7 @@
  * @paused: number of instances whose logs are known, as they are paused by this change.
  * @logs_known: these logs tell that no commit beyond @logs_bound was acknowledged.
  * @hosts_known: the hosts' word tells it too; it is the input's committed position.
+ * @old_primary_known: the primary has stepped down and is paused; the end of its log tells it too.
  */
 typedef struct
 {
@@ -128,6 +129,7 @@
   bool logs_known;
   SessionToken logs_bound;
   bool hosts_known;
+  bool old_primary_known;
 } PrimaryChangeBasis;
 
 typedef struct PrimaryChange PrimaryChange;
--- a/src/pool/primary-change-manager.c
+++ b/src/pool/primary-change-manager.c
@@ -543,7 +543,8 @@
   run_step (manager);
   // No other host can have changed the primary during this host's change, so it leads for certain.
   if (confirming && primary_change_phase (manager->change) != PRIMARY_CHANGE_CONFIRMING
-      && report != NULL && result == COMMAND_ANSWERED && report->primary)
+      && report != NULL && result == COMMAND_ANSWERED && report->primary && member != NULL
+      && service_group_is_primary (manager->options.group, member->pool))
     {
       service_group_confirm_primary (manager->options.group, sent_ms, 0);
       pool_metrics_add (manager->options.metrics, POOL_LATENCY_CHANGE,
@@ -677,18 +678,18 @@
   const ChangeMembers *members = primary_change_member_states (manager->change);
   const PrimaryChangeBasis *basis = primary_change_basis (manager->change);
 
-  log_event (LOG_LEVEL_NOTICE, "promotion_basis",
-             "service=%s fencing_token=%" G_GUINT64_FORMAT
-             " listed=%u group_size=%u group_known=%d paused=%u logs_known=%d "
-             "logs_bound=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT
-             " hosts_known=%d committed=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT
-             " acknowledged=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT
-             " followed_ms=%" G_GINT64_FORMAT,
-             service, primary_change_fencing_token (manager->change), members->count,
-             basis->group_size, input->log_holders_known, basis->paused, basis->logs_known,
-             basis->logs_bound.term, basis->logs_bound.position, basis->hosts_known,
-             input->committed.term, input->committed.position, input->acknowledged.term,
-             input->acknowledged.position, input->now_ms - manager->created_ms);
+  log_event (
+      LOG_LEVEL_NOTICE, "promotion_basis",
+      "service=%s fencing_token=%" G_GUINT64_FORMAT
+      " listed=%u group_size=%u group_known=%d paused=%u logs_known=%d "
+      "logs_bound=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT
+      " hosts_known=%d old_primary_known=%d committed=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT
+      " acknowledged=%" G_GUINT64_FORMAT ".%" G_GUINT64_FORMAT " followed_ms=%" G_GINT64_FORMAT,
+      service, primary_change_fencing_token (manager->change), members->count, basis->group_size,
+      input->log_holders_known, basis->paused, basis->logs_known, basis->logs_bound.term,
+      basis->logs_bound.position, basis->hosts_known, basis->old_primary_known,
+      input->committed.term, input->committed.position, input->acknowledged.term,
+      input->acknowledged.position, input->now_ms - manager->created_ms);
   for (uint32_t i = 0; i < members->count; i++)
     {
       const ChangeMember *member = &members->items[i];
