--- a/src/policy/primary-lease.c
+++ b/src/policy/primary-lease.c
@@ -1,7 +1,5 @@
 #include "policy/primary-lease.h"
 
-#include <string.h>
-
 #include <glib.h>
 
 /* Minimum size of a group: a list with fewer instances lacks some. */
--- a/src/policy/primary-lease.h
+++ b/src/policy/primary-lease.h
@@ -38,7 +38,8 @@
  * @newest_term: greatest term heard of, whoever leads in it.
  * @confirmed_ms: when the evidence of the lease was asked for; 0 for no lease.
  * @void_ms: evidence asked for until then does not count.
- * @fenced_term: term of the primary that is being replaced; 0 if none is.
+ * @fenced: the primary is being replaced. @fenced_term: the term that it had when this host last
+ *   acknowledged that.
  * @observed_since_ms: since when the instances that answer agree that the primary leads; 0 if they
  *   do not.
  * @observed_ms: when they were last asked.
