--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -12,8 +12,10 @@
 #define INITIAL_CONNECTION_LIMIT 3
 /* Minimum interval between queries of the group while a confirmation is needed. */
 #define PROBE_INTERVAL_MS 100
-/* A lease of this age is prolonged if work has relied on it as lately. */
+/* A lease of this age is prolonged ... */
 #define PROLONG_AGE_MS (PRIMARY_LEASE_MS / 2)
+/* ... if work has relied on it as lately: a single operation is no reason. */
+#define PROLONG_USED_MS (PRIMARY_LEASE_MS / 4)
 /* An instance that lacked a required position is not asked for a newer one for this time. The time
  * doubles with each consecutive failure, up to the maximum. */
 #define BEHIND_BACKOFF_MS 60
@@ -773,7 +775,7 @@
 prolong_lease (ServiceGroup *group, int64_t now_ms)
 {
   const bool relies
-      = now_ms - group->relied_ms <= PROLONG_AGE_MS || group->commit_pending_since_ms > 0;
+      = now_ms - group->relied_ms <= PROLONG_USED_MS || group->commit_pending_since_ms > 0;
 
   if (relies && primary_lease_is_valid (&group->lease, now_ms)
       && now_ms - group->lease.confirmed_ms >= PROLONG_AGE_MS)
