--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -568,6 +568,31 @@
   record_position (group, member, report->received, sent_ms);
 }
 
+static void
+set_unresponsive (GroupMember *member, bool unresponsive, const char *reason)
+{
+  if (member->unresponsive == unresponsive)
+    return;
+  member->unresponsive = unresponsive;
+  log_event (LOG_LEVEL_NOTICE, "instance_silent", "service=%s instance=%s value=%d reason=%s",
+             member->group->name, instance_pool_info (member->pool)->id, unresponsive, reason);
+  if (unresponsive)
+    instance_pool_fail_restartable (member->pool);
+  else
+    wake_waiters (member->group);
+}
+
+/* Without a lease no work is sent to the primary that it could fail to answer. */
+static void
+judge_silence (GroupMember *member, CommandResult result)
+{
+  const bool silent = result == COMMAND_UNANSWERED || result == COMMAND_UNREACHABLE;
+
+  if (silent && member_of (member->group, member->pool) != NULL
+      && service_group_is_primary (member->group, member->pool))
+    set_unresponsive (member, true, command_result_name (result));
+}
+
 static void
 on_report (void *data, CommandResult result, const InstanceReport *report, int64_t sent_ms)
 {
@@ -580,6 +605,7 @@
                instance_pool_info (member->pool)->id, command_result_name (result));
   if (result == COMMAND_ANSWERED)
     service_group_record_report (group, member, report, sent_ms);
+  judge_silence (member, result);
   wake_waiters (group);
 }
 
@@ -731,20 +757,6 @@
     }
 }
 
-static void
-set_unresponsive (GroupMember *member, bool unresponsive, const char *reason)
-{
-  if (member->unresponsive == unresponsive)
-    return;
-  member->unresponsive = unresponsive;
-  log_event (LOG_LEVEL_NOTICE, "instance_silent", "service=%s instance=%s value=%d reason=%s",
-             member->group->name, instance_pool_info (member->pool)->id, unresponsive, reason);
-  if (unresponsive)
-    instance_pool_fail_restartable (member->pool);
-  else
-    wake_waiters (member->group);
-}
-
 static void
 on_checked (void *data, CommandResult result, const InstanceReport *report, int64_t sent_ms)
 {
