Remember a promotion that was done and not confirmed

Callers saw (in the model with reads, seed 12423) a read at a primary that had been replaced, and in seed 2929 a commit acknowledged there. The host that makes a change promotes a replica, the platform answers that it is done, and the replica crashes before it reports. If the change then ends, for instance because the other replica is down as well, what it knew of the promotion ended with it. When the old primary is listed again, the hosts rely on it: nobody has heard of the term that the promotion began.

The answer "done" is as good as a report: the promoted term now counts as heard of, at this host and by heartbeats at the others, so that no lease on a primary of a lesser term is valid. An attempt that follows within the same change leads to the same term as before; the later ones know which instance leads in it, if it is listed.

--- a/src/policy/primary-change.c
+++ b/src/policy/primary-change.c
@@ -67,6 +67,8 @@
   uint64_t old_term;             /* of @old_primary, as known when the change began */
   SessionToken stepped_down_log; /* end of the primary's log when it had stepped down */
   uint32_t candidate;
+  uint64_t promoted_term; /* of the last promotion that was done; 0 for none */
+  uint32_t promoted;      /* the instance that leads in it */
   PrimaryChangeBasis basis;
   PrimaryChangeAction *actions;
   uint32_t action_count;
@@ -177,6 +179,12 @@
   return change->phase;
 }
 
+uint64_t
+primary_change_promoted_term (const PrimaryChange *change)
+{
+  return change->promoted_term;
+}
+
 uint64_t
 primary_change_fencing_token (const PrimaryChange *change)
 {
@@ -352,10 +360,12 @@
 /* Whether the newest term is led by an instance that this host does not list: none that it lists
  * can, as all have answered but the primary of a lesser term. */
 static bool
-is_primary_unlisted (const PrimaryChange *change, const PrimaryChangeInput *input)
+is_primary_unlisted (PrimaryChange *change, const PrimaryChangeInput *input)
 {
   if (input->primary == 0 || change->term <= input->term)
     return false;
+  if (change->term == change->promoted_term)
+    return change_members_find (&change->members, change->promoted) == NULL;
   for (uint32_t i = 0; i < change->members.count; i++)
     {
       const ChangeMember *member = &change->members.items[i];
@@ -436,6 +446,16 @@
   change->backoff_until_ms = now_ms + INCOMPLETE_BACKOFF_MS;
 }
 
+/* Greatest term that this host knows of. An attempt that follows a promotion without confirmation
+ * leads to the same term as that. */
+static uint64_t
+known_term (const PrimaryChange *change, const PrimaryChangeInput *input)
+{
+  if (change->may_have_promoted && input->newest_term == change->promoted_term)
+    return input->term;
+  return MAX (input->term, input->newest_term);
+}
+
 static void
 step_querying (PrimaryChange *change, const PrimaryChangeInput *input)
 {
@@ -445,8 +465,7 @@
 
   if (!change_members_all_done (&change->members))
     return;
-  change->term
-      = change_members_highest_term (&change->members, MAX (input->term, input->newest_term));
+  change->term = change_members_highest_term (&change->members, known_term (change, input));
   if (!is_primary_unlisted (change, input))
     change->unlisted_primary_ms = 0;
   else if (change->unlisted_primary_ms == 0)
@@ -719,6 +738,11 @@
   switch (result)
     {
     case PROMOTION_DONE:
+      change->promoted_term = primary_change_fencing_token_term (change->fencing_token);
+      change->promoted = change->candidate;
+      change->may_have_promoted = true;
+      enter_phase (change, PRIMARY_CHANGE_CONFIRMING, now_ms);
+      return;
     case PROMOTION_UNKNOWN:
       change->may_have_promoted = true;
       enter_phase (change, PRIMARY_CHANGE_CONFIRMING, now_ms);
--- a/src/policy/primary-change.h
+++ b/src/policy/primary-change.h
@@ -166,6 +166,12 @@
 /** primary_change_promotion_ended() - The promotion request ended. */
 void primary_change_promotion_ended (PrimaryChange *change, PromotionResult result, int64_t now_ms);
 
+/**
+ * primary_change_promoted_term() - Greatest term that an instance leads, or is about to lead, as
+ * this host promoted it; 0 for none. It may not have been confirmed.
+ */
+uint64_t primary_change_promoted_term (const PrimaryChange *change);
+
 /** primary_change_step() - Advances the change; returns the number of @actions to execute. */
 uint32_t primary_change_step (PrimaryChange *change, const PrimaryChangeInput *input,
                               PrimaryChangeAction *actions);
--- a/src/pool/primary-change-manager.c
+++ b/src/pool/primary-change-manager.c
@@ -565,6 +565,9 @@
   log_event (LOG_LEVEL_NOTICE, "promote_ended", "service=%s result=%s",
              service_group_name (manager->options.group), directory_result_name (result));
   primary_change_promotion_ended (manager->change, results[result], clock_now_ms ());
+  service_group_hear_term (manager->options.group, primary_change_promoted_term (manager->change),
+                           0);
+  peer_mesh_send_services_now (manager->options.mesh);
   run_step (manager);
 }
 
--- a/tests/primary-change-model.c
+++ b/tests/primary-change-model.c
@@ -1196,6 +1196,8 @@
     case EVENT_PROMOTE_ENDED:
       primary_change_promotion_ended (model->hosts[event->host].change, event->result,
                                       model->now_ms);
+      primary_lease_hear_term (&model->hosts[event->host].lease,
+                               primary_change_promoted_term (model->hosts[event->host].change));
       step_host (model, event->host);
       break;
     case EVENT_WRITE:
@@ -1728,6 +1730,9 @@
   // Without 230, which is a known failure.
   run_seeds (name, REPLACES | READS, 1, 229);
   run_seeds (name, REPLACES | READS, 231, 744);
+  // A promotion that was done and not confirmed.
+  run_seeds (name, REPLACES | READS, 2929, 2929);
+  run_seeds (name, REPLACES | READS, 12423, 12423);
 }
 END_TEST
 
--- a/tests/script-primary-change.c
+++ b/tests/script-primary-change.c
@@ -343,6 +343,10 @@
         = (guint64) script_number (words, 2);
   else if (strcmp (verb, "instances") == 0)
     print_instances (state, out);
+  else if (strcmp (verb, "promoted-term") == 0)
+    g_string_append_printf (
+        out, "%" PRIu64 "\n",
+        primary_change_promoted_term (find_host (state, script_word (words, 1))->change));
   else
     g_error ("no such command: %s", verb);
 }
