Have a superseded primary that acts step down, and count its log

Callers would see a service without a primary for as long as the leader of the newest term is away, though the one before it answers and has every commit: its log is not counted, as only replicas are paused, and it steps down by itself only once it reaches its successor. Before greater terms were kept, hosts went back to it, which loses commits; since then a change gave up (script primary-change-superseded-primary-acts: "idle" at its first attempt).

A change whose newest term is greater than that of a primary that answers now has that step down first; it then is a replica that is paused and counted like the others. It leads nothing any more, so that nothing is lost.

--- a/src/policy/primary-change.c
+++ b/src/policy/primary-change.c
@@ -456,11 +456,26 @@
   return MAX (input->term, input->newest_term);
 }
 
+/* A primary of a lesser term, which answers. Its log counts once it has become a replica. */
+static ChangeMember *
+find_superseded_primary (PrimaryChange *change)
+{
+  for (uint32_t i = 0; i < change->members.count; i++)
+    {
+      ChangeMember *member = &change->members.items[i];
+
+      if (member->responded && member->report.primary && member->report.term < change->term)
+        return member;
+    }
+  return NULL;
+}
+
 static void
 step_querying (PrimaryChange *change, const PrimaryChangeInput *input)
 {
   const int64_t now_ms = input->now_ms;
   const ChangeMember *reported_primary;
+  ChangeMember *superseded;
   ChangeMember *primary;
 
   if (!change_members_all_done (&change->members))
@@ -490,6 +505,13 @@
         query_all (change, now_ms);
       return;
     }
+  superseded = find_superseded_primary (change);
+  if (superseded != NULL && !change->is_announced)
+    {
+      choose_fencing_token (change, input);
+      send_command (change, superseded, INSTANCE_COMMAND_STEP_DOWN, now_ms);
+      return;
+    }
   if (reported_primary != NULL && input->leaving && !change->commits_stalled
       && !change_members_has_successor (&change->members))
     {
