Count a commit that ends in doubt as ended

Callers saw nothing of it at once; in a fleet of one or two hosts a healthy primary could be replaced. A commit that is answered after the lease on its primary has ended is not acknowledged, and its answer was not recorded: it stayed the oldest pending commit. The next commit, at any later time, then made the host report that commits are stalled until that one ended, and one vote of two begins a change of primary. The host also kept asking the instances to prolong its lease.

--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -666,6 +666,13 @@
     group->commit_pending_since_ms = group->commit_sent_ms;
 }
 
+void
+service_group_record_in_doubt (ServiceGroup *group, const InstancePool *pool)
+{
+  if (service_group_is_primary (group, pool))
+    group->commit_pending_since_ms = 0;
+}
+
 GroupMember *const *
 service_group_members (const ServiceGroup *group, uint32_t *count)
 {
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -182,6 +182,9 @@
 /** service_group_record_commit_sent() - A commit that writes was sent to the instance of @pool. */
 void service_group_record_commit_sent (ServiceGroup *group, const InstancePool *pool);
 
+/** service_group_record_in_doubt() - A commit ended there that must not be acknowledged. */
+void service_group_record_in_doubt (ServiceGroup *group, const InstancePool *pool);
+
 /** service_group_members() - The instances; @count is set to their number. */
 GroupMember *const *service_group_members (const ServiceGroup *group, uint32_t *count);
 
--- a/src/pool/session-run.c
+++ b/src/pool/session-run.c
@@ -246,6 +246,7 @@
 static void
 finish_unacknowledged (PoolSession *session)
 {
+  service_group_record_in_doubt (session->group, session_current_pool (session));
   session->transaction = TRANSACTION_NONE;
   session->wrote = false;
   session_release_connection (session);
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -659,6 +659,26 @@
     }
 }
 
+/* hear HOST TERM: it hears that an instance leads in TERM */
+static void
+hear_term (State *state, char **words)
+{
+  ServiceGroup *group
+      = pool_server_group (find_host (state, script_word (words, 1))->server, "ledger");
+
+  service_group_hear_term (group, (guint64) script_number (words, 2), 0);
+}
+
+/* pending HOST: prints whether it waits for commits to end */
+static void
+print_pending (const TestHost *host, GString *out)
+{
+  GroupView view;
+
+  service_group_view (pool_server_group (host->server, "ledger"), &view);
+  g_string_append (out, view.commit_pending_since_ms > 0 ? "yes\n" : "no\n");
+}
+
 /* stop HOST: the daemon ends at once */
 static void
 stop_host (TestHost *host)
@@ -779,6 +799,10 @@
     await_primary (state, script_word (words, 1), out);
   else if (strcmp (verb, "run") == 0)
     run_for (state, script_number (words, 1));
+  else if (strcmp (verb, "hear") == 0)
+    hear_term (state, words);
+  else if (strcmp (verb, "pending") == 0)
+    print_pending (find_host (state, script_word (words, 1)), out);
   else if (strcmp (verb, "confirm") == 0)
     confirm_primary (state, words);
   else if (strcmp (verb, "group") == 0)
