Base the term of an unconfirmed promotion on observed terms only

The term that a promotion announces is now the one after the greatest that a primary has reported or that this host relies on, so that the next promotion reaches it. A promotion is confirmed when the candidate leads in a greater term than it had, whatever the change expected, and its pauses then end.

primary-change-promotion-void plays it.

--- a/src/policy/primary-change.c
+++ b/src/policy/primary-change.c
@@ -62,13 +62,15 @@
   bool may_have_promoted; /* a promotion was requested and not refused, and is not confirmed */
   uint64_t fencing_token;
   uint64_t term;
+  uint64_t observed_term;      /* greatest one that a primary has reported or is relied on in */
   int64_t unlisted_primary_ms; /* since when no listed instance can lead in @term; 0 if one can */
   uint32_t old_primary;
   uint64_t old_term;             /* of @old_primary, as known when the change began */
   SessionToken stepped_down_log; /* end of the primary's log when it had stepped down */
+  uint64_t promoted_term;        /* of the last promotion that was done; 0 for none */
+  uint32_t promoted;             /* the instance that leads in it */
   uint32_t candidate;
-  uint64_t promoted_term; /* of the last promotion that was done; 0 for none */
-  uint32_t promoted;      /* the instance that leads in it */
+  uint64_t candidate_term; /* its term before the promotion */
   PrimaryChangeBasis basis;
   PrimaryChangeAction *actions;
   uint32_t action_count;
@@ -480,7 +482,8 @@
 
   if (!change_members_all_done (&change->members))
     return;
-  change->term = change_members_highest_term (&change->members, known_term (change, input));
+  change->observed_term = change_members_highest_term (&change->members, input->term);
+  change->term = MAX (change->observed_term, known_term (change, input));
   if (!is_primary_unlisted (change, input))
     change->unlisted_primary_ms = 0;
   else if (change->unlisted_primary_ms == 0)
@@ -547,6 +550,7 @@
 {
   enter_phase (change, PRIMARY_CHANGE_PROMOTING, now_ms);
   change->candidate = candidate->key;
+  change->candidate_term = candidate->report.term;
   change->promotion_failed = false;
   change->actions[change->action_count++] = (PrimaryChangeAction){
     .kind = PRIMARY_CHANGE_PROMOTE,
@@ -760,7 +764,7 @@
   switch (result)
     {
     case PROMOTION_DONE:
-      change->promoted_term = primary_change_fencing_token_term (change->fencing_token);
+      change->promoted_term = change->observed_term + 1;
       change->promoted = change->candidate;
       change->may_have_promoted = true;
       enter_phase (change, PRIMARY_CHANGE_CONFIRMING, now_ms);
@@ -812,8 +816,9 @@
   ChangeMember *candidate = change_members_find (&change->members, change->candidate);
 
   if (candidate != NULL && candidate->responded && candidate->report.primary
-      && candidate->report.term > change->term)
+      && candidate->report.term > change->candidate_term)
     {
+      change->may_have_promoted = false;
       enter_phase (change, PRIMARY_CHANGE_RETIRING, now_ms);
       // An instance that refused connections before the promotion may be back, as the old primary.
       change_members_forget_down (&change->members);
--- a/src/policy/primary-change.h
+++ b/src/policy/primary-change.h
@@ -167,8 +167,9 @@
 void primary_change_promotion_ended (PrimaryChange *change, PromotionResult result, int64_t now_ms);
 
 /**
- * primary_change_promoted_term() - Greatest term that an instance leads, or is about to lead, as
- * this host promoted it; 0 for none. It may not have been confirmed.
+ * primary_change_promoted_term() - Term that the instance that this host promoted last leads or is
+ * about to lead, or a later one; 0 for none. A promotion that the platform has done may not take
+ * effect, if the instance crashes: the term is the first that could have followed.
  */
 uint64_t primary_change_promoted_term (const PrimaryChange *change);
 
--- a/tests/script-primary-change.c
+++ b/tests/script-primary-change.c
@@ -269,7 +269,8 @@
   host->pending_count = left;
 }
 
-/* promoted HOST TIME done|refused|unknown: the request ends; done and unknown take effect */
+/* promoted HOST TIME done|refused|unknown|void: the request ends; done and unknown take effect,
+ * void is done and does not */
 static void
 promoted (State *state, char **words)
 {
@@ -279,7 +280,7 @@
 
   if (strcmp (script_word (words, 3), "refused") == 0)
     result = PROMOTION_REFUSED;
-  else
+  else if (strcmp (script_word (words, 3), "void") != 0)
     {
       result = strcmp (script_word (words, 3), "done") == 0 ? result : PROMOTION_UNKNOWN;
       instance->report.primary = true;
