Read in the soak of replaced instances, and check for reads at a replaced primary

The soak of real processes wrote only: a read at a replaced primary, the fault of the incident, could not show there. Now a reader at each host asks for the write that was acknowledged last and fails the run if it is missing though the newest primary has it.

--- a/tests/processes/replacement.c
+++ b/tests/processes/replacement.c
@@ -1,8 +1,8 @@
 /* Pool daemons as processes over changes of primary, for a seed: replicas leave and are replaced,
  * instances are cut off or crash, hosts are killed, stopped, frozen and added, the store fails; all
  * of it overlaps. Crashed primaries come back with their logs, and a replica is gone for good only
- * once it is no primary. Consumers write all the time. Prints one line: what held, or the rule that
- * was broken, by what consumers and stand-ins saw alone.
+ * once it is no primary. Consumers write and read all the time. Prints one line: what held, or the
+ * rule that was broken, by what consumers and stand-ins saw alone.
  *
  *   WORLD_BINARY=build/peridotstep WORLD_DIRECTORY=DIRECTORY build/pool-replacement SEED RECORD
  * [HOSTS] */
@@ -396,6 +396,9 @@
   number = load_find_late (disturbed_ms, THAW_MS);
   if (number >= 0)
     report_break ("ONE", "w%d was accepted by a replaced primary", number);
+  number = load_find_stale ();
+  if (number >= 0)
+    report_break ("STALE", "a read lacked w%d", number);
   if (world.shared_tokens > 0)
     report_break ("ONE", "two holders promoted with the same token");
 }
@@ -494,6 +497,7 @@
     world_start_host (i);
   world_wait_ready ();
   load_start (targets, LOAD_SERVICES, 1, 13 * world.host_count);
+  load_start_readers ();
 }
 
 int
@@ -521,8 +525,9 @@
     report_break ("RECOVER", "%d writes of orders and %d of stock were served in %d s",
                   load_served_since (0, healed_ms), load_served_since (1, healed_ms),
                   SERVED_MS / 1000);
-  printf ("seed %s held: %d writes of orders and %d of stock, %d promotions, %d hosts\n", seed_text,
-          load_served_since (0, 0), load_served_since (1, 0), world.promotions, world.host_count);
+  printf ("seed %s held: %d writes of orders and %d of stock, %d reads, %d promotions, %d hosts\n",
+          seed_text, load_served_since (0, 0), load_served_since (1, 0), load_reads (),
+          world.promotions, world.host_count);
   fflush (stdout);
   world_end (0);
 }
