--- a/src/policy/primary-change.c
+++ b/src/policy/primary-change.c
@@ -62,7 +62,7 @@
   bool may_have_promoted; /* a promotion was requested and not refused, and is not confirmed */
   uint64_t fencing_token;
   uint64_t term;
-  uint64_t observed_term;      /* greatest one that a primary has reported or is relied on in */
+  uint64_t observed_term; /* greatest one that an instance reports or a primary is relied on in */
   int64_t unlisted_primary_ms; /* since when no listed instance can lead in @term; 0 if one can */
   uint32_t old_primary;
   uint64_t old_term;             /* of @old_primary, as known when the change began */
@@ -360,7 +360,8 @@
 }
 
 /* Whether the newest term is led by an instance that this host does not list: none that it lists
- * can, as all have answered but the primary of a lesser term. */
+ * can, as all have answered but the primary of a lesser term. In a term that this host's promotion
+ * began only the promoted instance can. */
 static bool
 is_primary_unlisted (PrimaryChange *change, const PrimaryChangeInput *input)
 {
