Log on which configuration a refusal rests, and how a new one came

A caller was refused as for an unknown database, and no line told whether the host had an old configuration, whether anybody had looked for a newer one, or whether an owner with an older one refused what was forwarded to it; a refused opening had no line at all.

--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -182,6 +182,15 @@
   return true;
 }
 
+/* Age of the proof of this host's configuration; -1 for none. */
+static int64_t
+proof_age_ms (const Discovery *discovery)
+{
+  const int64_t age_ms = config_proof_age_ms (discovery->options.proof, clock_now_ms ());
+
+  return age_ms == INT64_MAX ? -1 : age_ms;
+}
+
 static int64_t
 next_retry_ms (const Discovery *discovery, int64_t *retry_ms)
 {
@@ -191,11 +200,18 @@
   return delay_ms;
 }
 
+/* Takes a configuration from @source, which log lines name. */
 static void
-apply_catalog (Discovery *discovery, Catalog *catalog)
+apply_catalog (Discovery *discovery, Catalog *catalog, const char *source)
 {
   if (catalog == NULL)
     return;
+  if (catalog->version > discovery->version)
+    log_event (LOG_LEVEL_INFO, "configuration_read",
+               "version=%" G_GUINT64_FORMAT " previous=%" G_GUINT64_FORMAT
+               " source=%s previous_proof_age_ms=%" G_GINT64_FORMAT " reader=%d",
+               catalog->version, discovery->version, source, proof_age_ms (discovery),
+               discovery->reader);
   discovery->version = MAX (discovery->version, catalog->version);
   discovery->options.catalog (discovery->options.data, catalog);
   config_proof_set_version (discovery->options.proof, catalog->version);
@@ -231,7 +247,7 @@
   const bool lacks_list = discovery->list.infos == NULL;
 
   if (snapshot->catalog != NULL && snapshot->catalog->version > discovery->version)
-    apply_catalog (discovery, snapshot->catalog);
+    apply_catalog (discovery, snapshot->catalog, "peer");
   // While a host reads the store, its list is newer than any peer's.
   if (snapshot->infos == NULL
       || !(lacks_list || ((discovery->list.failed || discovery->follower) && snapshot->fresh)))
@@ -299,7 +315,7 @@
     result = DIRECTORY_UNKNOWN;
   if (superseded)
     {
-      apply_catalog (discovery, catalog);
+      apply_catalog (discovery, catalog, "superseded call");
       return;
     }
   if (result == DIRECTORY_COMPACTED)
@@ -316,7 +332,7 @@
   record_position (discovery, answer, watched);
   if (!discovery->feed_refused)
     discovery->config_retry_ms = RETRY_MS;
-  apply_catalog (discovery, catalog);
+  apply_catalog (discovery, catalog, watched ? "watch" : "read");
   record_proof (discovery, answer, sent_ms);
   timer_set (discovery->options.timers, &discovery->config_timer,
              discovery->follower && discovery->position.valid ? FOLLOWER_CONFIG_INTERVAL_MS : 0);
@@ -403,7 +419,7 @@
   discovery->proving = false;
   if (!record_era (discovery, answer) || answer->result != DIRECTORY_OK)
     return;
-  apply_catalog (discovery, catalog);
+  apply_catalog (discovery, catalog, "proof");
   record_proof (discovery, answer, discovery->prove_ms);
 }
 
@@ -444,7 +460,11 @@
   if (discovery->reader == reader)
     return;
   discovery->reader = reader;
-  log_event (LOG_LEVEL_INFO, "reader", "value=%d", reader);
+  log_event (LOG_LEVEL_INFO, "reader",
+             "value=%d rank=%u designated=%d last_read_age_ms=%" G_GINT64_FORMAT
+             " proof_age_ms=%" G_GINT64_FORMAT,
+             reader, role->rank, role->reader, clock_now_ms () - last_read_ms,
+             proof_age_ms (discovery));
   if (reader)
     discovery_refresh_instances (discovery);
 }
@@ -458,7 +478,7 @@
   discovery->fetching = false;
   if (record_era (discovery, answer) && answer->result == DIRECTORY_OK)
     {
-      apply_catalog (discovery, catalog);
+      apply_catalog (discovery, catalog, "fetch");
       // A store that came back from a backup may have an older configuration than the peer.
       if (discovery->peer_version > discovery->version)
         discovery->options.request_snapshot (discovery->options.data);
--- a/src/pool/pool-server.c
+++ b/src/pool/pool-server.c
@@ -433,6 +433,20 @@
   return server->catalog;
 }
 
+uint64_t
+pool_server_config_version (const PoolServer *server)
+{
+  return server->catalog == NULL ? 0 : server->catalog->version;
+}
+
+int64_t
+pool_server_config_proof_age_ms (const PoolServer *server)
+{
+  const int64_t age_ms = config_proof_age_ms (server->options.proof, clock_now_ms ());
+
+  return age_ms == INT64_MAX ? -1 : age_ms;
+}
+
 bool
 pool_server_config_is_current (const PoolServer *server)
 {
--- a/src/pool/pool-server.h
+++ b/src/pool/pool-server.h
@@ -89,6 +89,15 @@
 /** pool_server_catalog() - Configuration in force; %NULL before the first. */
 Catalog *pool_server_catalog (const PoolServer *server);
 
+/** pool_server_config_version() - Its version; 0 before the first. */
+uint64_t pool_server_config_version (const PoolServer *server);
+
+/**
+ * pool_server_config_proof_age_ms() - Time since the configuration in force was last known to be
+ * the newest; -1 for never.
+ */
+int64_t pool_server_config_proof_age_ms (const PoolServer *server);
+
 /**
  * pool_server_config_is_current() - Whether the configuration is known to be new enough to serve
  * callers with keys.
--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -273,10 +273,29 @@
     }
 }
 
+/* Logs an error that ends the session, and on which configuration it rests. */
+static void
+log_refusal (PoolSession *session, AnswerCode code, const char *text)
+{
+  uint32_t dropped;
+
+  if (!log_enabled (LOG_LEVEL_INFO)
+      || !pool_server_may_log (session->server, answer_code_verdict (code), clock_now_ms (),
+                               &dropped))
+    return;
+  log_event (LOG_LEVEL_INFO, "session_refused",
+             "session=%" PRIu64 " database=%s code=%s config=%" PRIu64
+             " config_proof_age_ms=%" PRId64 " forwarded=%d reason=\"%s\" suppressed=%u",
+             session->id, session->database_name == NULL ? "-" : session->database_name,
+             answer_code_name (code), pool_server_config_version (session->server),
+             pool_server_config_proof_age_ms (session->server), session->forwarded, text, dropped);
+}
+
 /* Sends an error that ends the session. */
 static void
 end_with_error (PoolSession *session, SessionEnd reason, AnswerCode code, const char *text)
 {
+  log_refusal (session, code, text);
   session->options->codec->write_error (session_output (session), code, text);
   stream_flush (session->stream);
   pool_session_finish (session, reason);
--- a/src/pool/session-answer.c
+++ b/src/pool/session-answer.c
@@ -120,8 +120,8 @@
              " database=%s customer=%s service=%s priority=%s kind=%s code=%s "
              "verdict=\"%s\" instance=%s primary=%s term=%" PRIu64 " confirmed_age_ms=%" PRId64
              " required_position=%" PRIu64 ".%" PRIu64 " position_age_ms=%" PRId64
-             " position_host=%016" PRIx64 " config=%" PRIu64 " attempts=%u took_ms=%" PRId64
-             " reason=\"%s\" text=\"%s\" suppressed=%u",
+             " position_host=%016" PRIx64 " config=%" PRIu64 " config_proof_age_ms=%" PRId64
+             " attempts=%u took_ms=%" PRId64 " reason=\"%s\" text=\"%s\" suppressed=%u",
              session->statement.id, session->id,
              session->database_name == NULL ? "-" : session->database_name,
              *session->customer == '\0' ? "-" : session->customer,
@@ -132,7 +132,9 @@
              *session->instance == '\0' ? "-" : session->instance, view.primary, view.term,
              age_ms (view.confirmed_ms), session->after.term, session->after.position,
              age_ms (view.position.at_ms), view.position_host,
-             session->catalog == NULL ? 0 : session->catalog->version, session->attempts,
+             session->catalog == NULL ? pool_server_config_version (session->server)
+                                      : session->catalog->version,
+             pool_server_config_proof_age_ms (session->server), session->attempts,
              clock_now_ms () - session->started_ms, session->reason == NULL ? "-" : session->reason,
              text, dropped);
 }
