Show configurations that the only host that reaches the store does not read

Nine pool daemons as processes, the store silent or refusing for the eight that rank before the ninth, seven changes 1.1 s apart: on this code 6 of 7 versions are not in force at the ninth host 3 s after their acknowledgement, in both cases (one run each), since a host of rank 6 or more never reads the store by itself.

--- a/Makefile
+++ b/Makefile
@@ -45,7 +45,7 @@
 
 check: setup
 	@$(MAKE) --no-print-directory $(BUILD)/peridotstep $(BUILD)/run-tests $(BUILD)/pool-drain $(BUILD)/pool-failover \
-	  $(BUILD)/pool-crowd $(BUILD)/pool-departure $(BUILD)/pool-replacement \
+	  $(BUILD)/pool-config $(BUILD)/pool-crowd $(BUILD)/pool-departure $(BUILD)/pool-replacement \
 	  $(BUILD)/pool-stale-reads
 	BUILD=$(BUILD) tests/run-all
 
--- a/tests/processes/world.c
+++ b/tests/processes/world.c
@@ -354,6 +354,13 @@
   free (body);
 }
 
+/* How the store serves the host of @connection. */
+static StoreState
+store_state (const Connection *connection)
+{
+  return connection->store_copy && world.store == STORE_SERVES ? world.store_behind : world.store;
+}
+
 static bool
 has_newer_row (const Connection *connection)
 {
@@ -591,7 +598,7 @@
   {
     char *body = strndup (connection->input + head_length, body_length);
 
-    if (connection->kind == SOCKET_STORE && world.store == STORE_REFUSES)
+    if (connection->kind == SOCKET_STORE && store_state (connection) == STORE_REFUSES)
       send_http (connection, 503, "{}");
     else if (connection->kind == SOCKET_STORE)
       handle_store (connection, path, body);
@@ -1209,7 +1216,7 @@
           connection_close (connection);
           return;
         }
-      if (connection->kind == SOCKET_STORE && world.store == STORE_SILENT)
+      if (connection->kind == SOCKET_STORE && store_state (connection) == STORE_SILENT)
         return;
       if (connection->feed_until_ms != FEED_WAIT_NONE
           && (has_newer_row (connection) || now_ms >= connection->feed_until_ms))
--- a/tests/processes/world.h
+++ b/tests/processes/world.h
@@ -83,6 +83,7 @@
   int promotions;
   int shared_tokens; /* promote calls with a token that another holder has used */
   StoreState store;
+  StoreState store_behind; /* for hosts with store_behind, while it serves the others */
   /* A primary has accepted a write; called with the lock held. */
   void (*on_commit) (const Instance *instance, const Entry *entry);
   bool quiet;           /* reads and commits are not recorded one by one */
