Have hosts that reach the store read it in place of those that don't

Callers were refused as for an unknown database more than 5 s after it had been added: with the store out of reach of 123 of 129 hosts nobody read the configuration for up to 6.6 s, though five or six hosts reached the store.

Cause: who reads was decided by rank among the hosts that are heard from, only six hosts of a failure domain could ever take over, and they did by the age of the list of instances. The age of the configuration had no bound of its own. Class: a duty bound to an order that does not tell who can do it.

Now config-limit (3 s, or what the deployment states) bounds the age of the proof of every host's configuration. A host whose proof gets old asks the store, whatever its rank, in waves that double and end before an eighth of the limit is left (policy/reader-order), and tells its failure domain at once. A host whose last call failed says so in its heartbeats and comes last in the order, so the readers are hosts that reach the store; others take over the list of instances in the same waves. The first reader's long polls end after a quarter of the limit, so that no proof becomes due in calm. A position in the feed that the store no longer keeps does not end a host's proofs any more.

--- a/src/cli/pool.c
+++ b/src/cli/pool.c
@@ -50,6 +50,9 @@
     "seconds after which a caller that takes nothing of its answers is given up" },
   { "store", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the platform's store" },
   { "promoter", SETTING_TEXT, NULL, 0, 0, "IP:PORT of the platform's promote call" },
+  { "config-limit", SETTING_NUMBER, "3000", 500, 86400000,
+    "milliseconds within which a change of the configuration has to be in force; a host that may "
+    "have missed one asks the store itself in time for that" },
   { "revoke-limit", SETTING_NUMBER, "0", 0, 86400000,
     "milliseconds after which a key that was taken away is served nowhere; a host that can't tell "
     "whether its configuration is the newest stops serving keys by then; 0 for no limit" },
@@ -77,9 +80,8 @@
 #define DRAIN_POLL_MS 100
 /* Number of hosts that poll the store often; several, as some may be unable to reach it. */
 #define STORE_READERS 3
-/* The same in each failure domain of a fleet with owners, and hosts there that take over. */
+/* The same in each failure domain of a fleet with owners. */
 #define DOMAIN_READERS 2
-#define DOMAIN_STANDBY_READERS 6
 /* Interval for checking whether the settings file has changed. */
 #define FILE_POLL_MS 2000
 /* File descriptors reserved for connections to instances and to the store, and for files. */
@@ -159,6 +161,14 @@
   discovery_refresh_instances (daemon->discovery);
 }
 
+static void
+on_announce (void *data)
+{
+  PoolDaemon *daemon = data;
+
+  peer_mesh_send_now (daemon->mesh);
+}
+
 static bool
 is_ready (void *data)
 {
@@ -200,12 +210,10 @@
 set_reader (PoolDaemon *daemon)
 {
   const bool owners = peer_mesh_has_owners (daemon->mesh);
-  const uint32_t rank
-      = owners ? peer_mesh_domain_rank (daemon->mesh) : peer_mesh_rank (daemon->mesh);
+  const bool store_lost = discovery_store_lost (daemon->discovery);
   const ReaderRole role = {
-    .rank = rank,
-    .reader = rank < (owners ? DOMAIN_READERS : STORE_READERS),
-    .standby = !owners || rank < DOMAIN_STANDBY_READERS,
+    .rank = peer_mesh_reader_rank (daemon->mesh, store_lost),
+    .readers = owners ? DOMAIN_READERS : STORE_READERS,
     .follower = owners,
     .round_ms = peer_mesh_round_ms (daemon->mesh),
   };
@@ -222,6 +230,7 @@
   if (daemon->discovery == NULL)
     return;
   heartbeat->store_era = discovery_era (daemon->discovery);
+  heartbeat->store_lost = discovery_store_lost (daemon->discovery);
   if (daemon->proof.at_ms != 0)
     {
       heartbeat->proof_version = daemon->proof.version;
@@ -580,6 +589,16 @@
   return daemon->status != NULL && start_metrics_page (daemon, settings, &status, error);
 }
 
+/* The stricter one of the limits that rest on proofs of the configuration. */
+static int64_t
+proof_limit_ms (const Settings *settings)
+{
+  const int64_t config_ms = settings_number (settings, "config-limit");
+  const int64_t revoke_ms = settings_number (settings, "revoke-limit");
+
+  return revoke_ms == 0 ? config_ms : MIN (config_ms, revoke_ms);
+}
+
 static void
 start_discovery (PoolDaemon *daemon, const Settings *settings)
 {
@@ -589,7 +608,8 @@
     .metrics = &daemon->metrics,
     .catalog = on_catalog,
     .proof = &daemon->proof,
-    .proof_limit_ms = settings_number (settings, "revoke-limit"),
+    .proof_limit_ms = proof_limit_ms (settings),
+    .announce = on_announce,
     .instances = on_instances,
     .store_restored = on_store_restored,
     .request_snapshot = on_request_snapshot,
--- a/src/policy/config-proof.c
+++ b/src/policy/config-proof.c
@@ -1,9 +1,14 @@
 #include "policy/config-proof.h"
 
-/* The first host of a failure domain asks for a proof at this part of the limit; each further one
- * later by the other part. */
+#include "policy/reader-order.h"
+
+/* The first host asks for a proof at this part of the limit. */
 #define FIRST_DIVISOR 2
-#define NEXT_DIVISOR 16
+/* What is left of the limit after the last host has asked: for the call, and to apply the change.
+ */
+#define CALL_DIVISOR 8
+/* The rest of the time until the first host asks is for passing the proof on. */
+#define WATCH_DIVISOR 4
 
 static int64_t
 max_i64 (int64_t a, int64_t b)
@@ -44,11 +49,19 @@
   return limit_ms == 0 || config_proof_age_ms (proof, now_ms) < limit_ms;
 }
 
-bool
-config_proof_is_due (const ConfigProof *proof, int64_t limit_ms, uint32_t rank, int64_t now_ms)
+int64_t
+config_proof_due_ms (const ConfigProof *proof, int64_t limit_ms, uint32_t rank, int64_t now_ms)
 {
+  const int64_t due_ms = reader_order_takeover_ms (limit_ms / FIRST_DIVISOR,
+                                                   limit_ms - limit_ms / CALL_DIVISOR, rank);
+
   if (limit_ms == 0)
-    return false;
-  return config_proof_age_ms (proof, now_ms)
-         >= limit_ms / FIRST_DIVISOR + (int64_t) rank * (limit_ms / NEXT_DIVISOR);
+    return INT64_MAX;
+  return max_i64 (0, max_i64 (proof->current_ms, proof->started_ms) + due_ms - now_ms);
+}
+
+int64_t
+config_proof_watch_ms (int64_t limit_ms)
+{
+  return limit_ms / WATCH_DIVISOR;
 }
--- a/src/policy/config-proof.h
+++ b/src/policy/config-proof.h
@@ -1,7 +1,8 @@
 /**
  * DOC: How old a host's proof is that its configuration is the newest. The store proves it at the
  * time of an answer, and hosts pass proofs on with their age. A host without a recent proof may
- * have missed that a key was taken away, so it must not serve callers with keys any more.
+ * have missed a change: it asks the store, in time for the change to be in force within the limit,
+ * and it must not serve callers with keys any more, one of which may have been taken away.
  *
  * Times are milliseconds on the host's own clock, which also advances while it is suspended.
  */
@@ -15,6 +16,7 @@
  * @version: version of the latest proof. @at_ms: when that version was the newest.
  * @own_version: of this host's configuration.
  * @current_ms: when @own_version, or an older version, was last known to be the newest.
+ * @started_ms: when the process began to read the configuration.
  */
 typedef struct
 {
@@ -22,6 +24,7 @@
   int64_t at_ms;
   uint64_t own_version;
   int64_t current_ms;
+  int64_t started_ms;
 } ConfigProof;
 
 /** config_proof_record() - @version was the newest at @at_ms or later. */
@@ -37,9 +40,15 @@
 bool config_proof_is_current (const ConfigProof *proof, int64_t limit_ms, int64_t now_ms);
 
 /**
- * config_proof_is_due() - Whether the host of @rank, counting from 0 in its failure domain, asks
- * the store for a proof. The others follow one after the other, so that a host that can't reach the
- * store is replaced before any proof expires and few hosts ask in calm.
+ * config_proof_due_ms() - Time until the host of @rank, see reader-order.h, asks the store for a
+ * proof, so that a change is in force within @limit_ms. 0 if the proof is due; INT64_MAX without a
+ * limit.
  */
-bool config_proof_is_due (const ConfigProof *proof, int64_t limit_ms, uint32_t rank,
-                          int64_t now_ms);
+int64_t config_proof_due_ms (const ConfigProof *proof, int64_t limit_ms, uint32_t rank,
+                             int64_t now_ms);
+
+/**
+ * config_proof_watch_ms() - Wait of a long poll whose answers renew the proofs of a group so often
+ * that none becomes due.
+ */
+int64_t config_proof_watch_ms (int64_t limit_ms);
--- a/src/pool/beat.pb-c.c
+++ b/src/pool/beat.pb-c.c
@@ -382,7 +382,7 @@
   (ProtobufCMessageInit) pool__service_beat__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor pool__beat__field_descriptors[16] =
+static const ProtobufCFieldDescriptor pool__beat__field_descriptors[17] =
 {
   {
     "sender",
@@ -576,6 +576,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_lost",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Pool__Beat, store_lost),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned pool__beat__field_indices_by_name[] = {
   1,   /* field[1] = boot */
@@ -594,11 +606,12 @@
   2,   /* field[2] = sent */
   7,   /* field[7] = services */
   13,   /* field[13] = store_era */
+  16,   /* field[16] = store_lost */
 };
 static const ProtobufCIntRange pool__beat__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 16 }
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor pool__beat__descriptor =
 {
@@ -608,7 +621,7 @@
   "Pool__Beat",
   "pool",
   sizeof(Pool__Beat),
-  16,
+  17,
   pool__beat__field_descriptors,
   pool__beat__field_indices_by_name,
   1,  pool__beat__number_ranges,
--- a/src/pool/beat.pb-c.h
+++ b/src/pool/beat.pb-c.h
@@ -150,10 +150,14 @@
    * ... this time ago, plus 1; 0 for unknown
    */
   uint32_t proof_age;
+  /*
+   * the sender's last call to the store failed
+   */
+  protobuf_c_boolean store_lost;
 };
 #define POOL__BEAT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&pool__beat__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 /* Pool__ServiceBeat methods */
--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -5,6 +5,7 @@
 #include "base/log.h"
 #include "policy/feed-position.h"
 #include "policy/instance-list.h"
+#include "policy/reader-order.h"
 #include "policy/store-clock.h"
 #include "policy/store-era.h"
 
@@ -40,8 +41,11 @@
 #define RETRY_MAX_MS 1000
 /* The same for a follower, of which a large fleet has hundreds. */
 #define FOLLOWER_RETRY_MAX_MS 4000
-/* Minimum interval between a host's calls for a proof of its configuration. */
-#define PROOF_INTERVAL_MS 500
+/* Hosts that take over reading begin within this time. */
+#define TAKEOVER_SPREAD_MS 1125
+/* First and longest delay before a host asks again for a proof of its configuration. */
+#define PROOF_RETRY_MS 500
+#define PROOF_RETRY_MAX_MS 4000
 /* Log lines per second for answers with a revision lower than an earlier one. */
 #define REVISION_LINES_PER_S 2
 
@@ -60,8 +64,11 @@
   Timer instances_timer;
   int64_t created_ms;
   StoreClock store_clock;
+  Timer proof_timer;
   int64_t prove_ms; /* when a proof of the configuration was last asked for */
-  uint64_t era;     /* of the store; 0 while unknown */
+  int64_t prove_next_ms;
+  int64_t prove_retry_ms;
+  uint64_t era; /* of the store; 0 while unknown */
   FeedPosition position;
   LogRateLimit revision_log;
   ConfigCall *config_call; /* the one whose answer moves the position; %NULL for none */
@@ -75,6 +82,7 @@
   bool proving; /* asking for a proof of the configuration */
   bool reader;
   bool follower;
+  uint32_t rank;        /* of the last role; %UINT32_MAX before it */
   int64_t list_read_ms; /* when the list in use was read from the store, by this or another host */
   int64_t wanted_read_ms; /* the same of the list that was asked for */
   int64_t asked_ms;       /* when a peer was last asked for newer data */
@@ -94,19 +102,24 @@
 {
   timer_clear (&discovery->config_timer);
   timer_clear (&discovery->instances_timer);
+  timer_clear (&discovery->proof_timer);
   instance_list_clear (&discovery->list);
   return 0;
 }
 
 static void
-record_store_result (Discovery *discovery, bool reached, DirectoryResult result)
+record_store_result (Discovery *discovery, DirectoryResult result)
 {
+  const bool reached = result == DIRECTORY_OK || result == DIRECTORY_COMPACTED;
+
   if (discovery->store_lost != reached)
     return;
   discovery->store_lost = !reached;
   log_event (reached ? LOG_LEVEL_NOTICE : LOG_LEVEL_WARNING,
              reached ? "store_regained" : "store_lost", "result=%s",
              directory_result_name (result));
+  // Others read the store in place of a host that does not reach it.
+  discovery->options.announce (discovery->options.data);
 }
 
 static void
@@ -121,6 +134,19 @@
                answer->era, answer->revision, discovery->position.revision, dropped);
 }
 
+static int64_t
+watch_wait_ms (const Discovery *discovery)
+{
+  const int64_t limit_ms = discovery->options.proof_limit_ms;
+
+  if (!discovery->reader)
+    return WATCH_WAIT_LONG_MS;
+  // One reader is enough to renew the proofs of the others.
+  if (discovery->rank > 0 || limit_ms == 0)
+    return WATCH_WAIT_MS;
+  return MIN (config_proof_watch_ms (limit_ms), WATCH_WAIT_MS);
+}
+
 static void
 start_config_call (Discovery *discovery)
 {
@@ -134,8 +160,7 @@
   discovery->config_call = call;
   if (call->watch)
     directory->watch_configuration (directory->self, discovery->position.revision,
-                                    discovery->reader ? WATCH_WAIT_MS : WATCH_WAIT_LONG_MS,
-                                    on_configuration, call);
+                                    watch_wait_ms (discovery), on_configuration, call);
   else
     directory->get_configuration (directory->self, CALL_TIMEOUT_MS, on_configuration, call);
 }
@@ -320,8 +345,7 @@
     }
   if (result == DIRECTORY_COMPACTED)
     pool_metrics_count (discovery->options.metrics, POOL_COUNT_FEED_GONE);
-  else
-    record_store_result (discovery, result == DIRECTORY_OK, result);
+  record_store_result (discovery, result);
   if (result != DIRECTORY_OK)
     {
       retry_configuration (discovery, result);
@@ -351,6 +375,7 @@
   const DiscoveryOptions *options = &discovery->options;
 
   discovery->reading = false;
+  record_store_result (discovery, answer->result);
   pool_metrics_add (options->metrics, POOL_LATENCY_STORE, clock_now_ms () - discovery->read_ms);
   if (!record_era (discovery, answer) || answer->result != DIRECTORY_OK)
     {
@@ -381,6 +406,70 @@
   directory->get_instances (directory->self, CALL_TIMEOUT_MS, on_instances, discovery);
 }
 
+static void prove_if_due (Discovery *discovery);
+
+static void
+on_proof (void *data, const StoreAnswer *answer, Catalog *catalog)
+{
+  Discovery *discovery = data;
+  const bool current = record_era (discovery, answer);
+
+  discovery->proving = false;
+  record_store_result (discovery, answer->result);
+  if (answer->result == DIRECTORY_COMPACTED && discovery->position.valid)
+    {
+      // The position of a follower may be older than what the store keeps of its changes.
+      feed_position_lost (&discovery->position);
+      prove_if_due (discovery);
+      return;
+    }
+  if (!current || answer->result != DIRECTORY_OK)
+    {
+      discovery->prove_next_ms
+          = clock_now_ms () + reader_order_retry_ms (discovery->prove_retry_ms, discovery->rank);
+      discovery->prove_retry_ms = MIN (discovery->prove_retry_ms * 2, PROOF_RETRY_MAX_MS);
+      return;
+    }
+  discovery->prove_retry_ms = PROOF_RETRY_MS;
+  apply_catalog (discovery, catalog, "proof");
+  record_proof (discovery, answer, discovery->prove_ms);
+  // The hosts after this one would ask next.
+  discovery->options.announce (discovery->options.data);
+}
+
+/* Reads the configuration, or only what has changed of it, if the proof has become old. */
+static void
+prove_if_due (Discovery *discovery)
+{
+  const DiscoveryOptions *options = &discovery->options;
+  const Directory *directory = options->directory;
+  const int64_t now_ms = clock_now_ms ();
+  const int64_t due_ms
+      = config_proof_due_ms (options->proof, options->proof_limit_ms, discovery->rank, now_ms);
+  const int64_t wait_ms = MAX (due_ms, discovery->prove_next_ms - now_ms);
+
+  if (discovery->proving || due_ms == INT64_MAX)
+    return;
+  if (wait_ms > 0)
+    {
+      timer_set (options->timers, &discovery->proof_timer, wait_ms);
+      return;
+    }
+  discovery->proving = true;
+  discovery->prove_ms = now_ms;
+  if (discovery->position.valid)
+    directory->watch_configuration (directory->self, discovery->position.revision, 0, on_proof,
+                                    discovery);
+  else
+    directory->get_configuration (directory->self, CALL_TIMEOUT_MS, on_proof, discovery);
+}
+
+static void
+on_proof_timer (void *data)
+{
+  prove_if_due (data);
+}
+
 Discovery *
 discovery_new (TALLOC_CTX *parent, const DiscoveryOptions *options)
 {
@@ -394,6 +483,11 @@
   discovery->config_timer.data = discovery;
   discovery->instances_timer.fired = on_instances_timer;
   discovery->instances_timer.data = discovery;
+  discovery->proof_timer.fired = on_proof_timer;
+  discovery->proof_timer.data = discovery;
+  discovery->prove_retry_ms = PROOF_RETRY_MS;
+  discovery->rank = UINT32_MAX;
+  options->proof->started_ms = clock_now_ms ();
   discovery->created_ms = clock_now_ms ();
   talloc_set_destructor (discovery, discovery_destroy);
   on_config_timer (discovery);
@@ -411,49 +505,21 @@
                MAX (due_ms - clock_now_ms (), 0));
 }
 
-static void
-on_proof (void *data, const StoreAnswer *answer, Catalog *catalog)
-{
-  Discovery *discovery = data;
-
-  discovery->proving = false;
-  if (!record_era (discovery, answer) || answer->result != DIRECTORY_OK)
-    return;
-  apply_catalog (discovery, catalog, "proof");
-  record_proof (discovery, answer, discovery->prove_ms);
-}
-
-/* Reads the configuration, or only what has changed of it, if the proof has become old. */
-static void
-prove_if_due (Discovery *discovery, uint32_t rank)
-{
-  const DiscoveryOptions *options = &discovery->options;
-  const Directory *directory = options->directory;
-  const int64_t now_ms = clock_now_ms ();
-
-  if (discovery->proving || now_ms - discovery->prove_ms < PROOF_INTERVAL_MS
-      || !config_proof_is_due (options->proof, options->proof_limit_ms, rank, now_ms))
-    return;
-  discovery->proving = true;
-  discovery->prove_ms = now_ms;
-  if (discovery->position.valid)
-    directory->watch_configuration (directory->self, discovery->position.revision, 0, on_proof,
-                                    discovery);
-  else
-    directory->get_configuration (directory->self, CALL_TIMEOUT_MS, on_proof, discovery);
-}
-
 void
 discovery_set_role (Discovery *discovery, const ReaderRole *role)
 {
   const int64_t last_read_ms = MAX (discovery->peer_read_ms, discovery->read_done_ms);
-  const bool reads_missing = clock_now_ms () - last_read_ms > LIST_MAX_AGE_MS + role->round_ms;
+  const int64_t last_read_age_ms = clock_now_ms () - last_read_ms;
+  const int64_t first_ms = LIST_MAX_AGE_MS + role->round_ms;
+  const bool designated = role->rank < role->readers;
   // The designated readers may be cut off from the store or from this host.
-  const bool reader = role->reader || (role->standby && reads_missing);
+  const bool reader = designated
+                      || last_read_age_ms > reader_order_takeover_ms (
+                             first_ms, first_ms + TAKEOVER_SPREAD_MS, role->rank);
   const bool stops_following = discovery->follower && (reader || !role->follower);
 
-  if (reader || role->standby)
-    prove_if_due (discovery, role->rank);
+  discovery->rank = role->rank;
+  prove_if_due (discovery);
   discovery->follower = role->follower && !reader;
   if (stops_following && discovery->config_call == NULL)
     timer_set (discovery->options.timers, &discovery->config_timer, 0);
@@ -461,14 +527,20 @@
     return;
   discovery->reader = reader;
   log_event (LOG_LEVEL_INFO, "reader",
-             "value=%d rank=%u designated=%d last_read_age_ms=%" G_GINT64_FORMAT
+             "value=%d rank=%u designated=%d store_lost=%d last_read_age_ms=%" G_GINT64_FORMAT
              " proof_age_ms=%" G_GINT64_FORMAT,
-             reader, role->rank, role->reader, clock_now_ms () - last_read_ms,
+             reader, role->rank, designated, discovery->store_lost, last_read_age_ms,
              proof_age_ms (discovery));
   if (reader)
     discovery_refresh_instances (discovery);
 }
 
+bool
+discovery_store_lost (const Discovery *discovery)
+{
+  return discovery->store_lost;
+}
+
 static void
 on_fetched (void *data, const StoreAnswer *answer, Catalog *catalog)
 {
--- a/src/pool/discovery.h
+++ b/src/pool/discovery.h
@@ -24,7 +24,8 @@
  * @store_restored: the store came back from a backup, and is in @era now.
  * @request_snapshot: the store can't be read, and another host may have newer data.
  * @proof: records what the store's answers prove of the configuration.
- * @proof_limit_ms: age at which a proof expires; 0 if none is needed.
+ * @proof_limit_ms: within which a change has to be in force; 0 for no limit.
+ * @announce: peers should hear from this host at once.
  */
 typedef struct
 {
@@ -37,6 +38,7 @@
   void (*request_snapshot) (void *data);
   ConfigProof *proof;
   int64_t proof_limit_ms;
+  void (*announce) (void *data);
   void *data;
 } DiscoveryOptions;
 
@@ -45,19 +47,17 @@
 
 /**
  * struct ReaderRole - How often this host reads the store.
- * @reader: it is one of the few that poll the store often. The others read it when a peer reports a
- *   change.
- * @standby: it becomes a reader when it knows of no recent read by any host.
+ * @rank: of this host, see reader-order.h.
+ * @readers: the first hosts, which poll the store often. The others read it when a peer reports a
+ *   change, and when no host is known to have read it recently.
  * @follower: unless it is a reader, it takes changes from peers rather than from the store.
- * @rank: among the hosts that may become readers in its place, counting from 0.
  * @round_ms: time in which a heartbeat reaches every host that depends on it.
  */
 typedef struct
 {
-  bool reader;
-  bool standby;
-  bool follower;
   uint32_t rank;
+  uint32_t readers;
+  bool follower;
   int64_t round_ms;
 } ReaderRole;
 
@@ -77,6 +77,9 @@
  */
 void discovery_record_peer (Discovery *discovery, uint64_t version, uint32_t hash, int64_t read_ms);
 
+/** discovery_store_lost() - Whether the last call to the store failed. */
+bool discovery_store_lost (const Discovery *discovery);
+
 /** discovery_era() - Era of the store; 0 while unknown. */
 uint64_t discovery_era (const Discovery *discovery);
 
--- a/src/pool/peer-mesh.c
+++ b/src/pool/peer-mesh.c
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/verdict.h"
+#include "policy/reader-order.h"
 
 /* Interval of heartbeats; each goes to the next HOSTS_PER_HEARTBEAT hosts in turn, which bounds the
  * traffic of a host for any size of the fleet. */
@@ -42,6 +43,7 @@
   bool near;                       /* in this host's failure domain */
   bool draining;
   bool lost;
+  bool store_lost; /* it said so in its last heartbeat */
 } Peer;
 
 struct PeerMesh
@@ -436,6 +438,7 @@
     invalidate_view (mesh);
   peer->lost = false;
   peer->draining = heartbeat->draining;
+  peer->store_lost = heartbeat->store_lost;
   peer->state.id = heartbeat->sender;
   record_failure_domain (mesh, peer, heartbeat->failure_domain);
   peer->boot = heartbeat->boot;
@@ -691,17 +694,22 @@
 }
 
 uint32_t
-peer_mesh_domain_rank (PeerMesh *mesh)
+peer_mesh_reader_rank (PeerMesh *mesh, bool store_lost)
 {
+  const ReaderCandidate self = { store_lost, mesh->self_id };
+  const bool sparse = peer_mesh_has_owners (mesh);
+  const GPtrArray *peers = sparse ? mesh->near_peers : mesh->peers;
   uint32_t rank = 0;
 
   // Peers may have been removed since the lists were built.
-  peer_mesh_view (mesh);
-  for (guint i = 0; i < mesh->near_peers->len; i++)
+  if (sparse)
+    peer_mesh_view (mesh);
+  for (guint i = 0; i < peers->len; i++)
     {
-      const Peer *peer = mesh->near_peers->pdata[i];
+      const Peer *peer = peers->pdata[i];
+      const ReaderCandidate candidate = { peer->store_lost, peer->state.id };
 
-      rank += peer->state.id != 0 && !peer->lost && peer->state.id < mesh->self_id;
+      rank += candidate.id != 0 && !peer->lost && reader_order_precedes (&candidate, &self);
     }
   return rank;
 }
@@ -719,20 +727,6 @@
   return mesh->self_id;
 }
 
-uint32_t
-peer_mesh_rank (const PeerMesh *mesh)
-{
-  uint32_t rank = 0;
-
-  for (guint i = 0; i < mesh->peers->len; i++)
-    {
-      const Peer *peer = mesh->peers->pdata[i];
-
-      rank += peer->state.id != 0 && !peer->lost && peer->state.id < mesh->self_id;
-    }
-  return rank;
-}
-
 void
 peer_mesh_foreach (const PeerMesh *mesh, void (*callback) (void *data, const PeerState *peer),
                    void *data)
--- a/src/pool/peer-mesh.h
+++ b/src/pool/peer-mesh.h
@@ -120,17 +120,18 @@
 /** peer_mesh_drain() - Notifies the hosts that this host is shutting down and takes no sessions. */
 void peer_mesh_drain (PeerMesh *mesh);
 
-/** peer_mesh_domain_rank() - The same as peer_mesh_rank(), in this host's failure domain only. */
-uint32_t peer_mesh_domain_rank (PeerMesh *mesh);
-
 /** peer_mesh_leave() - Notifies all hosts that this host is stopping. */
 void peer_mesh_leave (PeerMesh *mesh);
 
 /** peer_mesh_self_id() - Id of this host in heartbeats. */
 uint64_t peer_mesh_self_id (const PeerMesh *mesh);
 
-/** peer_mesh_rank() - Number of live hosts whose id is lower than this host's. */
-uint32_t peer_mesh_rank (const PeerMesh *mesh);
+/**
+ * peer_mesh_reader_rank() - Number of live hosts that read the store before this host, see
+ * reader-order.h: of its failure domain in a fleet with owners, else of all. @store_lost is of
+ * this host.
+ */
+uint32_t peer_mesh_reader_rank (PeerMesh *mesh, bool store_lost);
 
 /**
  * struct PeerState - Another host.
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -761,7 +761,8 @@
     depart (state, find_host (state, script_word (words, 1)));
   else if (strcmp (verb, "rank") == 0)
     g_string_append_printf (
-        out, "%u\n", peer_mesh_domain_rank (find_host (state, script_word (words, 1))->mesh));
+        out, "%u\n",
+        peer_mesh_reader_rank (find_host (state, script_word (words, 1))->mesh, false));
   else if (strcmp (verb, "owner") == 0)
     print_owner (find_host (state, script_word (words, 1)), out);
   else if (strcmp (verb, "forwarded") == 0)
--- a/tests/script-small.c
+++ b/tests/script-small.c
@@ -6,6 +6,7 @@
 
 #include "policy/commit-floor.h"
 #include "policy/config-proof.h"
+#include "policy/reader-order.h"
 #include "policy/conn-health.h"
 #include "policy/drain.h"
 #include "policy/ended-fence.h"
@@ -108,6 +109,16 @@
     g_string_append_printf (out, "%" G_GUINT64_FORMAT "\n", token);
 }
 
+/* ID ok|lost: a host, and whether its last call to the store failed */
+static ReaderCandidate
+read_candidate (char **words, guint first)
+{
+  return (ReaderCandidate){
+    .store_lost = strcmp (script_word (words, first + 1), "lost") == 0,
+    .id = (guint64) script_number (words, first),
+  };
+}
+
 static void
 command (void *data, char **words, GString *out)
 {
@@ -146,11 +157,28 @@
                               ? "yes\n"
                               : "no\n");
   else if (strcmp (verb, "proof-due") == 0)
-    g_string_append (out, config_proof_is_due (&state->proof, script_number (words, 1),
+    g_string_append (out, config_proof_due_ms (&state->proof, script_number (words, 1),
                                                (guint) script_number (words, 2),
                                                script_number (words, 3))
+                                  == 0
                               ? "yes\n"
                               : "no\n");
+  else if (strcmp (verb, "proof-watch") == 0)
+    g_string_append_printf (out, "%" G_GINT64_FORMAT " ms\n",
+                            config_proof_watch_ms (script_number (words, 1)));
+  else if (strcmp (verb, "new-proof") == 0)
+    state->proof = (ConfigProof){ .started_ms = script_number (words, 1) };
+  else if (strcmp (verb, "reads-before") == 0)
+    {
+      const ReaderCandidate first = read_candidate (words, 1);
+      const ReaderCandidate second = read_candidate (words, 3);
+
+      g_string_append (out, reader_order_precedes (&first, &second) ? "yes\n" : "no\n");
+    }
+  else if (strcmp (verb, "retry") == 0)
+    g_string_append_printf (
+        out, "%" G_GINT64_FORMAT " ms\n",
+        reader_order_retry_ms (script_number (words, 1), (guint) script_number (words, 2)));
   else if (strcmp (verb, "store-answer") == 0)
     g_string_append_printf (out, "made at %" G_GINT64_FORMAT "\n",
                             store_clock_record (&state->store_clock, script_number (words, 1),
--- a/tests/script-snapshot.c
+++ b/tests/script-snapshot.c
@@ -17,6 +17,7 @@
 #define HOSTS_MAX 4
 #define POLL_MS 10
 #define GOSSIP_MS 100
+#define FOLLOWER_RANK 500
 /* Calls to the store that a host needs at most to catch up with it. */
 #define CALLS_FEW 12
 
@@ -83,6 +84,11 @@
   snapshot_exchange_request (((Host *) data)->exchange);
 }
 
+static void
+on_announce (void *data)
+{
+}
+
 static void
 fill_snapshot (void *data, Snapshot *snapshot)
 {
@@ -167,6 +173,7 @@
     .instances = on_instances,
     .store_restored = on_store_restored,
     .request_snapshot = on_request_snapshot,
+    .announce = on_announce,
     .proof = &host->proof,
     .data = host,
   };
@@ -215,7 +222,7 @@
 gossip (State *state, gint64 duration_ms)
 {
   const gint64 until_ms = clock_now_ms () + duration_ms;
-  const ReaderRole role = { .standby = true, .round_ms = GOSSIP_MS };
+  const ReaderRole role = { .round_ms = GOSSIP_MS };
 
   while (clock_now_ms () < until_ms)
     {
@@ -230,12 +237,13 @@
     }
 }
 
-/* role HOST reader|follower: its role in a fleet with owners, with no part as a standby reader */
+/* role HOST reader|follower: its role in a fleet with owners; a follower takes over last */
 static void
 set_role (Host *host, const char *name)
 {
   const ReaderRole role = {
-    .reader = strcmp (name, "reader") == 0,
+    .rank = strcmp (name, "reader") == 0 ? 0 : FOLLOWER_RANK,
+    .readers = 1,
     .follower = true,
     .round_ms = GOSSIP_MS,
   };
