Check that the list of instances reaches a fleet whose readers are cut off

The same cause elsewhere: with the six hosts that could take over out of reach, no host read the list of instances either, so instances that leave would go on to be used.

--- a/tests/processes/config.c
+++ b/tests/processes/config.c
@@ -1,6 +1,7 @@
 /* Pool daemons as processes, while the configuration changes and most of them don't reach the
- * store. Prints whether each version was in force in time at the host that reaches it, and whether
- * the others got the last one. CASE is silent or refused: what the others get from the store.
+ * store. Prints how many versions were not in force in time at the host that reaches it, and how
+ * many hosts did not get the last one. An instance joins too. CASE is silent or refused: what the
+ * others get from the store.
  *
  *   WORLD_BINARY=build/peridotstep WORLD_DIRECTORY=DIRECTORY build/pool-config CASE RECORD */
 #include "world.h"
@@ -29,6 +30,7 @@
   bool in_force;
 } Version;
 
+static Instance *joining;
 static Version versions[VERSIONS + 1];
 
 /* Version @number has the databases shop0 up to shop@number. */
@@ -97,6 +99,8 @@
 {
   world_add_instance ("orders", "i-primary", 0, 0);
   world_add_instance ("orders", "i-replica", 0, 0);
+  joining = world_add_instance ("orders", "i-joining", 0, 0);
+  joining->absent = true;
   for (int i = 0; i < HOSTS; i++)
     {
       char name[WORLD_TEXT];
@@ -123,6 +127,8 @@
   world_unlock ();
   world_record ("change   the store is out of reach for all hosts but one");
   world_sleep_ms (CUT_OFF_MS);
+  world_restore_instance (joining);
+  world_list_instance (joining, true);
   for (int i = 1; i <= VERSIONS; i++)
     {
       put_version (i);
--- a/tests/system/config.bash
+++ b/tests/system/config.bash
@@ -8,8 +8,10 @@
 hosts without the last version: 0"
   printed=$(WORLD_BINARY=$BUILD/peridotstep WORLD_DIRECTORY=$work timeout -s KILL 60 \
     "$BUILD/pool-config" "$1" "$work/record")
-  [ "$printed" = "$expected" ] && exit 0
-  printf 'case %s, expected:\n%s\ngot:\n%s\n' "$1" "$expected" "$printed"
+  joined=$(grep -lE 'event=instance_added .*i-joining' "$work"/front-*.log | wc -l)
+  [ "$printed" = "$expected" ] && [ "$joined" -eq 9 ] && exit 0
+  printf 'case %s, expected:\n%s\nand the new instance at 9 hosts, got:\n%s\nand it at %s\n' \
+    "$1" "$expected" "$printed" "$joined"
   tail -n 40 "$work/record"
   grep -hE 'event=(configuration_read|reader|store_lost|store_regained) ' "$work"/front-*.log | sort | tail -n 60
   exit 1
