Let daemons of serve poll the store when the pollers don't reach it

With the pollers cut off from the store alone, a change reached nobody.

Gossip carries the time since any daemon's poll was answered.

Not shown with processes.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -108,7 +108,12 @@
   Host to;
 
   while (membership_next_message (control->membership, &message, &to))
-    send_datagram (control, &message, &to);
+    {
+      const int64_t age_ms = config_sync_read_age_ms (&control->config_sync, clock_now_ms ());
+
+      message.config_read_age = (uint32_t) (MIN (age_ms, INT32_MAX) + 1);
+      send_datagram (control, &message, &to);
+    }
 }
 
 static void
@@ -125,6 +130,9 @@
         continue;
       membership_receive (control->membership, &message, clock_now_ms ());
       config_sync_version_seen (&control->config_sync, message.config_version);
+      if (message.config_read_age > 0)
+        config_sync_read_heard (&control->config_sync,
+                                clock_now_ms () - (message.config_read_age - 1));
     }
   flush_gossip (control);
 }
@@ -150,6 +158,20 @@
   return found;
 }
 
+/* Number of hosts of this host's failure domain that poll the store before it if the pollers fail.
+ */
+static uint32_t
+poll_rank (const Control *control, const HostView *view)
+{
+  const uint64_t hash = host_hash (self (control)->id);
+  uint32_t rank = 0;
+
+  for (uint32_t i = 0; i < view->count; i++)
+    rank += strcmp (view->hosts[i].failure_domain, self (control)->failure_domain) == 0
+            && view->hosts[i].id_hash < hash;
+  return rank;
+}
+
 static void
 publish_view (Control *control)
 {
@@ -159,7 +181,8 @@
     return;
   control->published_view_version = membership_version (control->membership);
   view = membership_view (control->membership);
-  config_sync_set_polling (&control->config_sync, is_poller (control, view));
+  config_sync_set_polling (&control->config_sync, is_poller (control, view),
+                           poll_rank (control, view));
   counter_set (daemon_counters (control->daemon), COUNTER_MEMBERS_ALIVE, view->count);
   log_event (LOG_LEVEL_INFO, "members", "host=%s version=%" G_GUINT64_FORMAT " alive=%u",
              self (control)->id, view->version, view->count);
--- a/src/link/frame.c
+++ b/src/link/frame.c
@@ -227,6 +227,7 @@
   packet.kind = message->kind;
   packet.sequence = message->sequence;
   packet.config_version = message->config_version;
+  packet.config_read_age = message->config_read_age;
   packet.sender = frame_member_update_new (&message->sender);
   if (message->kind == GOSSIP_PING_REQUEST)
     packet.target = frame_host_new (&message->target);
@@ -256,6 +257,7 @@
   message->kind = (GossipKind) packet->kind;
   message->sequence = packet->sequence;
   message->config_version = packet->config_version;
+  message->config_read_age = packet->config_read_age;
   if (!frame_member_update (packet->sender, &message->sender))
     return false;
   if (message->kind == GOSSIP_PING_REQUEST && !decode_host_info (packet->target, &message->target))
--- a/src/link/peer.pb-c.c
+++ b/src/link/peer.pb-c.c
@@ -1035,7 +1035,7 @@
   (ProtobufCMessageInit) peridotstep__member_belief__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor peridotstep__gossip__field_descriptors[6] =
+static const ProtobufCFieldDescriptor peridotstep__gossip__field_descriptors[7] =
 {
   {
     "kind",
@@ -1109,8 +1109,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "config_read_age",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Peridotstep__Gossip, config_read_age),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned peridotstep__gossip__field_indices_by_name[] = {
+  6,   /* field[6] = config_read_age */
   4,   /* field[4] = config_version */
   0,   /* field[0] = kind */
   2,   /* field[2] = sender */
@@ -1121,7 +1134,7 @@
 static const ProtobufCIntRange peridotstep__gossip__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor peridotstep__gossip__descriptor =
 {
@@ -1131,7 +1144,7 @@
   "Peridotstep__Gossip",
   "peridotstep",
   sizeof(Peridotstep__Gossip),
-  6,
+  7,
   peridotstep__gossip__field_descriptors,
   peridotstep__gossip__field_indices_by_name,
   1,  peridotstep__gossip__number_ranges,
--- a/src/link/peer.pb-c.h
+++ b/src/link/peer.pb-c.h
@@ -112,10 +112,14 @@
   uint64_t config_version;
   size_t n_updates;
   Peridotstep__MemberBelief **updates;
+  /*
+   * since a host read the version from the store, plus 1; 0 for unknown
+   */
+  uint32_t config_read_age;
 };
 #define PERIDOTSTEP__GOSSIP__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&peridotstep__gossip__descriptor) \
-    , 0, 0, NULL, NULL, 0, 0,NULL }
+    , 0, 0, NULL, NULL, 0, 0,NULL, 0 }
 
 
 struct  Peridotstep__Param
--- a/src/policy/membership.h
+++ b/src/policy/membership.h
@@ -48,6 +48,8 @@
  * @sender: state of the sender as reported by itself.
  * @target: for %GOSSIP_PING_REQUEST, the host to probe.
  * @config_version: greatest configuration version that the sender has.
+ * @config_read_age: milliseconds since a host is known to have read the configuration's version
+ *   from the store, plus 1; 0 for unknown.
  */
 typedef struct
 {
@@ -56,6 +58,7 @@
   MemberUpdate sender;
   Host target;
   uint64_t config_version;
+  uint32_t config_read_age;
   uint32_t update_count;
   MemberUpdate updates[MEMBERSHIP_UPDATES_MAX];
 } GossipMessage;
--- a/tests/script-sync.c
+++ b/tests/script-sync.c
@@ -25,7 +25,14 @@
   gint64 number = script_number (words, 1);
 
   if (strcmp (verb, "polling") == 0)
-    config_sync_set_polling (sync, number != 0);
+    config_sync_set_polling (sync, number != 0, 0);
+  else if (strcmp (verb, "rank") == 0)
+    config_sync_set_polling (sync, false, (guint) number);
+  else if (strcmp (verb, "read-age") == 0)
+    g_string_append_printf (out, "%" G_GINT64_FORMAT " ms\n",
+                            config_sync_read_age_ms (sync, number));
+  else if (strcmp (verb, "heard") == 0)
+    config_sync_read_heard (sync, number);
   else if (strcmp (verb, "next") == 0)
     g_string_append_printf (out, "%s\n", actions[config_sync_next_action (sync, number)]);
   else if (strcmp (verb, "version-seen") == 0)
