Read config changes, lost stores and restarts into a soak of pool daemons

Nine daemons as processes, one to three of which, drawn, reach the store, whatever it does to the others; changes, refusals, silences, kills and freezes overlap. Each version has to be in force after 3 s at every host that was undisturbed for 5 s.

--- a/tests/processes/config.c
+++ b/tests/processes/config.c
@@ -1,18 +1,32 @@
 /* Pool daemons as processes, while the configuration changes and most of them don't reach the
- * store. Prints how many versions were not in force in time at the host that reaches it, and how
- * many hosts did not get the last one. An instance joins too. CASE is silent or refused: what the
- * others get from the store.
+ * store.
+ *
+ * CASE silent or refused: what all hosts but one get from the store. Prints how many versions were
+ * not in force in time at that one, and how many hosts did not get the last one; an instance joins
+ * too. CASE a number: a soak with that seed, in which the store fails for some hosts or for all,
+ * and hosts are killed and frozen, all of it overlapping. Prints how many versions were not in
+ * force in time at a host in touch: one that ran and reached the store for some seconds.
  *
  *   WORLD_BINARY=build/peridotstep WORLD_DIRECTORY=DIRECTORY build/pool-config CASE RECORD */
 #include "world.h"
 
+#include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define HOSTS 9
 /* The one whose id is the greatest, so that all others go before it. */
 #define REACHES_STORE 0
 #define VERSIONS 7
+/* Databases of a version. */
+#define DATABASES 12
+#define SOAK_VERSIONS 256
+/* At most so many hosts reach the store in a soak, whatever happens to the others. */
+#define SOAK_REACHING 3
+#define SOAK_MS 30000
+/* A host is in touch once it was undisturbed for so long. */
+#define STABLE_MS 5000
 #define SETTLE_MS 2500
 #define CUT_OFF_MS 300
 #define CHANGE_INTERVAL_MS 1100
@@ -27,60 +41,114 @@
 {
   int64_t acknowledged_ms; /* 0 for not yet */
   bool checked;
-  bool in_force;
 } Version;
 
 static Instance *joining;
-static Version versions[VERSIONS + 1];
+/* A host, or how the store serves some of them. */
+typedef struct
+{
+  int64_t disturbed_ms; /* last change */
+  int64_t ends_ms;      /* of a disturbance; 0 for none under way */
+} Disturbance;
 
-/* Version @number has the databases shop0 up to shop@number. */
+static Version versions[SOAK_VERSIONS];
+static int last_version;
+static Disturbance host_trouble[HOSTS], store_trouble, behind_trouble;
+static uint64_t random_state;
+static int late, checks;
+
+/* Version @number has the last databases up to shop@number. */
 static void
 put_version (int number)
 {
+  const int first = number < DATABASES ? 0 : number + 1 - DATABASES;
   char routes[4096] = "[";
   size_t length = 1;
 
-  for (int i = 0; i <= number; i++)
+  for (int i = first; i <= number; i++)
     length
         += (size_t) snprintf (routes + length, sizeof routes - length,
                               "%s{\"name\":\"r%d\",\"host\":\"shop%d\",\"prefix\":\"/\",\"type\":"
                               "\"primary\",\"timeout_ms\":1000,\"slo_ms\":500,\"priority\":0,"
                               "\"service\":\"orders\",\"max_attempts\":2}",
-                              i == 0 ? "" : ",", i, i);
+                              i == first ? "" : ",", i, i);
   snprintf (routes + length, sizeof routes - length, "]");
   world_put_config ((uint64_t) number + 1, routes, services);
   versions[number].acknowledged_ms = world_now_ms ();
+  last_version = number;
   world_record ("change   version %d is acknowledged", number);
 }
 
-static bool
-is_in_force (int number, int host)
+/* How a session for the last database of version @number opens at @host: "" if it does. */
+static void
+open_session (int number, int host, char *code, size_t size)
 {
   static Client client;
+  Answer answer = { .state = '\0' };
   char name[WORLD_TEXT];
-  bool opened;
 
   snprintf (name, sizeof name, "shop%d", number);
   client.fd = -1;
-  opened = client_open (&client, host, name);
+  if (client_connect (&client, host, name))
+    answer = client_read (&client, 2000);
   client_close (&client);
+  snprintf (code, size, "%s", answer.state == 'I' ? "" : *answer.code != '\0' ? answer.code : "?");
   world_record ("check    version %d at %s: %s", number, world.hosts[host].name,
-                opened ? "in force" : "refused");
-  return opened;
+                *code == '\0' ? "in force" : code);
+}
+
+static bool
+is_in_force (int number, int host)
+{
+  char code[WORLD_TEXT];
+
+  open_session (number, host, code, sizeof code);
+  return *code == '\0';
+}
+
+static bool
+is_stable (const Disturbance *disturbance)
+{
+  return disturbance->ends_ms == 0 && world_now_ms () - disturbance->disturbed_ms >= STABLE_MS;
+}
+
+static bool
+is_in_touch (int host)
+{
+  return is_stable (&host_trouble[host]) && is_stable (&store_trouble)
+         && (!world.hosts[host].store_behind || is_stable (&behind_trouble));
 }
 
+/* A host that can't open the session for another reason does not count. */
 static void
-check_versions (void)
+check_version_at_hosts (int number)
 {
-  for (int i = 1; i <= VERSIONS; i++)
+  char code[WORLD_TEXT];
+
+  for (int i = 0; i < HOSTS; i++)
+    {
+      if (!is_in_touch (i))
+        continue;
+      open_session (number, i, code, sizeof code);
+      checks++;
+      late += strcmp (code, "NODB") == 0;
+    }
+}
+
+static void
+check_versions (bool soak)
+{
+  for (int i = 1; i <= last_version; i++)
     {
       Version *version = &versions[i];
 
-      if (version->acknowledged_ms == 0 || version->checked
-          || world_now_ms () < version->acknowledged_ms + LIMIT_MS)
+      if (version->checked || world_now_ms () < version->acknowledged_ms + LIMIT_MS)
         continue;
       version->checked = true;
-      version->in_force = is_in_force (i, REACHES_STORE);
+      if (soak)
+        check_version_at_hosts (i);
+      else
+        late += !is_in_force (i, REACHES_STORE);
     }
 }
 
@@ -89,13 +157,13 @@
 {
   while (world_now_ms () < until_ms)
     {
-      check_versions ();
+      check_versions (false);
       world_sleep_ms (PAUSE_MS);
     }
 }
 
 static void
-start_world (const char *record)
+start_world (const char *record, const bool *reaches_store)
 {
   world_add_instance ("orders", "i-primary", 0, 0);
   world_add_instance ("orders", "i-replica", 0, 0);
@@ -107,7 +175,7 @@
 
       snprintf (name, sizeof name, "front-%d", i + 1);
       world_add_host (name);
-      world.hosts[i].store_behind = i != REACHES_STORE;
+      world.hosts[i].store_behind = !reaches_store[i];
     }
   world.owners_from = 2;
   world.quiet = true;
@@ -137,21 +205,129 @@
   run_until (versions[VERSIONS].acknowledged_ms + LIMIT_MS + CHANGE_INTERVAL_MS);
 }
 
-int
-main (int count, char **arguments)
+static int
+draw (int limit)
 {
-  int late = 0, lacking = 0;
+  uint64_t value = random_state += 0x9e3779b97f4a7c15;
 
-  if (count < 3)
-    return 2;
-  start_world (arguments[2]);
-  change_while_cut_off (strcmp (arguments[1], "silent") == 0 ? STORE_SILENT : STORE_REFUSES);
-  for (int i = 1; i <= VERSIONS; i++)
-    late += !versions[i].in_force;
+  value = (value ^ value >> 30) * 0xbf58476d1ce4e5b9;
+  value = (value ^ value >> 27) * 0x94d049bb133111eb;
+  return (int) ((value ^ value >> 31) % (uint64_t) limit);
+}
+
+static void
+set_store (StoreState *state, Disturbance *disturbance, StoreState value, int64_t ends_ms)
+{
+  world_lock ();
+  *state = value;
+  world_unlock ();
+  *disturbance = (Disturbance){ world_now_ms (), ends_ms };
+  world_record ("change   the store %s %d", state == &world.store ? "is" : "is for some", value);
+}
+
+static void
+disturb_host (int64_t now_ms)
+{
+  const int host = draw (HOSTS);
+  const bool kill = draw (2) == 0;
+  const int64_t duration_ms = kill ? draw (1500) : 300 + draw (2700);
+
+  if (host_trouble[host].ends_ms != 0)
+    return;
+  world_signal_host (host, kill ? SIGKILL : SIGSTOP);
+  host_trouble[host] = (Disturbance){ now_ms, now_ms + duration_ms };
+}
+
+static void
+end_disturbances (int64_t now_ms, bool all)
+{
+  for (int i = 0; i < HOSTS; i++)
+    {
+      if (host_trouble[i].ends_ms == 0 || (now_ms < host_trouble[i].ends_ms && !all))
+        continue;
+      if (world.hosts[i].pid == 0)
+        world_start_host (i);
+      else
+        world_signal_host (i, SIGCONT);
+      host_trouble[i] = (Disturbance){ now_ms, 0 };
+    }
+  if (store_trouble.ends_ms != 0 && (now_ms >= store_trouble.ends_ms || all))
+    set_store (&world.store, &store_trouble, STORE_SERVES, 0);
+  if (all)
+    set_store (&world.store_behind, &behind_trouble, STORE_SERVES, 0);
+}
+
+static void
+draw_event (int64_t now_ms)
+{
+  const int kind = draw (10);
+  const StoreState state = (StoreState) draw (3);
+
+  if (kind < 6 && last_version + 1 < SOAK_VERSIONS)
+    put_version (last_version + 1);
+  else if (kind < 8)
+    set_store (&world.store_behind, &behind_trouble, state, state == STORE_SERVES ? 0 : INT64_MAX);
+  else if (kind < 9 && draw (3) == 0)
+    set_store (&world.store, &store_trouble, draw (2) == 0 ? STORE_REFUSES : STORE_SILENT,
+               now_ms + 300 + draw (2000));
+  else
+    disturb_host (now_ms);
+}
+
+static void
+run_soak (uint64_t seed)
+{
+  const int64_t end_ms = world_now_ms () + SOAK_MS;
+  int64_t next_ms = 0;
+
+  for (int64_t now_ms = world_now_ms (); now_ms < end_ms; now_ms = world_now_ms ())
+    {
+      end_disturbances (now_ms, false);
+      if (now_ms >= next_ms)
+        {
+          draw_event (now_ms);
+          next_ms = now_ms + 100 + draw (900);
+        }
+      check_versions (true);
+      world_sleep_ms (PAUSE_MS);
+    }
+  end_disturbances (end_ms, true);
+  put_version (last_version + 1);
+  world_sleep_ms (STABLE_MS);
+  check_versions (true);
+  printf ("seed %llu: %s, %d versions late in %d checks of %d versions\n",
+          (unsigned long long) seed, late == 0 ? "held" : "broken", late, checks, last_version);
+}
+
+static void
+run_cut_off (StoreState state)
+{
+  int lacking = 0;
+
+  change_while_cut_off (state);
   for (int i = 0; i < HOSTS; i++)
     lacking += !is_in_force (VERSIONS, i);
   printf ("versions in force too late: %d\n", late);
   printf ("hosts without the last version: %d\n", lacking);
+}
+
+int
+main (int count, char **arguments)
+{
+  bool reaches_store[HOSTS] = { false };
+  uint64_t seed;
+
+  if (count < 3)
+    return 2;
+  random_state = seed = strtoull (arguments[1], NULL, 10);
+  reaches_store[REACHES_STORE] = seed == 0;
+  for (int i = seed == 0 ? 0 : 1 + draw (SOAK_REACHING); i > 0; i--)
+    reaches_store[draw (HOSTS)] = true;
+  start_world (arguments[2], reaches_store);
+  if (seed != 0)
+    run_soak (seed);
+  else
+    run_cut_off (strcmp (arguments[1], "silent") == 0 ? STORE_SILENT : STORE_REFUSES);
   fflush (stdout);
   world_end (0);
 }
