Space out calls for a proof that brings none, and ask again without a heartbeat

Found in the last reading of the fix: an answered call that proves nothing, as of a store without a configuration, was not followed by a delay, and the next call waited for the next heartbeat to be filled.

--- a/src/daemon/control.c
+++ b/src/daemon/control.c
@@ -130,6 +130,7 @@
         continue;
       membership_receive (control->membership, &message, clock_now_ms ());
       config_sync_version_seen (&control->config_sync, message.config_version);
+      // The datagram's own delay is small against the seconds in question.
       if (message.config_read_age > 0)
         config_sync_read_heard (&control->config_sync,
                                 clock_now_ms () - (message.config_read_age - 1));
--- a/src/policy/config-sync.c
+++ b/src/policy/config-sync.c
@@ -82,7 +82,6 @@
 polls_missing (const ConfigSync *sync, int64_t now_ms)
 {
   const int64_t interval_ms = sync->options.poll_interval_ms;
-
   const int64_t known_ms = sync->read_ms > sync->started_ms ? sync->read_ms : sync->started_ms;
 
   return now_ms - known_ms >= reader_order_takeover_ms (interval_ms * TAKEOVER_FIRST_INTERVALS,
--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -408,6 +408,17 @@
 
 static void prove_if_due (Discovery *discovery);
 
+/* Delays the next call; for longer if this one brought no proof. */
+static void
+end_proof_call (Discovery *discovery, bool proved)
+{
+  const int64_t longest_ms = proved ? PROOF_RETRY_MS : discovery->prove_retry_ms;
+
+  discovery->prove_next_ms = clock_now_ms () + reader_order_retry_ms (longest_ms, discovery->rank);
+  discovery->prove_retry_ms = proved ? PROOF_RETRY_MS : MIN (longest_ms * 2, PROOF_RETRY_MAX_MS);
+  prove_if_due (discovery);
+}
+
 static void
 on_proof (void *data, const StoreAnswer *answer, Catalog *catalog)
 {
@@ -425,16 +436,14 @@
     }
   if (!current || answer->result != DIRECTORY_OK)
     {
-      discovery->prove_next_ms
-          = clock_now_ms () + reader_order_retry_ms (discovery->prove_retry_ms, discovery->rank);
-      discovery->prove_retry_ms = MIN (discovery->prove_retry_ms * 2, PROOF_RETRY_MAX_MS);
+      end_proof_call (discovery, false);
       return;
     }
-  discovery->prove_retry_ms = PROOF_RETRY_MS;
   apply_catalog (discovery, catalog, "proof");
   record_proof (discovery, answer, discovery->prove_ms);
   // The hosts after this one would ask next.
   discovery->options.announce (discovery->options.data);
+  end_proof_call (discovery, discovery->version > 0);
 }
 
 /* Reads the configuration, or only what has changed of it, if the proof has become old. */
--- a/tests/script-snapshot.c
+++ b/tests/script-snapshot.c
@@ -46,6 +46,7 @@
   guint16 port;
   FakeStore *store;
   PoolMetrics metrics;
+  gint64 proof_limit_ms; /* of hosts that are added */
   Timer wake;
 };
 
@@ -175,6 +176,7 @@
     .request_snapshot = on_request_snapshot,
     .announce = on_announce,
     .proof = &host->proof,
+    .proof_limit_ms = state->proof_limit_ms,
     .data = host,
   };
   SnapshotExchangeOptions exchange = {
@@ -306,6 +308,8 @@
       fake_store_put_config (state->store, (guint64) script_number (words, 1));
       fake_store_set_instances (state->store, (guint) script_number (words, 2));
     }
+  else if (strcmp (verb, "proof_limit") == 0)
+    state->proof_limit_ms = script_number (words, 1);
   else if (strcmp (verb, "config") == 0)
     fake_store_put_config (state->store, (guint64) script_number (words, 1));
   else if (strcmp (verb, "config_before_watch") == 0)
