Bound the calls of hosts that find the store out of reach for all

Only the designated readers keep retrying both. The others make one call for a proof in 3 to 4 s, and read the list when that one shows that the store is back; a host that takes over the list goes on following for the configuration, which its own proofs bound.

--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -81,6 +81,7 @@
   bool store_lost;
   bool proving; /* asking for a proof of the configuration */
   bool reader;
+  bool designated; /* as a reader, by its rank */
   bool follower;
   uint32_t rank;        /* of the last role; %UINT32_MAX before it */
   int64_t list_read_ms; /* when the list in use was read from the store, by this or another host */
@@ -120,6 +121,8 @@
              directory_result_name (result));
   // Others read the store in place of a host that does not reach it.
   discovery->options.announce (discovery->options.data);
+  if (reached && discovery->reader)
+    discovery_refresh_instances (discovery);
 }
 
 static void
@@ -379,9 +382,13 @@
   pool_metrics_add (options->metrics, POOL_LATENCY_STORE, clock_now_ms () - discovery->read_ms);
   if (!record_era (discovery, answer) || answer->result != DIRECTORY_OK)
     {
+      int64_t delay_ms = next_retry_ms (discovery, &discovery->instances_retry_ms);
+
+      // A large fleet must not retry all its calls; the next proof tells that the store is back.
+      if (!discovery->designated && discovery->list.infos != NULL)
+        delay_ms = INSTANCES_INTERVAL_LONG_MS;
       instance_list_failed (&discovery->list);
-      timer_set (options->timers, &discovery->instances_timer,
-                 next_retry_ms (discovery, &discovery->instances_retry_ms));
+      timer_set (options->timers, &discovery->instances_timer, delay_ms);
       request_snapshot_if_useful (discovery);
       return;
     }
@@ -485,7 +492,7 @@
   Discovery *discovery = talloc_zero (parent, Discovery);
 
   discovery->options = *options;
-  discovery->reader = true;
+  discovery->reader = discovery->designated = true;
   discovery->revision_log.lines_per_s = REVISION_LINES_PER_S;
   discovery->config_retry_ms = discovery->instances_retry_ms = RETRY_MS;
   discovery->config_timer.fired = on_config_timer;
@@ -525,11 +532,12 @@
   const bool reader = designated
                       || last_read_age_ms > reader_order_takeover_ms (
                              first_ms, first_ms + TAKEOVER_SPREAD_MS, role->rank);
-  const bool stops_following = discovery->follower && (reader || !role->follower);
+  const bool stops_following = discovery->follower && (designated || !role->follower);
 
   discovery->rank = role->rank;
   prove_if_due (discovery);
-  discovery->follower = role->follower && !reader;
+  discovery->designated = designated;
+  discovery->follower = role->follower && !designated;
   if (stops_following && discovery->config_call == NULL)
     timer_set (discovery->options.timers, &discovery->config_timer, 0);
   if (discovery->reader == reader)
--- a/src/pool/discovery.h
+++ b/src/pool/discovery.h
@@ -49,8 +49,8 @@
  * struct ReaderRole - How often this host reads the store.
  * @rank: of this host, see reader-order.h.
  * @readers: the first hosts, which poll the store often. The others read it when a peer reports a
- *   change, and when no host is known to have read it recently.
- * @follower: unless it is a reader, it takes changes from peers rather than from the store.
+ *   change, and the list of instances when no host is known to have read it recently.
+ * @follower: unless it is one of these, it takes changes from peers rather than from the store.
  * @round_ms: time in which a heartbeat reaches every host that depends on it.
  */
 typedef struct
