--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -72,28 +72,28 @@
   FeedPosition position;
   LogRateLimit revision_log;
   ConfigCall *config_call; /* the one whose answer moves the position; %NULL for none */
-  bool feed_refused;       /* since the last watch that was answered */
   int64_t config_retry_ms;
   int64_t instances_retry_ms;
   int64_t read_ms;
-  bool reading;
   InstanceList list;
-  bool store_lost;
-  bool proving; /* asking for a proof of the configuration */
-  bool reader;
-  bool designated; /* as a reader, by its rank */
-  bool follower;
-  uint32_t rank;        /* of the last role; %UINT32_MAX before it */
   int64_t list_read_ms; /* when the list in use was read from the store, by this or another host */
   int64_t wanted_read_ms; /* the same of the list that was asked for */
   int64_t asked_ms;       /* when a peer was last asked for newer data */
   int64_t read_done_ms;   /* last successful read of the list */
   int64_t peer_read_ms;   /* last read of the list that a peer reported */
   int64_t fetched_ms;
-  bool fetching; /* fetching the configuration because a peer has a newer one */
   uint64_t version;
   uint64_t peer_version; /* newest configuration version of any peer */
   uint32_t peer_hash;    /* hash of a peer's list that caused the last read */
+  uint32_t rank;         /* of the last role; %UINT32_MAX before it */
+  bool feed_refused;     /* since the last watch that was answered */
+  bool reading;
+  bool store_lost;
+  bool proving; /* asking for a proof of the configuration */
+  bool reader;
+  bool designated; /* as a reader, by its rank */
+  bool follower;
+  bool fetching; /* fetching the configuration because a peer has a newer one */
 };
 
 static void on_configuration (void *data, const StoreAnswer *answer, Catalog *catalog);
