Log the newest version heard of, and how the configuration came, beside a refusal

A refusal of an unknown database said which configuration it rested on and how old its proof was, but not whether this host had heard of a newer version that it could not get, nor whether it had its own from the store or from a peer. No decision changed.

--- a/src/cli/pool.c
+++ b/src/cli/pool.c
@@ -191,6 +191,8 @@
       pool_server_memory (daemon->server)->limit_bytes);
   g_string_append_printf (out, "peridotstep_config_proof_age_ms %" PRId64 "\n",
                           pool_server_config_proof_age_ms (daemon->server));
+  g_string_append_printf (out, "peridotstep_config_version_heard %" PRIu64 "\n",
+                          daemon->proof.heard_version);
   g_string_append_printf (out, "peridotstep_log_lines_dropped_total %" G_GUINT64_FORMAT "\n",
                           log_dropped ());
 }
--- a/src/policy/config-proof.c
+++ b/src/policy/config-proof.c
@@ -16,9 +16,23 @@
   return a > b ? a : b;
 }
 
+const char *
+config_source_name (ConfigSource source)
+{
+  static const char *const names[CONFIG_SOURCE_COUNT] = {
+    [CONFIG_SOURCE_NONE] = "none",   [CONFIG_SOURCE_READ] = "read",
+    [CONFIG_SOURCE_WATCH] = "watch", [CONFIG_SOURCE_PROOF] = "proof",
+    [CONFIG_SOURCE_FETCH] = "fetch", [CONFIG_SOURCE_SUPERSEDED] = "superseded",
+    [CONFIG_SOURCE_PEER] = "peer",
+  };
+
+  return names[source];
+}
+
 void
 config_proof_record (ConfigProof *proof, uint64_t version, int64_t at_ms)
 {
+  config_proof_hear (proof, version);
   if (version <= proof->own_version)
     proof->current_ms = max_i64 (proof->current_ms, at_ms);
   if (at_ms <= proof->at_ms)
@@ -28,15 +42,24 @@
 }
 
 void
-config_proof_set_version (ConfigProof *proof, uint64_t version)
+config_proof_set_version (ConfigProof *proof, uint64_t version, ConfigSource source)
 {
   if (version <= proof->own_version)
     return;
   proof->own_version = version;
+  proof->source = source;
+  config_proof_hear (proof, version);
   if (proof->version <= version)
     proof->current_ms = max_i64 (proof->current_ms, proof->at_ms);
 }
 
+void
+config_proof_hear (ConfigProof *proof, uint64_t version)
+{
+  if (version > proof->heard_version)
+    proof->heard_version = version;
+}
+
 int64_t
 config_proof_age_ms (const ConfigProof *proof, int64_t now_ms)
 {
--- a/src/policy/config-proof.h
+++ b/src/policy/config-proof.h
@@ -11,10 +11,27 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** enum ConfigSource - How a host got its configuration. */
+typedef enum
+{
+  CONFIG_SOURCE_NONE,
+  CONFIG_SOURCE_READ,       /* the store was read when this host started, or lost its position */
+  CONFIG_SOURCE_WATCH,      /* a long poll of the store */
+  CONFIG_SOURCE_PROOF,      /* a call for a proof */
+  CONFIG_SOURCE_FETCH,      /* the store was read because a peer has a newer version */
+  CONFIG_SOURCE_SUPERSEDED, /* a call to the store that another one has replaced */
+  CONFIG_SOURCE_PEER,       /* another host's snapshot */
+  CONFIG_SOURCE_COUNT
+} ConfigSource;
+
+/** config_source_name() - Name in log lines. */
+const char *config_source_name (ConfigSource source);
+
 /**
  * struct ConfigProof - Zeroed before use; times are 0 for never.
  * @version: version of the latest proof. @at_ms: when that version was the newest.
- * @own_version: of this host's configuration.
+ * @own_version: of this host's configuration. @source: how it came.
+ * @heard_version: greatest version that any host is known to have.
  * @current_ms: when @own_version, or an older version, was last known to be the newest.
  * @started_ms: when the process began to read the configuration.
  */
@@ -23,6 +40,8 @@
   uint64_t version;
   int64_t at_ms;
   uint64_t own_version;
+  uint64_t heard_version;
+  ConfigSource source;
   int64_t current_ms;
   int64_t started_ms;
 } ConfigProof;
@@ -30,8 +49,11 @@
 /** config_proof_record() - @version was the newest at @at_ms or later. */
 void config_proof_record (ConfigProof *proof, uint64_t version, int64_t at_ms);
 
-/** config_proof_set_version() - This host has configuration @version now. */
-void config_proof_set_version (ConfigProof *proof, uint64_t version);
+/** config_proof_set_version() - This host has configuration @version now, which came by @source. */
+void config_proof_set_version (ConfigProof *proof, uint64_t version, ConfigSource source);
+
+/** config_proof_hear() - Another host has configuration @version. */
+void config_proof_hear (ConfigProof *proof, uint64_t version);
 
 /** config_proof_age_ms() - Age of the proof for this host's configuration; INT64_MAX for none. */
 int64_t config_proof_age_ms (const ConfigProof *proof, int64_t now_ms);
--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -228,9 +228,8 @@
   return delay_ms;
 }
 
-/* Takes a configuration from @source, which log lines name. */
 static void
-apply_catalog (Discovery *discovery, Catalog *catalog, const char *source)
+apply_catalog (Discovery *discovery, Catalog *catalog, ConfigSource source)
 {
   if (catalog == NULL)
     return;
@@ -238,11 +237,11 @@
     log_event (LOG_LEVEL_INFO, "configuration_read",
                "version=%" G_GUINT64_FORMAT " previous=%" G_GUINT64_FORMAT
                " source=%s previous_proof_age_ms=%" G_GINT64_FORMAT " reader=%d",
-               catalog->version, discovery->version, source, proof_age_ms (discovery),
-               discovery->reader);
+               catalog->version, discovery->version, config_source_name (source),
+               proof_age_ms (discovery), discovery->reader);
   discovery->version = MAX (discovery->version, catalog->version);
   discovery->options.catalog (discovery->options.data, catalog);
-  config_proof_set_version (discovery->options.proof, catalog->version);
+  config_proof_set_version (discovery->options.proof, catalog->version, source);
 }
 
 /* The answer tells all changes up to its making. A version that this host had already is the
@@ -275,7 +274,7 @@
   const bool lacks_list = discovery->list.infos == NULL;
 
   if (snapshot->catalog != NULL && snapshot->catalog->version > discovery->version)
-    apply_catalog (discovery, snapshot->catalog, "peer");
+    apply_catalog (discovery, snapshot->catalog, CONFIG_SOURCE_PEER);
   // While a host reads the store, its list is newer than any peer's.
   if (snapshot->infos == NULL
       || !(lacks_list || ((discovery->list.failed || discovery->follower) && snapshot->fresh)))
@@ -343,7 +342,7 @@
     result = DIRECTORY_UNKNOWN;
   if (superseded)
     {
-      apply_catalog (discovery, catalog, "superseded call");
+      apply_catalog (discovery, catalog, CONFIG_SOURCE_SUPERSEDED);
       return;
     }
   if (result == DIRECTORY_COMPACTED)
@@ -359,7 +358,7 @@
   record_position (discovery, answer, watched);
   if (!discovery->feed_refused)
     discovery->config_retry_ms = RETRY_MS;
-  apply_catalog (discovery, catalog, watched ? "watch" : "read");
+  apply_catalog (discovery, catalog, watched ? CONFIG_SOURCE_WATCH : CONFIG_SOURCE_READ);
   record_proof (discovery, answer, sent_ms);
   timer_set (discovery->options.timers, &discovery->config_timer,
              discovery->follower && discovery->position.valid ? FOLLOWER_CONFIG_INTERVAL_MS : 0);
@@ -446,7 +445,7 @@
       end_proof_call (discovery, false);
       return;
     }
-  apply_catalog (discovery, catalog, "proof");
+  apply_catalog (discovery, catalog, CONFIG_SOURCE_PROOF);
   record_proof (discovery, answer, discovery->prove_ms);
   // The hosts after this one would ask next.
   discovery->options.announce (discovery->options.data);
@@ -567,7 +566,7 @@
   discovery->fetching = false;
   if (record_era (discovery, answer) && answer->result == DIRECTORY_OK)
     {
-      apply_catalog (discovery, catalog, "fetch");
+      apply_catalog (discovery, catalog, CONFIG_SOURCE_FETCH);
       // A store that came back from a backup may have an older configuration than the peer.
       if (discovery->peer_version > discovery->version)
         discovery->options.request_snapshot (discovery->options.data);
@@ -602,6 +601,7 @@
   if (hash != 0)
     discovery->peer_read_ms = MAX (discovery->peer_read_ms, read_ms);
   discovery->peer_version = MAX (discovery->peer_version, version);
+  config_proof_hear (discovery->options.proof, version);
   if (discovery->follower)
     {
       follow_peer (discovery, version, hash, read_ms);
--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -285,9 +285,12 @@
     return;
   log_event (LOG_LEVEL_INFO, "session_refused",
              "session=%" PRIu64 " database=%s code=%s config=%" PRIu64
-             " config_proof_age_ms=%" PRId64 " forwarded=%d reason=\"%s\" suppressed=%u",
+             " config_source=%s config_heard=%" PRIu64 " config_proof_age_ms=%" PRId64
+             " forwarded=%d reason=\"%s\" suppressed=%u",
              session->id, session->database_name == NULL ? "-" : session->database_name,
              answer_code_name (code), pool_server_config_version (session->server),
+             config_source_name (session->options->proof->source),
+             session->options->proof->heard_version,
              pool_server_config_proof_age_ms (session->server), session->forwarded, text, dropped);
 }
 
--- a/src/pool/session-answer.c
+++ b/src/pool/session-answer.c
@@ -120,7 +120,8 @@
              " database=%s customer=%s service=%s priority=%s kind=%s code=%s "
              "verdict=\"%s\" instance=%s primary=%s term=%" PRIu64 " confirmed_age_ms=%" PRId64
              " required_position=%" PRIu64 ".%" PRIu64 " position_age_ms=%" PRId64
-             " position_host=%016" PRIx64 " config=%" PRIu64 " config_proof_age_ms=%" PRId64
+             " position_host=%016" PRIx64 " config=%" PRIu64 " config_source=%s"
+             " config_heard=%" PRIu64 " config_proof_age_ms=%" PRId64
              " attempts=%u took_ms=%" PRId64 " reason=\"%s\" text=\"%s\" suppressed=%u",
              session->statement.id, session->id,
              session->database_name == NULL ? "-" : session->database_name,
@@ -134,6 +135,8 @@
              age_ms (view.position.at_ms), view.position_host,
              session->catalog == NULL ? pool_server_config_version (session->server)
                                       : session->catalog->version,
+             config_source_name (session->options->proof->source),
+             session->options->proof->heard_version,
              pool_server_config_proof_age_ms (session->server), session->attempts,
              clock_now_ms () - session->started_ms, session->reason == NULL ? "-" : session->reason,
              text, dropped);
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -580,7 +580,7 @@
     if (state->hosts[i]->server != NULL)
       {
         pool_server_set_catalog (state->hosts[i]->server, state->catalog);
-        config_proof_set_version (&state->hosts[i]->proof, version);
+        config_proof_set_version (&state->hosts[i]->proof, version, CONFIG_SOURCE_READ);
       }
 }
 
--- a/tests/script-small.c
+++ b/tests/script-small.c
@@ -150,7 +150,8 @@
     config_proof_record (&state->proof, (guint64) script_number (words, 1),
                          script_number (words, 2));
   else if (strcmp (verb, "own-version") == 0)
-    config_proof_set_version (&state->proof, (guint64) script_number (words, 1));
+    config_proof_set_version (&state->proof, (guint64) script_number (words, 1),
+                              CONFIG_SOURCE_READ);
   else if (strcmp (verb, "current") == 0)
     g_string_append (out, config_proof_is_current (&state->proof, script_number (words, 1),
                                                    script_number (words, 2))
