--- a/tests/processes/config.c
+++ b/tests/processes/config.c
@@ -3,9 +3,12 @@
  *
  * CASE silent or refused: what all hosts but one get from the store. Prints how many versions were
  * not in force in time at that one, and how many hosts did not get the last one; an instance joins
- * too. CASE a number: a soak with that seed, in which the store fails for some hosts or for all,
- * and hosts are killed and frozen, all of it overlapping. Prints how many versions were not in
- * force in time at a host in touch: one that ran and reached the store for some seconds.
+ * too. CASE unproved: no host reaches the store when a version comes; prints how many hosts refuse
+ * a database of it as unknown all the same. CASE stopped: the same for hosts that stand still
+ * meanwhile, at the moment when they go on. CASE a number: a soak with that seed, in which the
+ * store fails for some hosts or for all, and hosts are killed and frozen, all of it overlapping.
+ * Prints how many versions were not in force in time at a host in touch: one that ran and reached
+ * the store for some seconds.
  *
  *   WORLD_BINARY=build/peridotstep WORLD_DIRECTORY=DIRECTORY build/pool-config CASE RECORD */
 #include "world.h"
@@ -25,6 +28,10 @@
 /* At most so many hosts reach the store in a soak, whatever happens to the others. */
 #define SOAK_REACHING 3
 #define SOAK_MS 30000
+/* Hosts that stand still. */
+#define STOPPED 4
+/* Callers give up opening a session after this time. */
+#define OPEN_LIMIT_MS 2000
 /* A host is in touch once it was undisturbed for so long. */
 #define STABLE_MS 5000
 #define SETTLE_MS 2500
@@ -79,6 +86,16 @@
   world_record ("change   version %d is acknowledged", number);
 }
 
+/* "" if the session was opened. */
+static void
+take_code (const Answer *answer, char *code, size_t size)
+{
+  snprintf (code, size, "%s",
+            answer->state == 'I'    ? ""
+            : *answer->code != '\0' ? answer->code
+                                    : "?");
+}
+
 /* How a session for the last database of version @number opens at @host: "" if it does. */
 static void
 open_session (int number, int host, char *code, size_t size)
@@ -90,9 +107,9 @@
   snprintf (name, sizeof name, "shop%d", number);
   client.fd = -1;
   if (client_connect (&client, host, name))
-    answer = client_read (&client, 2000);
+    answer = client_read (&client, OPEN_LIMIT_MS);
   client_close (&client);
-  snprintf (code, size, "%s", answer.state == 'I' ? "" : *answer.code != '\0' ? answer.code : "?");
+  take_code (&answer, code, size);
   world_record ("check    version %d at %s: %s", number, world.hosts[host].name,
                 *code == '\0' ? "in force" : code);
 }
@@ -311,6 +328,69 @@
   printf ("hosts without the last version: %d\n", lacking);
 }
 
+static int
+count_hosts (int number, const char *wanted)
+{
+  char code[WORLD_TEXT];
+  int found = 0;
+
+  for (int i = 0; i < HOSTS; i++)
+    {
+      open_session (number, i, code, sizeof code);
+      found += strcmp (code, wanted) == 0;
+    }
+  return found;
+}
+
+static void
+run_unproved (void)
+{
+  set_store (&world.store, &store_trouble, STORE_SILENT, INT64_MAX);
+  put_version (1);
+  world_sleep_ms (LIMIT_MS + CHANGE_INTERVAL_MS);
+  printf ("hosts that refuse an added database as unknown: %d\n", count_hosts (1, "NODB"));
+  printf ("hosts that serve another one: %d\n", count_hosts (0, ""));
+  set_store (&world.store, &store_trouble, STORE_SERVES, 0);
+  world_sleep_ms (STABLE_MS);
+  printf ("hosts that serve it when the store is back: %d\n", count_hosts (1, ""));
+  printf ("hosts that refuse a database of no version as unknown: %d\n",
+          count_hosts (VERSIONS, "NODB"));
+}
+
+/* The callers ask while the hosts still stand. */
+static void
+run_stopped (void)
+{
+  static Client clients[STOPPED];
+  char code[WORLD_TEXT];
+  int unknown = 0;
+  int opened = 0;
+
+  for (int i = 0; i < STOPPED; i++)
+    client_dial (&clients[i], i);
+  world_sleep_ms (PAUSE_MS * 10);
+  for (int i = 0; i < STOPPED; i++)
+    world_signal_host (i, SIGSTOP);
+  put_version (1);
+  world_sleep_ms (LIMIT_MS + CHANGE_INTERVAL_MS);
+  for (int i = 0; i < STOPPED; i++)
+    client_start (&clients[i], "shop1");
+  for (int i = 0; i < STOPPED; i++)
+    world_signal_host (i, SIGCONT);
+  for (int i = 0; i < STOPPED; i++)
+    {
+      const Answer answer = client_read (&clients[i], OPEN_LIMIT_MS);
+
+      take_code (&answer, code, sizeof code);
+      world_record ("check    %s: %s", world.hosts[i].name, *code == '\0' ? "in force" : code);
+      unknown += strcmp (code, "NODB") == 0;
+      opened += *code == '\0';
+      client_close (&clients[i]);
+    }
+  printf ("hosts that refuse an added database as unknown: %d\n", unknown);
+  printf ("hosts that open it: %d\n", opened);
+}
+
 int
 main (int count, char **arguments)
 {
@@ -321,11 +401,17 @@
     return 2;
   random_state = seed = strtoull (arguments[1], NULL, 10);
   reaches_store[REACHES_STORE] = seed == 0;
+  if (strcmp (arguments[1], "unproved") == 0 || strcmp (arguments[1], "stopped") == 0)
+    memset (reaches_store, true, sizeof reaches_store);
   for (int i = seed == 0 ? 0 : 1 + draw (SOAK_REACHING); i > 0; i--)
     reaches_store[draw (HOSTS)] = true;
   start_world (arguments[2], reaches_store);
   if (seed != 0)
     run_soak (seed);
+  else if (strcmp (arguments[1], "unproved") == 0)
+    run_unproved ();
+  else if (strcmp (arguments[1], "stopped") == 0)
+    run_stopped ();
   else
     run_cut_off (strcmp (arguments[1], "silent") == 0 ? STORE_SILENT : STORE_REFUSES);
   fflush (stdout);
--- a/tests/processes/world.c
+++ b/tests/processes/world.c
@@ -1641,16 +1641,28 @@
 }
 
 bool
-client_connect (Client *client, int host, const char *database)
+client_dial (Client *client, int host)
 {
-  char text[128];
-
   client->length = 0;
   client->fd = connect_to (world.hosts[host].address, world.front_port, 16384);
-  if (client->fd < 0)
-    return false;
+  return client->fd >= 0;
+}
+
+void
+client_start (Client *client, const char *database)
+{
+  char text[128];
+
   snprintf (text, sizeof text, "START %s consumer", database);
   client_send (client, text);
+}
+
+bool
+client_connect (Client *client, int host, const char *database)
+{
+  if (!client_dial (client, host))
+    return false;
+  client_start (client, database);
   return true;
 }
 
--- a/tests/processes/world.h
+++ b/tests/processes/world.h
@@ -163,6 +163,9 @@
 bool client_open (Client *client, int host, const char *database);
 /* The same without waiting for READY. */
 bool client_connect (Client *client, int host, const char *database);
+/* The two halves of client_connect(). */
+bool client_dial (Client *client, int host);
+void client_start (Client *client, const char *database);
 void client_send (Client *client, const char *text);
 /* Reads one answer, up to READY. */
 Answer client_read (Client *client, int64_t limit_ms);
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -563,10 +563,10 @@
   g_error ("no such fault: %s", script_word (words, 2));
 }
 
-/* configure all|keys|revoked|OTHER: a new configuration: complete, with customers, with customers
- * and another key for blue, or without sales */
+/* configure all|keys|revoked|OTHER [HOST]: a new configuration at all hosts, or at one: complete,
+ * with customers, with customers and another key for blue, or without sales */
 static void
-configure (State *state, const char *kind)
+configure (State *state, const char *kind, const char *host)
 {
   const guint64 version = state->catalog->version + 1;
   const bool revoked = strcmp (kind, "revoked") == 0;
@@ -577,7 +577,8 @@
   if (keys)
     add_customers (state->catalog, revoked);
   for (guint i = 0; i < state->host_count; i++)
-    if (state->hosts[i]->server != NULL)
+    if (state->hosts[i]->server != NULL
+        && (*host == '\0' || strcmp (state->hosts[i]->name, host) == 0))
       {
         pool_server_set_catalog (state->hosts[i]->server, state->catalog);
         config_proof_set_version (&state->hosts[i]->proof, version, CONFIG_SOURCE_READ);
@@ -781,7 +782,7 @@
   else if (strcmp (verb, "list") == 0)
     list_instances (state);
   else if (strcmp (verb, "configure") == 0)
-    configure (state, script_word (words, 1));
+    configure (state, script_word (words, 1), script_word (words, 2));
   else if (strcmp (verb, "prove") == 0)
     prove (find_host (state, script_word (words, 1)));
   else if (strcmp (verb, "revoke_limit") == 0)
--- a/tests/system/config-late-when-readers-are-refused.sh
+++ b/tests/system/config-late-when-readers-are-refused.sh
@@ -1,4 +1,4 @@
 # Guards against CONFIG: every host that ranks before the only one that reads the store is refused by the store.
 set -u
 . tests/system/config.bash
-run_config_case refused
+run_cut_off_case refused
