Move waiting lists and the opening of sessions into files of their own

The list of waiters of a service group becomes base/wait-queue, since sessions are about to wait for the configuration too, and what opens a session leaves pool-session.c for session-open.c.

--- a/src/pool/service-group.c
+++ b/src/pool/service-group.c
@@ -48,17 +48,14 @@
   int64_t commit_sent_ms;
   int64_t commit_pending_since_ms;
   PositionHistory history;
-  GQueue waiters;
+  WaitQueue waiters;
   int64_t probed_ms;
 };
 
 static int
 group_destroy (ServiceGroup *group)
 {
-  GroupWaiter *waiter;
-
-  while ((waiter = g_queue_pop_head (&group->waiters)) != NULL)
-    waiter->group = NULL;
+  wait_queue_done (&group->waiters);
   g_ptr_array_free (group->retired, true);
   return 0;
 }
@@ -71,7 +68,7 @@
   group->options = *options;
   group->retired = g_ptr_array_new ();
   g_strlcpy (group->name, name, sizeof group->name);
-  g_queue_init (&group->waiters);
+  wait_queue_init (&group->waiters);
   primary_lease_init (&group->lease, PRIMARY_LEASE_MS);
   talloc_set_destructor (group, group_destroy);
   return group;
@@ -110,32 +107,6 @@
   return 0;
 }
 
-static void
-wake_waiters (ServiceGroup *group)
-{
-  guint count = group->waiters.length;
-
-  // A waiter may queue itself again when woken; each one is woken once.
-  for (guint i = 0; i < count; i++)
-    {
-      GroupWaiter *waiter = g_queue_pop_head (&group->waiters);
-
-      if (waiter == NULL)
-        return;
-      waiter->group = NULL;
-      waiter->woken (waiter->data);
-    }
-}
-
-void
-service_group_cancel_wait (GroupWaiter *waiter)
-{
-  if (waiter->group == NULL)
-    return;
-  g_queue_remove (&waiter->group->waiters, waiter);
-  waiter->group = NULL;
-}
-
 /* Logs that the lease began or has ended. @reason: the event, or the instance that confirmed it.
  * @host: on whose word; 0 for this one. */
 static void
@@ -292,7 +263,7 @@
       if (member != NULL)
         update_member (member, &infos[i]);
     }
-  wake_waiters (group);
+  wait_queue_wake (&group->waiters);
 }
 
 /* Whether new work may be sent to it. */
@@ -579,7 +550,7 @@
   if (unresponsive)
     instance_pool_fail_restartable (member->pool);
   else
-    wake_waiters (member->group);
+    wait_queue_wake (&member->group->waiters);
 }
 
 /* Without a lease no work is sent to the primary that it could fail to answer. */
@@ -606,7 +577,7 @@
   if (result == COMMAND_ANSWERED)
     service_group_record_report (group, member, report, sent_ms);
   judge_silence (member, result);
-  wake_waiters (group);
+  wait_queue_wake (&group->waiters);
 }
 
 /* Whether reports of the instances can help the waiters. */
@@ -648,10 +619,9 @@
 }
 
 void
-service_group_wait (ServiceGroup *group, GroupWaiter *waiter)
+service_group_wait (ServiceGroup *group, Waiter *waiter)
 {
-  waiter->group = group;
-  g_queue_push_tail (&group->waiters, waiter);
+  wait_queue_add (&group->waiters, waiter);
   if (needs_reports (group, clock_now_ms ()))
     probe (group, clock_now_ms ());
 }
@@ -705,7 +675,7 @@
   if (term <= group->lease.term)
     return;
   set_primary (group, instance_pool_info (member->pool)->id, term, "peer");
-  wake_waiters (group);
+  wait_queue_wake (&group->waiters);
 }
 
 void
@@ -723,7 +693,7 @@
   primary_lease_record_proof (&group->lease, group->lease.term, at_ms);
   log_lease (group, host == 0 ? "change" : "peer", host);
   if (!had_lease && primary_lease_is_valid (&group->lease, clock_now_ms ()))
-    wake_waiters (group);
+    wait_queue_wake (&group->waiters);
 }
 
 void
@@ -747,7 +717,7 @@
              "service=%s primary=%s term=%" G_GUINT64_FORMAT " value=%d", group->name,
              group->primary, group->lease.term, fenced);
   if (!fenced)
-    wake_waiters (group);
+    wait_queue_wake (&group->waiters);
 }
 
 static void
@@ -812,14 +782,14 @@
   free_retired (group);
   log_lease (group, "expired", 0);
   prolong_lease (group, now_ms);
-  if (group->waiters.length > 0 && needs_reports (group, now_ms))
+  if (!wait_queue_is_empty (&group->waiters) && needs_reports (group, now_ms))
     probe (group, now_ms);
 }
 
 bool
 service_group_is_used (const ServiceGroup *group)
 {
-  if (group->lease.fenced || group->waiters.length > 0 || group->retired->len > 0)
+  if (group->lease.fenced || !wait_queue_is_empty (&group->waiters) || group->retired->len > 0)
     return true;
   for (uint32_t i = 0; i < group->count; i++)
     if (instance_pool_demand (group->members[i]->pool) > 0)
--- a/src/pool/service-group.h
+++ b/src/pool/service-group.h
@@ -11,6 +11,7 @@
 #include <tevent.h>
 
 #include "base/timer-queue.h"
+#include "base/wait-queue.h"
 #include "policy/commit-floor.h"
 #include "policy/instance-speed.h"
 #include "policy/outlier.h"
@@ -96,17 +97,6 @@
   void *data;
 } ServiceGroupOptions;
 
-/**
- * struct GroupWaiter - Waits for a change of the group; embedded in its user.
- * @woken: something changed; check again.
- */
-typedef struct
-{
-  void (*woken) (void *data);
-  void *data;
-  ServiceGroup *group; /* %NULL while not waiting */
-} GroupWaiter;
-
 /** service_group_new() - Group of service @name, without instances. */
 ServiceGroup *service_group_new (TALLOC_CTX *parent, const ServiceGroupOptions *options,
                                  const char *name);
@@ -136,10 +126,7 @@
 uint32_t service_group_member_bit (const ServiceGroup *group, const InstancePool *pool);
 
 /** service_group_wait() - Wakes @waiter at the next change; queries the instances if needed. */
-void service_group_wait (ServiceGroup *group, GroupWaiter *waiter);
-
-/** service_group_cancel_wait() - Removes @waiter. */
-void service_group_cancel_wait (GroupWaiter *waiter);
+void service_group_wait (ServiceGroup *group, Waiter *waiter);
 
 /**
  * service_group_record_answer() - An instance answered a statement of @priority sent at @sent_ms.
--- a/src/pool/session-answer.c
+++ b/src/pool/session-answer.c
@@ -205,7 +205,7 @@
 session_refuse (PoolSession *session, AnswerCode code, const char *reason)
 {
   session->reason = reason;
-  service_group_cancel_wait (&session->waiter);
+  waiter_cancel (&session->waiter);
   limit_exchange_cancel (&session->limit_waiter);
   instance_pool_cancel (&session->request);
   session_drop_connection (session);
--- a/src/pool/session-end.c
+++ b/src/pool/session-end.c
@@ -105,7 +105,7 @@
   session->finishing = true;
   session->end = reason;
   session->active = false;
-  service_group_cancel_wait (&session->waiter);
+  waiter_cancel (&session->waiter);
   limit_exchange_cancel (&session->limit_waiter);
   instance_pool_cancel (&session->request);
   session_drop_connection (session);
--- a/src/pool/session-state.h
+++ b/src/pool/session-state.h
@@ -1,9 +1,9 @@
 /**
  * DOC: Internals of a caller's session, shared by the files that implement it: pool-session.c
- * handles the caller's messages, session-route.c chooses an instance and gets a connection,
- * session-run.c runs the statement, session-answer.c answers the caller, session-forward.c hands
- * the session to another host, session-access.c knows which customer's it is and what that customer
- * may do, and session-end.c ends it.
+ * handles the caller's messages, session-open.c opens the session, session-route.c chooses an
+ * instance and gets a connection, session-run.c runs the statement, session-answer.c answers the
+ * caller, session-forward.c hands the session to another host, session-access.c knows which
+ * customer's it is and what that customer may do, and session-end.c ends it.
  */
 #pragma once
 
@@ -92,7 +92,7 @@
   const InstancePool *requested_pool; /* only compared, never dereferenced */
   ConnectionRequest request;
   LimitWaiter limit_waiter;
-  GroupWaiter waiter;
+  Waiter waiter;
   Timer timer;
 
   bool forwarded;          /* another host forwards it to this one */
@@ -154,6 +154,15 @@
 /** session_statement_writes() - Whether the statement may write. */
 bool session_statement_writes (const PoolSession *session);
 
+/* Implemented in session-open.c. */
+
+/** session_end_with_error() - Sends an error that ends the session; @text is for the caller. */
+void session_end_with_error (PoolSession *session, SessionEnd reason, AnswerCode code,
+                             const char *text);
+
+/** session_open() - The caller opens the session by @opening, which @message holds unread. */
+void session_open (PoolSession *session, CallerMessage *opening, GBytes *message);
+
 /* Implemented in session-route.c. */
 
 /** session_dispatch() - Chooses an instance for the statement and requests a connection to it. */
