Refuse a database as unknown only on a configuration that is known to be the newest

Callers were told that there is no such database, for one that had been added longer ago than the limit for a change to be in force; they do not ask elsewhere after that.

Cause: unknown_database was answered from whatever configuration a host had, whatever the age of its proof, and as if it were certain. An owner's refusal was relayed, though its configuration may be older than that of the caller's host.

Why it works: the answer needs a proof younger than the limit. A proof is an answer of the store that the version was the newest at a time T; with T later than now minus the limit, a change that was acknowledged more than the limit before the request was sent was acknowledged before T, and would have been in the answer. That holds whatever kept the host from learning, provided that proofs are true. Without such a proof, or when another host is known to have a newer version, the caller waits up to 1 s for the one call that serves all who wait, and is told to ask again if it fails.

--- a/src/cli/pool.c
+++ b/src/cli/pool.c
@@ -169,6 +169,22 @@
   peer_mesh_send_now (daemon->mesh);
 }
 
+static bool
+on_request_proof (void *data)
+{
+  PoolDaemon *daemon = data;
+
+  return daemon->discovery != NULL && discovery_request_proof (daemon->discovery);
+}
+
+static void
+on_config_checked (void *data)
+{
+  PoolDaemon *daemon = data;
+
+  pool_server_config_checked (daemon->server);
+}
+
 static bool
 is_ready (void *data)
 {
@@ -530,7 +546,9 @@
     .refresh_instances = on_refresh_instances,
     .store_era = &daemon->store_era,
     .proof = &daemon->proof,
+    .config_limit_ms = settings_number (settings, "config-limit"),
     .revoke_limit_ms = settings_number (settings, "revoke-limit"),
+    .request_proof = on_request_proof,
     .data = daemon,
   };
   PeerMeshOptions mesh = {
@@ -612,6 +630,7 @@
     .proof = &daemon->proof,
     .proof_limit_ms = proof_limit_ms (settings),
     .announce = on_announce,
+    .config_checked = on_config_checked,
     .instances = on_instances,
     .store_restored = on_store_restored,
     .request_snapshot = on_request_snapshot,
--- a/src/policy/config-proof.c
+++ b/src/policy/config-proof.c
@@ -32,7 +32,7 @@
 void
 config_proof_record (ConfigProof *proof, uint64_t version, int64_t at_ms)
 {
-  config_proof_hear (proof, version);
+  config_proof_hear (proof, version, at_ms);
   if (version <= proof->own_version)
     proof->current_ms = max_i64 (proof->current_ms, at_ms);
   if (at_ms <= proof->at_ms)
@@ -48,16 +48,30 @@
     return;
   proof->own_version = version;
   proof->source = source;
-  config_proof_hear (proof, version);
   if (proof->version <= version)
     proof->current_ms = max_i64 (proof->current_ms, proof->at_ms);
 }
 
 void
-config_proof_hear (ConfigProof *proof, uint64_t version)
+config_proof_hear (ConfigProof *proof, uint64_t version, int64_t at_ms)
 {
-  if (version > proof->heard_version)
-    proof->heard_version = version;
+  if (version < proof->heard_version)
+    return;
+  proof->heard_ms = version == proof->heard_version ? max_i64 (proof->heard_ms, at_ms) : at_ms;
+  proof->heard_version = version;
+}
+
+/* The store's later word goes before a host's: it may have come back from a backup. */
+bool
+config_proof_is_superseded (const ConfigProof *proof)
+{
+  return proof->heard_version > proof->own_version && proof->heard_ms >= proof->current_ms;
+}
+
+bool
+config_proof_covers_absence (const ConfigProof *proof, int64_t limit_ms, int64_t now_ms)
+{
+  return !config_proof_is_superseded (proof) && config_proof_is_current (proof, limit_ms, now_ms);
 }
 
 int64_t
--- a/src/policy/config-proof.h
+++ b/src/policy/config-proof.h
@@ -31,7 +31,8 @@
  * struct ConfigProof - Zeroed before use; times are 0 for never.
  * @version: version of the latest proof. @at_ms: when that version was the newest.
  * @own_version: of this host's configuration. @source: how it came.
- * @heard_version: greatest version that any host is known to have.
+ * @heard_version: greatest version that any host is known to have. @heard_ms: when that was last
+ * heard.
  * @current_ms: when @own_version, or an older version, was last known to be the newest.
  * @started_ms: when the process began to read the configuration.
  */
@@ -41,6 +42,7 @@
   int64_t at_ms;
   uint64_t own_version;
   uint64_t heard_version;
+  int64_t heard_ms;
   ConfigSource source;
   int64_t current_ms;
   int64_t started_ms;
@@ -52,8 +54,18 @@
 /** config_proof_set_version() - This host has configuration @version now, which came by @source. */
 void config_proof_set_version (ConfigProof *proof, uint64_t version, ConfigSource source);
 
-/** config_proof_hear() - Another host has configuration @version. */
-void config_proof_hear (ConfigProof *proof, uint64_t version);
+/** config_proof_hear() - Another host had configuration @version at @at_ms. */
+void config_proof_hear (ConfigProof *proof, uint64_t version, int64_t at_ms);
+
+/** config_proof_is_superseded() - Whether a host has a newer configuration than this one. */
+bool config_proof_is_superseded (const ConfigProof *proof);
+
+/**
+ * config_proof_covers_absence() - Whether callers may be told for good that there is no such thing
+ * as this host's configuration lacks. Otherwise a change that adds it may have been in force for
+ * longer than @limit_ms, or is known to be; @limit_ms 0 for no limit.
+ */
+bool config_proof_covers_absence (const ConfigProof *proof, int64_t limit_ms, int64_t now_ms);
 
 /** config_proof_age_ms() - Age of the proof for this host's configuration; INT64_MAX for none. */
 int64_t config_proof_age_ms (const ConfigProof *proof, int64_t now_ms);
--- a/src/pool/discovery.c
+++ b/src/pool/discovery.c
@@ -274,7 +274,10 @@
   const bool lacks_list = discovery->list.infos == NULL;
 
   if (snapshot->catalog != NULL && snapshot->catalog->version > discovery->version)
-    apply_catalog (discovery, snapshot->catalog, CONFIG_SOURCE_PEER);
+    {
+      apply_catalog (discovery, snapshot->catalog, CONFIG_SOURCE_PEER);
+      discovery->options.config_checked (discovery->options.data);
+    }
   // While a host reads the store, its list is newer than any peer's.
   if (snapshot->infos == NULL
       || !(lacks_list || ((discovery->list.failed || discovery->follower) && snapshot->fresh)))
@@ -360,6 +363,7 @@
     discovery->config_retry_ms = RETRY_MS;
   apply_catalog (discovery, catalog, watched ? CONFIG_SOURCE_WATCH : CONFIG_SOURCE_READ);
   record_proof (discovery, answer, sent_ms);
+  discovery->options.config_checked (discovery->options.data);
   timer_set (discovery->options.timers, &discovery->config_timer,
              discovery->follower && discovery->position.valid ? FOLLOWER_CONFIG_INTERVAL_MS : 0);
 }
@@ -420,9 +424,11 @@
 {
   const int64_t longest_ms = proved ? PROOF_RETRY_MS : discovery->prove_retry_ms;
 
+  discovery->proving = false;
   discovery->prove_next_ms = clock_now_ms () + reader_order_retry_ms (longest_ms, discovery->rank);
   discovery->prove_retry_ms = proved ? PROOF_RETRY_MS : MIN (longest_ms * 2, PROOF_RETRY_MAX_MS);
   prove_if_due (discovery);
+  discovery->options.config_checked (discovery->options.data);
 }
 
 static void
@@ -431,12 +437,12 @@
   Discovery *discovery = data;
   const bool current = record_era (discovery, answer);
 
-  discovery->proving = false;
   record_store_result (discovery, answer->result);
   if (answer->result == DIRECTORY_COMPACTED && discovery->position.valid)
     {
       // The position of a follower may be older than what the store keeps of its changes.
       feed_position_lost (&discovery->position);
+      discovery->proving = false;
       prove_if_due (discovery);
       return;
     }
@@ -479,6 +485,13 @@
     directory->get_configuration (directory->self, CALL_TIMEOUT_MS, on_proof, discovery);
 }
 
+bool
+discovery_request_proof (Discovery *discovery)
+{
+  prove_if_due (discovery);
+  return discovery->proving;
+}
+
 static void
 on_proof_timer (void *data)
 {
@@ -567,6 +580,7 @@
   if (record_era (discovery, answer) && answer->result == DIRECTORY_OK)
     {
       apply_catalog (discovery, catalog, CONFIG_SOURCE_FETCH);
+      discovery->options.config_checked (discovery->options.data);
       // A store that came back from a backup may have an older configuration than the peer.
       if (discovery->peer_version > discovery->version)
         discovery->options.request_snapshot (discovery->options.data);
@@ -601,7 +615,7 @@
   if (hash != 0)
     discovery->peer_read_ms = MAX (discovery->peer_read_ms, read_ms);
   discovery->peer_version = MAX (discovery->peer_version, version);
-  config_proof_hear (discovery->options.proof, version);
+  config_proof_hear (discovery->options.proof, version, now_ms);
   if (discovery->follower)
     {
       follow_peer (discovery, version, hash, read_ms);
--- a/src/pool/discovery.h
+++ b/src/pool/discovery.h
@@ -26,6 +26,7 @@
  * @proof: records what the store's answers prove of the configuration.
  * @proof_limit_ms: within which a change has to be in force; 0 for no limit.
  * @announce: peers should hear from this host at once.
+ * @config_checked: a call for the configuration has ended; more or less may be proved of it now.
  */
 typedef struct
 {
@@ -39,6 +40,7 @@
   ConfigProof *proof;
   int64_t proof_limit_ms;
   void (*announce) (void *data);
+  void (*config_checked) (void *data);
   void *data;
 } DiscoveryOptions;
 
@@ -80,6 +82,12 @@
 /** discovery_store_lost() - Whether the last call to the store failed. */
 bool discovery_store_lost (const Discovery *discovery);
 
+/**
+ * discovery_request_proof() - Asks the store for a proof of the configuration if the last one has
+ * become old, unless the store has just failed to give one. Returns whether an answer is awaited.
+ */
+bool discovery_request_proof (Discovery *discovery);
+
 /** discovery_era() - Era of the store; 0 while unknown. */
 uint64_t discovery_era (const Discovery *discovery);
 
--- a/src/pool/pool-metrics.c
+++ b/src/pool/pool-metrics.c
@@ -14,6 +14,7 @@
   [POOL_COUNT_FEED_GONE] = "peridotstep_feed_gone_total",
   [POOL_COUNT_ANSWERS_CUT] = "peridotstep_answers_cut_total",
   [POOL_COUNT_PAUSES_LIFTED] = "peridotstep_pauses_lifted_total",
+  [POOL_COUNT_ABSENCE_UNPROVED] = "peridotstep_absence_unproved_total",
   [POOL_COUNT_KEYS_REFUSED] = "peridotstep_keys_refused_total",
   [POOL_COUNT_ENDED_MEMORY] = "peridotstep_sessions_ended_memory_total",
   [POOL_COUNT_ENDED_SLOW] = "peridotstep_sessions_ended_slow_total",
--- a/src/pool/pool-metrics.h
+++ b/src/pool/pool-metrics.h
@@ -27,14 +27,16 @@
 /** enum PoolCount - Counted events. */
 typedef enum
 {
-  POOL_COUNT_STORE_RESTORED, /* the store came back from a backup */
-  POOL_COUNT_FEED_GONE,      /* the store no longer has the revision to watch from */
-  POOL_COUNT_ANSWERS_CUT,    /* this host ended a session with an answer owed */
-  POOL_COUNT_PAUSES_LIFTED,  /* this host set out to end pauses that another one left behind */
-  POOL_COUNT_KEYS_REFUSED,   /* sessions not opened because no customer holds the key */
-  POOL_COUNT_ENDED_MEMORY,   /* sessions ended because they held too much memory */
-  POOL_COUNT_ENDED_SLOW,     /* sessions ended because their callers sent or read too slowly */
-  POOL_COUNT_ENDED_ROOM,     /* idle sessions ended to make room for others */
+  POOL_COUNT_STORE_RESTORED,   /* the store came back from a backup */
+  POOL_COUNT_FEED_GONE,        /* the store no longer has the revision to watch from */
+  POOL_COUNT_ANSWERS_CUT,      /* this host ended a session with an answer owed */
+  POOL_COUNT_PAUSES_LIFTED,    /* this host set out to end pauses that another one left behind */
+  POOL_COUNT_ABSENCE_UNPROVED, /* databases that may have been added, for which callers have to
+                                * ask again */
+  POOL_COUNT_KEYS_REFUSED,     /* sessions not opened because no customer holds the key */
+  POOL_COUNT_ENDED_MEMORY,     /* sessions ended because they held too much memory */
+  POOL_COUNT_ENDED_SLOW,       /* sessions ended because their callers sent or read too slowly */
+  POOL_COUNT_ENDED_ROOM,       /* idle sessions ended to make room for others */
   POOL_COUNT_COUNT
 } PoolCount;
 
--- a/src/pool/pool-server.c
+++ b/src/pool/pool-server.c
@@ -42,6 +42,7 @@
   bool outdated; /* callers with keys are refused, see pool_server_config_is_current() */
   GHashTable *sessions;
   MemoryBudget memory;
+  WaitQueue config_waiters;
   Timer relief; /* ends sessions that hold too much memory */
   Catalog *catalog;
   GHashTable *services; /* name to HostedService */
@@ -71,6 +72,7 @@
       g_hash_table_iter_steal (&iter);
       pool_session_close (session, SESSION_END_PROCESS);
     }
+  wait_queue_done (&server->config_waiters);
   g_hash_table_destroy (server->sessions);
   g_hash_table_destroy (server->services);
   g_array_free (server->instances, true);
@@ -284,6 +286,8 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     hosted_service_tick (value, now_ms);
   check_sessions (server, now_ms);
+  // A proof may have been heard.
+  pool_server_config_checked (server);
   // A session may have become idle, whose place a waiting caller can take.
   if (is_full (server) && server->listen_fde != NULL)
     tevent_fd_set_flags (server->listen_fde, TEVENT_FD_READ);
@@ -319,6 +323,7 @@
   server->log_limits[VERDICT_NOT_RUN].lines_per_s = NOT_RUN_LINES_PER_S;
   server->end_log_limit.lines_per_s = END_LINES_PER_S;
   server->sessions = g_hash_table_new (NULL, NULL);
+  wait_queue_init (&server->config_waiters);
   server->services = g_hash_table_new (g_str_hash, g_str_equal);
   server->instances = g_array_new (false, true, sizeof (InstanceInfo));
   server->listen_fde = tevent_add_fd (events, server, fd, TEVENT_FD_READ, on_accept, server);
@@ -457,6 +462,39 @@
          || config_proof_is_current (options->proof, options->revoke_limit_ms, clock_now_ms ());
 }
 
+bool
+pool_server_awaits_config (PoolServer *server)
+{
+  const PoolServerOptions *options = &server->options;
+
+  // A host that hears of a newer configuration is getting it already.
+  return config_proof_is_superseded (options->proof)
+         || (options->request_proof != NULL && options->request_proof (options->data));
+}
+
+bool
+pool_server_knows_absence (PoolServer *server)
+{
+  const PoolServerOptions *options = &server->options;
+
+  if (config_proof_covers_absence (options->proof, options->config_limit_ms, clock_now_ms ()))
+    return true;
+  pool_server_awaits_config (server);
+  return false;
+}
+
+void
+pool_server_wait_for_config (PoolServer *server, Waiter *waiter)
+{
+  wait_queue_add (&server->config_waiters, waiter);
+}
+
+void
+pool_server_config_checked (PoolServer *server)
+{
+  wait_queue_wake (&server->config_waiters);
+}
+
 void
 pool_server_set_instances (PoolServer *server, const GArray *infos)
 {
--- a/src/pool/pool-server.h
+++ b/src/pool/pool-server.h
@@ -43,8 +43,11 @@
  * @limits: limits of customers; %NULL if none are kept.
  * @refresh_instances: the instance list may be out of date.
  * @store_era: era of the store as this host knows it; %NULL if it is not followed.
- * @proof: what is known of the configuration's age. @revoke_limit_ms: a key that was taken away
- * must not be served after this time, 0 for no limit.
+ * @proof: what is known of the configuration's age. @config_limit_ms: a change has to be in force
+ * within this time, @revoke_limit_ms: a key that was taken away must not be served after this time,
+ * both 0 for no limit.
+ * @request_proof: asks the store whether the configuration is the newest. Returns whether an answer
+ * is awaited, after which pool_server_config_checked() is called.
  */
 typedef struct
 {
@@ -69,7 +72,9 @@
   void (*refresh_instances) (void *data);
   const uint64_t *store_era;
   const ConfigProof *proof;
+  int64_t config_limit_ms;
   int64_t revoke_limit_ms;
+  bool (*request_proof) (void *data);
   void *data;
 } PoolServerOptions;
 
@@ -104,6 +109,21 @@
  */
 bool pool_server_config_is_current (const PoolServer *server);
 
+/**
+ * pool_server_knows_absence() - Whether a database that the configuration lacks may be refused as
+ * unknown. If not, the store is asked.
+ */
+bool pool_server_knows_absence (PoolServer *server);
+
+/** pool_server_awaits_config() - Whether a newer configuration, or a proof, is on its way. */
+bool pool_server_awaits_config (PoolServer *server);
+
+/** pool_server_wait_for_config() - Wakes @waiter when that may have come. */
+void pool_server_wait_for_config (PoolServer *server, Waiter *waiter);
+
+/** pool_server_config_checked() - A call for the configuration has ended. */
+void pool_server_config_checked (PoolServer *server);
+
 /** pool_server_set_instances() - Sets the current instance list. */
 void pool_server_set_instances (PoolServer *server, const GArray *infos);
 
--- a/src/pool/pool-session.c
+++ b/src/pool/pool-session.c
@@ -21,6 +21,7 @@
 {
   timer_clear (&session->timer);
   timer_clear (&session->end_timer);
+  session_stop_opening (session);
   waiter_cancel (&session->waiter);
   limit_exchange_cancel (&session->limit_waiter);
   instance_pool_cancel (&session->request);
@@ -198,12 +199,15 @@
 static bool
 check_access (PoolSession *session)
 {
+  AnswerCode code;
+
   switch (look_up_route (session))
     {
     case SESSION_ALLOWED:
       return true;
     case SESSION_NO_DATABASE:
-      session_answer_error (session, ANSWER_UNKNOWN_DATABASE, "no such database");
+      code = session_absence_code (session);
+      session_answer_error (session, code, session_absence_text (code, "no such database"));
       return false;
     case SESSION_NO_KEY:
       refuse_to_start (session, ANSWER_UNAUTHENTICATED, "unknown key");
@@ -524,6 +528,7 @@
   session->used_ms = clock_now_ms ();
   session->late = pool_server_drain_phase (server) >= DRAIN_CLOSING;
   session_values_init (&session->values);
+  session_init_open (session);
   session_init_route (session);
   session_init_access (session);
   session->timer.data = session;
--- a/src/pool/session-end.c
+++ b/src/pool/session-end.c
@@ -105,6 +105,7 @@
   session->finishing = true;
   session->end = reason;
   session->active = false;
+  session_stop_opening (session);
   waiter_cancel (&session->waiter);
   limit_exchange_cancel (&session->limit_waiter);
   instance_pool_cancel (&session->request);
@@ -194,7 +195,9 @@
 {
   static const char reason[] = "this host is shutting down";
 
-  if (session->forward != NULL)
+  if (session->opening != NULL)
+    session_end_with_error (session, SESSION_END_DRAIN, ANSWER_OVERLOADED, reason);
+  else if (session->forward != NULL)
     session_forward_answer_unfinished (session, reason);
   else
     session_answer_unfinished (session, reason);
--- a/src/pool/session-forward.c
+++ b/src/pool/session-forward.c
@@ -387,7 +387,7 @@
   if (forward->state == 'I' && !route_is_unchanged (session, database))
     {
       answer_and_end (session, SESSION_END_ROUTE,
-                      database == NULL ? ANSWER_UNKNOWN_DATABASE : ANSWER_OVERLOADED,
+                      database == NULL ? session_absence_code (session) : ANSWER_OVERLOADED,
                       "the route has changed");
       return;
     }
--- a/src/pool/session-open.c
+++ b/src/pool/session-open.c
@@ -6,6 +6,10 @@
 #include "pool/session-forward.h"
 #include "pool/session-state.h"
 
+/* Longest wait for a configuration in which the database may be; callers give up after twice that.
+ */
+#define DATABASE_WAIT_MS 1000
+
 /* Logs an error that ends the session, and on which configuration it rests. */
 static void
 log_refusal (PoolSession *session, AnswerCode code, const char *text)
@@ -44,6 +48,31 @@
   return !session->forwarded || strcmp (session->forwarded_service, database->service) == 0;
 }
 
+AnswerCode
+session_absence_code (PoolSession *session)
+{
+  // The host that forwards the session may have a newer configuration.
+  if (!session->forwarded && pool_server_knows_absence (session->server))
+    return ANSWER_UNKNOWN_DATABASE;
+  pool_metrics_count (session->options->metrics, POOL_COUNT_ABSENCE_UNPROVED);
+  return ANSWER_OVERLOADED;
+}
+
+const char *
+session_absence_text (AnswerCode code, const char *unknown)
+{
+  return code == ANSWER_UNKNOWN_DATABASE ? unknown : "the configuration may be out of date";
+}
+
+static void
+refuse_absent (PoolSession *session)
+{
+  const AnswerCode code = session_absence_code (session);
+
+  session_end_with_error (session, SESSION_END_REFUSED, code,
+                          session_absence_text (code, session->database_name));
+}
+
 /* Returns whether the caller may use the database; otherwise the session ends. */
 static bool
 may_open (PoolSession *session, const Database *route)
@@ -53,8 +82,7 @@
     case SESSION_ALLOWED:
       return true;
     case SESSION_NO_DATABASE:
-      session_end_with_error (session, SESSION_END_REFUSED, ANSWER_UNKNOWN_DATABASE,
-                              session->database_name);
+      refuse_absent (session);
       return false;
     case SESSION_NO_KEY:
       pool_metrics_count (session->options->metrics, POOL_COUNT_KEYS_REFUSED);
@@ -71,34 +99,40 @@
   return false;
 }
 
-void
-session_open (PoolSession *session, CallerMessage *opening, GBytes *message)
+/* Returns false if the database is not worth waiting for, or has been waited for. */
+static bool
+wait_for_database (PoolSession *session)
 {
-  Catalog *catalog = pool_server_catalog (session->server);
-  const Database *route;
+  const int64_t left_ms = session->started_ms + DATABASE_WAIT_MS - clock_now_ms ();
+
+  if (session->forwarded || left_ms <= 0 || pool_server_knows_absence (session->server)
+      || !pool_server_awaits_config (session->server))
+    return false;
+  session->active = true;
+  session->timer.fired = session->config_waiter.woken;
+  timer_set (session->options->timers, &session->timer, left_ms);
+  pool_server_wait_for_config (session->server, &session->config_waiter);
+  return true;
+}
+
+static void
+open_or_wait (PoolSession *session)
+{
+  const Database *route
+      = catalog_database (pool_server_catalog (session->server), session->database_name);
 
-  if (session->database_name != NULL)
-    {
-      g_free (opening->database);
-      g_free (opening->key);
-      session_end_with_error (session, SESSION_END_PROTOCOL, ANSWER_MALFORMED,
-                              "the session is open");
-      return;
-    }
-  session->database_name = opening->database;
-  session->key = opening->key;
   if (session->notified || !drain_may_open (pool_server_drain_phase (session->server)))
     {
       session_end_with_error (session, SESSION_END_DRAIN, ANSWER_OVERLOADED,
                               "this host is shutting down");
       return;
     }
-  if (catalog == NULL)
+  if (route == NULL)
     {
-      session_end_with_error (session, SESSION_END_REFUSED, ANSWER_OVERLOADED, "starting");
+      if (!wait_for_database (session))
+        refuse_absent (session);
       return;
     }
-  route = catalog_database (catalog, session->database_name);
   if (!may_open (session, route))
     return;
   if (session->forwarded
@@ -110,9 +144,62 @@
     }
   if (!session->forwarded && pool_server_has_owners (session->server))
     {
-      session_forward_open (session, message);
+      session_forward_open (session, session->opening);
+      session_stop_opening (session);
       return;
     }
+  session_stop_opening (session);
   session->options->codec->write_ready (session_output (session), 'I', (SessionToken){ 0 });
   stream_flush (session->stream);
 }
+
+/* The configuration may have changed, or the wait is over. */
+static void
+on_config_checked (void *data)
+{
+  PoolSession *session = data;
+  const bool outermost = session_enter (session);
+
+  timer_clear (&session->timer);
+  waiter_cancel (&session->config_waiter);
+  session->active = false;
+  open_or_wait (session);
+  session_leave (session, outermost);
+}
+
+void
+session_open (PoolSession *session, CallerMessage *opening, GBytes *message)
+{
+  if (session->database_name != NULL)
+    {
+      g_free (opening->database);
+      g_free (opening->key);
+      session_end_with_error (session, SESSION_END_PROTOCOL, ANSWER_MALFORMED,
+                              "the session is open");
+      return;
+    }
+  session->database_name = opening->database;
+  session->key = opening->key;
+  if (pool_server_catalog (session->server) == NULL)
+    {
+      session_end_with_error (session, SESSION_END_REFUSED, ANSWER_OVERLOADED, "starting");
+      return;
+    }
+  session->started_ms = clock_now_ms ();
+  session->opening = g_bytes_ref (message);
+  open_or_wait (session);
+}
+
+void
+session_init_open (PoolSession *session)
+{
+  session->config_waiter.woken = on_config_checked;
+  session->config_waiter.data = session;
+}
+
+void
+session_stop_opening (PoolSession *session)
+{
+  waiter_cancel (&session->config_waiter);
+  g_clear_pointer (&session->opening, g_bytes_unref);
+}
--- a/src/pool/session-state.h
+++ b/src/pool/session-state.h
@@ -93,6 +93,8 @@
   ConnectionRequest request;
   LimitWaiter limit_waiter;
   Waiter waiter;
+  Waiter config_waiter;
+  GBytes *opening; /* the message that opens the session, while it waits; else %NULL */
   Timer timer;
 
   bool forwarded;          /* another host forwards it to this one */
@@ -160,9 +162,27 @@
 void session_end_with_error (PoolSession *session, SessionEnd reason, AnswerCode code,
                              const char *text);
 
-/** session_open() - The caller opens the session by @opening, which @message holds unread. */
+/**
+ * session_open() - The caller opens the session by @opening, which @message holds unread. A
+ * database that may have been added lately is waited for.
+ */
 void session_open (PoolSession *session, CallerMessage *opening, GBytes *message);
 
+/** session_init_open() - Sets up the callbacks of a new session. */
+void session_init_open (PoolSession *session);
+
+/** session_stop_opening() - The session no longer waits, if it did. */
+void session_stop_opening (PoolSession *session);
+
+/**
+ * session_absence_code() - Answer to a caller whose database is not in the configuration: that
+ * there is none, if this host knows that, and is the one that the caller is connected to.
+ */
+AnswerCode session_absence_code (PoolSession *session);
+
+/** session_absence_text() - What the caller is told with that code. */
+const char *session_absence_text (AnswerCode code, const char *unknown);
+
 /* Implemented in session-route.c. */
 
 /** session_dispatch() - Chooses an instance for the statement and requests a connection to it. */
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -40,6 +40,7 @@
   PeerMesh *mesh;
   PoolServer *server;
   ConfigProof proof;
+  bool asking; /* the store for a proof */
   guint16 port;
   guint16 peer_port;
 } TestHost;
@@ -67,7 +68,8 @@
   guint caller_count;
   Catalog *catalog;
   guint owners_from;      /* hosts from which on services have owners; 0 for never */
-  gint64 revoke_limit_ms; /* of hosts added from now on */
+  gint64 config_limit_ms; /* of hosts added from now on */
+  gint64 revoke_limit_ms; /* the same */
   Timer wake;
 };
 
@@ -287,6 +289,12 @@
 {
 }
 
+static bool
+on_request_proof (void *data)
+{
+  return ((TestHost *) data)->asking;
+}
+
 static guint16
 free_port (int type)
 {
@@ -419,7 +427,9 @@
     .directory = &state->directory,
     .refresh_instances = on_refresh_instances,
     .proof = &host->proof,
+    .config_limit_ms = state->config_limit_ms,
     .revoke_limit_ms = state->revoke_limit_ms,
+    .request_proof = on_request_proof,
     .data = host,
   };
 
@@ -434,6 +444,7 @@
   host->peer_port = mesh.port;
   state->hosts[state->host_count++] = host;
   pool_server_set_catalog (host->server, state->catalog);
+  config_proof_set_version (&host->proof, state->catalog->version, CONFIG_SOURCE_READ);
   list_instances (state);
   if (*other == '\0')
     announce_hosts (state);
@@ -507,7 +518,8 @@
     g_error ("cannot send to the host");
 }
 
-/* open CALLER HOST DATABASE [KEY]: opens a session */
+/* open CALLER HOST DATABASE [KEY]: opens a session. opening: the same without waiting for the
+ * answer */
 static void
 open_caller (State *state, char **words, GString *out)
 {
@@ -526,7 +538,8 @@
   run_for (state, POLL_MS);
   send_text (caller, text);
   g_free (text);
-  print_answer (state, caller, out);
+  if (strcmp (words[0], "open") == 0)
+    print_answer (state, caller, out);
 }
 
 /* CALLER TEXT...: runs a statement; ids count up, as in "x1" */
@@ -592,6 +605,13 @@
   config_proof_record (&host->proof, host->state->catalog->version, clock_now_ms ());
 }
 
+/* asking HOST yes|no: whether an answer of the store on the configuration is awaited */
+static void
+set_asking (TestHost *host, const char *word)
+{
+  host->asking = strcmp (word, "yes") == 0;
+}
+
 /* await INSTANCE: waits until it serves databases with strict reads */
 static void
 await_primary (State *state, const char *name, GString *out)
@@ -744,7 +764,7 @@
     send_query (state, caller, words, out, true);
   else if (strcmp (verb, "host") == 0)
     add_host (state, words);
-  else if (strcmp (verb, "open") == 0)
+  else if (strcmp (verb, "open") == 0 || strcmp (verb, "opening") == 0)
     open_caller (state, words, out);
   else if (strcmp (verb, "raw") == 0)
     send_raw (state, words, out);
@@ -785,6 +805,13 @@
     configure (state, script_word (words, 1), script_word (words, 2));
   else if (strcmp (verb, "prove") == 0)
     prove (find_host (state, script_word (words, 1)));
+  else if (strcmp (verb, "config_limit") == 0)
+    state->config_limit_ms = script_number (words, 1);
+  else if (strcmp (verb, "asking") == 0)
+    set_asking (find_host (state, script_word (words, 1)), script_word (words, 2));
+  else if (strcmp (verb, "hear_config") == 0)
+    config_proof_hear (&find_host (state, script_word (words, 1))->proof,
+                       (guint64) script_number (words, 2), clock_now_ms ());
   else if (strcmp (verb, "revoke_limit") == 0)
     state->revoke_limit_ms = script_number (words, 1);
   else if (strcmp (verb, "drain") == 0)
--- a/tests/script-small.c
+++ b/tests/script-small.c
@@ -157,6 +157,13 @@
                                                    script_number (words, 2))
                               ? "yes\n"
                               : "no\n");
+  else if (strcmp (verb, "hear") == 0)
+    config_proof_hear (&state->proof, (guint64) script_number (words, 1), script_number (words, 2));
+  else if (strcmp (verb, "knows-absence") == 0)
+    g_string_append (out, config_proof_covers_absence (&state->proof, script_number (words, 1),
+                                                       script_number (words, 2))
+                              ? "yes\n"
+                              : "no\n");
   else if (strcmp (verb, "proof-due") == 0)
     g_string_append (out, config_proof_due_ms (&state->proof, script_number (words, 1),
                                                (guint) script_number (words, 2),
--- a/tests/script-snapshot.c
+++ b/tests/script-snapshot.c
@@ -175,6 +175,7 @@
     .store_restored = on_store_restored,
     .request_snapshot = on_request_snapshot,
     .announce = on_announce,
+    .config_checked = on_announce,
     .proof = &host->proof,
     .proof_limit_ms = state->proof_limit_ms,
     .data = host,
