Count the ages in a heartbeat from the moment when they are read

A host that stands still, or gets no processor time, between reading how old its proofs are and sending the heartbeat made those proofs newer by that time at every host that hears it: the receiver counts them from the sending. So hosts could take a configuration, or a primary, for proved later than it was.

--- a/src/pool/peer-mesh.c
+++ b/src/pool/peer-mesh.c
@@ -169,13 +169,12 @@
 static void
 send_heartbeat (PeerMesh *mesh, const Peer *peer, Pool__Beat *heartbeat)
 {
-  const int64_t now_ms = clock_now_ms ();
   uint8_t bytes[DATAGRAM_BYTES];
   size_t size;
 
-  heartbeat->sent = (uint64_t) now_ms;
   heartbeat->echo = peer->sent;
-  heartbeat->echo_age = (uint32_t) (peer->sent == 0 ? 0 : now_ms - peer->received_ms);
+  heartbeat->echo_age
+      = (uint32_t) (peer->sent == 0 ? 0 : (int64_t) heartbeat->sent - peer->received_ms);
   if (pool__beat__get_packed_size (heartbeat) > sizeof bytes)
     {
       log_event (LOG_LEVEL_ERROR, "beat_too_large", "services=%zu limit_bytes=%zu",
@@ -201,6 +200,8 @@
   heartbeat->leaving = mesh->leaving;
   heartbeat->draining = mesh->draining;
   heartbeat->failure_domain = peer_mesh_name_hash (mesh->options.failure_domain);
+  // The ages that follow are of this time or later, also if this process stands still meanwhile.
+  heartbeat->sent = (uint64_t) clock_now_ms ();
   mesh->options.fill_heartbeat (mesh->options.data, heartbeat, services);
   for (size_t i = 0; i < heartbeat->n_services; i++)
     heartbeat->services[i]->released = mesh->leaving;
--- a/tests/script-pool.c
+++ b/tests/script-pool.c
@@ -60,6 +60,8 @@
   FakeGroup *group;
   GHashTable *regions;
   Directory directory;
+  gint64 heartbeat_delay_ms; /* from reading what a heartbeat holds to sending it */
+  guint proofs_too_late;     /* heard as if they were later than they were */
   guint64 highest_token;
   guint promotes;
   TestHost *hosts[HOSTS_MAX];
@@ -245,13 +247,24 @@
 static void
 fill_heartbeat (void *data, Pool__Beat *heartbeat, bool services)
 {
-  pool_server_fill_heartbeat (((TestHost *) data)->server, heartbeat, services);
+  TestHost *host = data;
+
+  pool_server_fill_heartbeat (host->server, heartbeat, services);
+  // All hosts have one clock, so the time of the proof can be compared with what is made of its
+  // age.
+  heartbeat->proof_version = (guint64) clock_now_ms ();
+  heartbeat->proof_age = 1;
+  g_usleep ((gulong) host->state->heartbeat_delay_ms * 1000);
 }
 
 static void
 on_heartbeat (void *data, const struct sockaddr_in *from, const Pool__Beat *heartbeat,
               int64_t sent_ms)
 {
+  State *state = ((TestHost *) data)->state;
+
+  state->proofs_too_late
+      += sent_ms - (heartbeat->proof_age - 1) > (gint64) heartbeat->proof_version;
 }
 
 static void
@@ -805,6 +818,10 @@
     configure (state, script_word (words, 1), script_word (words, 2));
   else if (strcmp (verb, "prove") == 0)
     prove (find_host (state, script_word (words, 1)));
+  else if (strcmp (verb, "heartbeat_delay") == 0)
+    state->heartbeat_delay_ms = script_number (words, 1);
+  else if (strcmp (verb, "proofs_too_late") == 0)
+    g_string_append (out, state->proofs_too_late == 0 ? "none\n" : "some\n");
   else if (strcmp (verb, "config_limit") == 0)
     state->config_limit_ms = script_number (words, 1);
   else if (strcmp (verb, "asking") == 0)
