--- a/src/pool/session-open.c
+++ b/src/pool/session-open.c
@@ -99,6 +99,8 @@
   return false;
 }
 
+static void on_config_checked (void *data);
+
 /* Returns false if the database is not worth waiting for, or has been waited for. */
 static bool
 wait_for_database (PoolSession *session)
@@ -109,7 +111,7 @@
       || !pool_server_awaits_config (session->server))
     return false;
   session->active = true;
-  session->timer.fired = session->config_waiter.woken;
+  session->timer.fired = on_config_checked;
   timer_set (session->options->timers, &session->timer, left_ms);
   pool_server_wait_for_config (session->server, &session->config_waiter);
   return true;
--- a/src/pool/session-state.h
+++ b/src/pool/session-state.h
@@ -92,7 +92,7 @@
   const InstancePool *requested_pool; /* only compared, never dereferenced */
   ConnectionRequest request;
   LimitWaiter limit_waiter;
-  Waiter waiter;
+  Waiter waiter; /* for an instance */
   Waiter config_waiter;
   GBytes *opening; /* the message that opens the session, while it waits; else %NULL */
   Timer timer;
