Let the soak of changes ask every host that runs, in touch or not

A host out of touch was not asked, as it was allowed to be behind; it is not allowed to refuse an added database as unknown. And at a host in touch the new answer, that the configuration may be out of date, counts as late as NODB did before, so that the check stays as strict.

--- a/tests/processes/config.c
+++ b/tests/processes/config.c
@@ -7,8 +7,8 @@
  * a database of it as unknown all the same. CASE stopped: the same for hosts that stand still
  * meanwhile, at the moment when they go on. CASE a number: a soak with that seed, in which the
  * store fails for some hosts or for all, and hosts are killed and frozen, all of it overlapping.
- * Prints how many versions were not in force in time at a host in touch: one that ran and reached
- * the store for some seconds.
+ * Prints how many versions were not in force in time at a host in touch, one that ran and reached
+ * the store for some seconds, or refused as unknown at any.
  *
  *   WORLD_BINARY=build/peridotstep WORLD_DIRECTORY=DIRECTORY build/pool-config CASE RECORD */
 #include "world.h"
@@ -136,19 +136,41 @@
          && (!world.hosts[host].store_behind || is_stable (&behind_trouble));
 }
 
-/* A host that can't open the session for another reason does not count. */
+/* No host may refuse the database as unknown, and a host in touch has no reason not to know. One
+ * that can't open the session for another reason does not count. */
+static bool
+is_late (const Answer *answer, int host)
+{
+  return strcmp (answer->code, "NODB") == 0
+         || (is_in_touch (host) && strstr (answer->reason, "out of date") != NULL);
+}
+
+/* At all hosts that run. */
 static void
 check_version_at_hosts (int number)
 {
-  char code[WORLD_TEXT];
+  static Client clients[HOSTS];
+  char name[WORLD_TEXT];
 
+  snprintf (name, sizeof name, "shop%d", number);
   for (int i = 0; i < HOSTS; i++)
     {
-      if (!is_in_touch (i))
+      clients[i].fd = -1;
+      if (host_trouble[i].ends_ms == 0)
+        client_connect (&clients[i], i, name);
+    }
+  for (int i = 0; i < HOSTS; i++)
+    {
+      Answer answer;
+
+      if (clients[i].fd < 0)
         continue;
-      open_session (number, i, code, sizeof code);
+      answer = client_read (&clients[i], OPEN_LIMIT_MS);
+      client_close (&clients[i]);
+      world_record ("check    version %d at %s: %s%s", number, world.hosts[i].name, answer.code,
+                    answer.reason);
       checks++;
-      late += strcmp (code, "NODB") == 0;
+      late += is_late (&answer, i);
     }
 }
 
--- a/tests/processes/world.c
+++ b/tests/processes/world.c
@@ -1612,7 +1612,12 @@
           snprintf (answer.receipt, sizeof answer.receipt, "%.60s", line + 9);
         }
       else if (strncmp (line, "ERROR ", 6) == 0)
-        snprintf (answer.code, sizeof answer.code, "%.*s", (int) strcspn (line + 6, " "), line + 6);
+        {
+          const int length = (int) strcspn (line + 6, " ");
+
+          snprintf (answer.code, sizeof answer.code, "%.*s", length, line + 6);
+          snprintf (answer.reason, sizeof answer.reason, "%.60s", line + 6 + length);
+        }
       else if (strncmp (line, "READY ", 6) == 0)
         {
           answer.state = line[6];
