--- a/tests/processes/world.h
+++ b/tests/processes/world.h
@@ -155,7 +155,7 @@
   bool complete; /* success */
   char code[WORLD_TEXT];
   char reason[WORLD_TEXT]; /* text of the error, cut off */
-  char row[WORLD_TEXT]; /* first row, cut off */
+  char row[WORLD_TEXT];    /* first row, cut off */
   char receipt[WORLD_TEXT];
   char state;
 } Answer;
